--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# The two commands of the README, and what CI calls.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+
+.PHONY: install build test demo format lint
+
+install:
+	apt-get update -qq
+	xargs apt-get install -y -qq --no-install-recommends < packages.txt
+
+build:
+	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_EXPORT_COMPILE_COMMANDS=ON
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: install build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4 --no-tests=error
+
+demo: install build
+	$(BUILD)/snipeshunt-demo
+
+format:
+	git ls-files '*.h' '*.cpp' | xargs clang-format -i
+
+lint: build
+	git ls-files '*.h' '*.cpp' | xargs clang-format --dry-run --Werror
+	git ls-files '*.cpp' | xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD)
--- /dev/null
+++ b/src/core/id_type.h
@@ -0,0 +1,81 @@
+/// \file Strongly typed identifiers shared by all subsystems.
+#ifndef SNIPESHUNT_CORE_ID_TYPE_H
+#define SNIPESHUNT_CORE_ID_TYPE_H
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <tuple>
+
+namespace snipeshunt {
+
+/// An integer or string that can't be mixed up with one of another kind.
+template <typename Tag, typename Rep = uint64_t> struct StrongId {
+  Rep Value{};
+
+  friend bool operator==(const StrongId &L, const StrongId &R) {
+    return L.Value == R.Value;
+  }
+  friend bool operator!=(const StrongId &L, const StrongId &R) {
+    return !(L == R);
+  }
+  friend bool operator<(const StrongId &L, const StrongId &R) {
+    return L.Value < R.Value;
+  }
+};
+
+/// Random number drawn when a process starts; never used by two processes.
+using IncarnationId = StrongId<struct IncarnationTag>;
+/// Number of a ticket within the incarnation that issued it.
+using TicketSequence = StrongId<struct TicketSequenceTag>;
+/// Number of a handover batch from one home incarnation to one receiver.
+using HandoverSequence = StrongId<struct HandoverSequenceTag>;
+/// Position of a task in its job.
+using TaskIndex = StrongId<struct TaskIndexTag, uint32_t>;
+/// A request that a caller or peer has open with this process.
+using RequestId = StrongId<struct RequestTag>;
+/// One attempt to start a task on an upstream.
+using AttemptId = StrongId<struct AttemptTag>;
+/// `IP:port`, as other processes reach it.
+using Address = StrongId<struct AddressTag, std::string>;
+/// Name of a data centre.
+using DataCentre = StrongId<struct DataCentreTag, std::string>;
+/// Name of a team, the unit of quotas and fair shares.
+using Team = StrongId<struct TeamTag, std::string>;
+/// Name of a kind of task; tasks of one kind have similar run times.
+using TaskKind = StrongId<struct TaskKindTag, std::string>;
+/// Revision of the configuration document in the platform's service.
+using Revision = StrongId<struct RevisionTag>;
+
+/// A task, identified across all instances.
+struct TaskKey {
+  IncarnationId Home;  ///< Incarnation in charge of the job.
+  TicketSequence Job;  ///< The job's ticket within that incarnation.
+  TaskIndex Index;     ///< Position in the job.
+
+  friend bool operator==(const TaskKey &L, const TaskKey &R) {
+    return L.Home == R.Home && L.Job == R.Job && L.Index == R.Index;
+  }
+  friend bool operator<(const TaskKey &L, const TaskKey &R) {
+    return std::tie(L.Home, L.Job, L.Index) < std::tie(R.Home, R.Job, R.Index);
+  }
+};
+
+} // namespace snipeshunt
+
+template <typename Tag, typename Rep>
+struct std::hash<snipeshunt::StrongId<Tag, Rep>> {
+  size_t operator()(const snipeshunt::StrongId<Tag, Rep> &Id) const {
+    return std::hash<Rep>()(Id.Value);
+  }
+};
+
+template <> struct std::hash<snipeshunt::TaskKey> {
+  size_t operator()(const snipeshunt::TaskKey &Key) const {
+    // Multipliers of a 64-bit mixer keep keys of one job apart.
+    uint64_t Mixed = Key.Home.Value ^ (Key.Job.Value * 0x9e3779b97f4a7c15ULL);
+    return Mixed ^ (Key.Index.Value * 0xbf58476d1ce4e5b9ULL);
+  }
+};
+
+#endif // SNIPESHUNT_CORE_ID_TYPE_H
--- /dev/null
+++ b/src/core/json.cpp
@@ -0,0 +1,231 @@
+/// \file Reading and writing JSON with typed errors.
+#include "core/json_func.h"
+
+#include <cstring>
+#include <memory>
+
+namespace snipeshunt {
+
+namespace {
+
+// Bounds the recursion of jsoncpp's parser on hostile input.
+constexpr int MaxNesting = 64;
+
+Error fieldError(const std::string &Path, const std::string &Name,
+                 const std::string &Problem, const std::string &Remedy) {
+  std::string Where = Path.empty() ? Name : Path + "." + Name;
+  return {ErrorKind::InvalidField, "field '" + Where + "' " + Problem, Remedy};
+}
+
+} // namespace
+
+Result<Json::Value> parseJson(std::string_view Text, JsonComments Comments) {
+  Json::CharReaderBuilder Builder;
+  Json::CharReaderBuilder::strictMode(&Builder.settings_);
+  Builder["allowComments"] = Comments == JsonComments::Accept;
+  Builder["strictRoot"] = false;
+  Builder["rejectDupKeys"] = true;
+  Builder["failIfExtra"] = true;
+  Builder["stackLimit"] = MaxNesting;
+  std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
+  Json::Value Root;
+  std::string Problem;
+  bool Parsed = false;
+  // jsoncpp reports excessive nesting by an exception.
+  try {
+    Parsed =
+        Reader->parse(Text.data(), Text.data() + Text.size(), &Root, &Problem);
+  } catch (const Json::Exception &E) {
+    Problem = E.what();
+  }
+  if (!Parsed)
+    return Error{ErrorKind::MalformedJson, "not valid JSON: " + Problem,
+                 "send one JSON value, UTF-8, without duplicate keys"};
+  return Root;
+}
+
+std::string writeJson(const Json::Value &Value) {
+  static const Json::StreamWriterBuilder Builder = [] {
+    Json::StreamWriterBuilder B;
+    B["indentation"] = "";
+    B["emitUTF8"] = true;
+    return B;
+  }();
+  return Json::writeString(Builder, Value);
+}
+
+ObjectReader::ObjectReader(const Json::Value &Object, std::string Path)
+    : Object(Object), Path(std::move(Path)) {
+  if (!Object.isObject())
+    First = Error{ErrorKind::InvalidField,
+                  (this->Path.empty() ? "the value" : "'" + this->Path + "'") +
+                      " is not a JSON object",
+                  "send an object in braces"};
+}
+
+bool ObjectReader::has(const char *Name) const {
+  return Object.isObject() && Object.isMember(Name);
+}
+
+const Json::Value *ObjectReader::find(const char *Name, bool Required) {
+  Known.insert(Name);
+  if (First)
+    return nullptr;
+  if (const Json::Value *Found = Object.find(Name, Name + strlen(Name)))
+    return Found;
+  if (Required)
+    First = fieldError(Path, Name, "is missing", "add it");
+  return nullptr;
+}
+
+ObjectReader &ObjectReader::string(const char *Name, std::string &Out,
+                                   size_t MaxLength) {
+  find(Name, /*Required=*/true);
+  return optionalString(Name, Out, MaxLength);
+}
+
+ObjectReader &ObjectReader::optionalString(const char *Name, std::string &Out,
+                                           size_t MaxLength) {
+  const Json::Value *Found = find(Name, /*Required=*/false);
+  if (!Found)
+    return *this;
+  if (!Found->isString()) {
+    fail(Name, "a string");
+    return *this;
+  }
+  std::string Text = Found->asString();
+  if (Text.size() > MaxLength) {
+    fail(Name, "a string of at most " + std::to_string(MaxLength) + " bytes");
+    return *this;
+  }
+  Out = std::move(Text);
+  return *this;
+}
+
+ObjectReader &ObjectReader::integer(const char *Name, int64_t &Out, int64_t Min,
+                                    int64_t Max) {
+  find(Name, /*Required=*/true);
+  return optionalInteger(Name, Out, Min, Max);
+}
+
+ObjectReader &ObjectReader::optionalInteger(const char *Name, int64_t &Out,
+                                            int64_t Min, int64_t Max) {
+  const Json::Value *Found = find(Name, /*Required=*/false);
+  if (!Found)
+    return *this;
+  if (!Found->isInt64() || Found->asInt64() < Min || Found->asInt64() > Max) {
+    fail(Name, "a whole number from " + std::to_string(Min) + " to " +
+                   std::to_string(Max));
+    return *this;
+  }
+  Out = Found->asInt64();
+  return *this;
+}
+
+ObjectReader &ObjectReader::unsignedId(const char *Name, uint64_t &Out) {
+  const Json::Value *Found = find(Name, /*Required=*/true);
+  if (!Found)
+    return *this;
+  if (!Found->isUInt64()) {
+    fail(Name, "a whole number from 0 to 2^64-1");
+    return *this;
+  }
+  Out = Found->asUInt64();
+  return *this;
+}
+
+ObjectReader &ObjectReader::optionalNumber(const char *Name, double &Out,
+                                           double Min, double Max) {
+  const Json::Value *Found = find(Name, /*Required=*/false);
+  if (!Found)
+    return *this;
+  if (!Found->isNumeric() || Found->asDouble() < Min ||
+      Found->asDouble() > Max) {
+    fail(Name, "a number from " + std::to_string(Min) + " to " +
+                   std::to_string(Max));
+    return *this;
+  }
+  Out = Found->asDouble();
+  return *this;
+}
+
+ObjectReader &ObjectReader::boolean(const char *Name, bool &Out) {
+  find(Name, /*Required=*/true);
+  return optionalBoolean(Name, Out);
+}
+
+ObjectReader &ObjectReader::optionalBoolean(const char *Name, bool &Out) {
+  const Json::Value *Found = find(Name, /*Required=*/false);
+  if (!Found)
+    return *this;
+  if (!Found->isBool()) {
+    fail(Name, "true or false");
+    return *this;
+  }
+  Out = Found->asBool();
+  return *this;
+}
+
+const Json::Value *ObjectReader::container(const char *Name, bool Required,
+                                           Json::ValueType Type,
+                                           const char *TypeName) {
+  const Json::Value *Found = find(Name, Required);
+  if (!Found)
+    return nullptr;
+  if (Found->type() != Type) {
+    fail(Name, TypeName);
+    return nullptr;
+  }
+  return Found;
+}
+
+const Json::Value *ObjectReader::array(const char *Name, size_t MaxLength) {
+  find(Name, /*Required=*/true);
+  return optionalArray(Name, MaxLength);
+}
+
+const Json::Value *ObjectReader::optionalArray(const char *Name,
+                                               size_t MaxLength) {
+  const Json::Value *Found =
+      container(Name, /*Required=*/false, Json::arrayValue, "an array");
+  if (Found && Found->size() > MaxLength) {
+    fail(Name, "an array of at most " + std::to_string(MaxLength) + " items");
+    return nullptr;
+  }
+  return Found;
+}
+
+const Json::Value *ObjectReader::object(const char *Name) {
+  return container(Name, /*Required=*/true, Json::objectValue, "an object");
+}
+
+const Json::Value *ObjectReader::optionalObject(const char *Name) {
+  return container(Name, /*Required=*/false, Json::objectValue, "an object");
+}
+
+void ObjectReader::fail(const char *Name, std::string Allowed) {
+  if (!First)
+    First = fieldError(Path, Name, "has a wrong value",
+                       "give " + std::move(Allowed));
+}
+
+void ObjectReader::fail(Error E) {
+  if (!First)
+    First = std::move(E);
+}
+
+std::optional<Error> ObjectReader::finish() {
+  if (First)
+    return First;
+  for (const std::string &Name : Object.getMemberNames())
+    if (!Known.count(Name)) {
+      std::string Allowed;
+      for (const std::string &K : Known)
+        Allowed += (Allowed.empty() ? "" : ", ") + K;
+      return fieldError(Path, Name, "is not known",
+                        "remove it; known fields: " + Allowed);
+    }
+  return std::nullopt;
+}
+
+} // namespace snipeshunt
