http: add the event loop, server and client wrappers, and JSON reading

Cause: every process needs HTTP by evhttp and typed JSON errors. Change: RAII wrappers over libevent; a client that never repeats a request and reports whether any byte was handed to a connection; an object reader that names the first wrong field and its remedy. Conclusion: base for the daemon, the tool and the stand-ins.

--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -49,9 +49,9 @@
 
 /// A task, identified across all instances.
 struct TaskKey {
-  IncarnationId Home;  ///< Incarnation in charge of the job.
-  TicketSequence Job;  ///< The job's ticket within that incarnation.
-  TaskIndex Index;     ///< Position in the job.
+  IncarnationId Home; ///< Incarnation in charge of the job.
+  TicketSequence Job; ///< The job's ticket within that incarnation.
+  TaskIndex Index;    ///< Position in the job.
 
   friend bool operator==(const TaskKey &L, const TaskKey &R) {
     return L.Home == R.Home && L.Job == R.Job && L.Index == R.Index;
--- a/src/core/json.cpp
+++ b/src/core/json.cpp
@@ -141,8 +141,8 @@
     return *this;
   if (!Found->isNumeric() || Found->asDouble() < Min ||
       Found->asDouble() > Max) {
-    fail(Name, "a number from " + std::to_string(Min) + " to " +
-                   std::to_string(Max));
+    fail(Name,
+         "a number from " + std::to_string(Min) + " to " + std::to_string(Max));
     return *this;
   }
   Out = Found->asDouble();
--- /dev/null
+++ b/src/http/event_loop.h
@@ -0,0 +1,75 @@
+/// \file RAII wrappers over libevent's loop, timers and signals.
+#ifndef SNIPESHUNT_HTTP_EVENT_LOOP_H
+#define SNIPESHUNT_HTTP_EVENT_LOOP_H
+
+#include "core/clock.h"
+
+#include <functional>
+#include <memory>
+
+struct event;
+struct event_base;
+
+namespace snipeshunt {
+
+/// One event loop; everything registered on it runs in its thread.
+class EventLoop {
+public:
+  EventLoop();
+  EventLoop(const EventLoop &) = delete;
+  EventLoop &operator=(const EventLoop &) = delete;
+  ~EventLoop();
+
+  /// Runs until `stop` is called.
+  void run();
+  /// Handles what is ready, waiting at most \p Wait for something to be.
+  void runFor(Duration Wait);
+  void stop();
+  event_base *base() const { return Base.get(); }
+
+private:
+  struct BaseDeleter {
+    void operator()(event_base *B) const;
+  };
+  std::unique_ptr<event_base, BaseDeleter> Base;
+};
+
+/// Calls a function after a delay, once or periodically.
+class Timer {
+public:
+  Timer(EventLoop &Loop, std::function<void()> Function);
+  Timer(const Timer &) = delete;
+  Timer &operator=(const Timer &) = delete;
+  ~Timer();
+
+  void startOnce(Duration Delay);
+  void startPeriodic(Duration Period);
+  void stop();
+
+private:
+  void start(Duration Delay, bool Periodic);
+
+  EventLoop &Loop;
+  std::function<void()> Function;
+  struct EventDeleter {
+    void operator()(event *E) const;
+  };
+  std::unique_ptr<event, EventDeleter> Event;
+};
+
+/// Calls a function when the process receives a signal.
+class SignalWatcher {
+public:
+  SignalWatcher(EventLoop &Loop, int Signal, std::function<void()> Function);
+  SignalWatcher(const SignalWatcher &) = delete;
+  SignalWatcher &operator=(const SignalWatcher &) = delete;
+  ~SignalWatcher();
+
+private:
+  std::function<void()> Function;
+  event *Event;
+};
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_HTTP_EVENT_LOOP_H
--- /dev/null
+++ b/src/http/http_address.h
@@ -0,0 +1,23 @@
+/// \file Splitting `IP:port` addresses.
+#ifndef SNIPESHUNT_HTTP_HTTP_ADDRESS_H
+#define SNIPESHUNT_HTTP_HTTP_ADDRESS_H
+
+#include "core/error_type.h"
+#include "core/id_type.h"
+
+#include <string>
+
+namespace snipeshunt {
+
+/// The two parts of an address.
+struct HostPort {
+  std::string Host;  ///< IP number.
+  uint16_t Port = 0; ///< TCP port.
+};
+
+/// Splits \p Text, which must be an IPv4 number and a port.
+Result<HostPort> parseAddress(const Address &Text);
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_HTTP_HTTP_ADDRESS_H
--- /dev/null
+++ b/src/http/http_client.cpp
@@ -0,0 +1,243 @@
+/// \file Pool of evhttp client connections.
+#include "http/http_client.h"
+
+#include "http/http_address.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+
+namespace snipeshunt {
+
+namespace {
+
+evhttp_cmd_type methodType(std::string_view Name) {
+  if (Name == "POST")
+    return EVHTTP_REQ_POST;
+  if (Name == "PUT")
+    return EVHTTP_REQ_PUT;
+  if (Name == "DELETE")
+    return EVHTTP_REQ_DELETE;
+  return EVHTTP_REQ_GET;
+}
+
+} // namespace
+
+/// One evhttp connection, used by one call at a time.
+class HttpClient::Connection {
+public:
+  Connection(HttpClient &Owner, const Address &Name, const HostPort &Parts)
+      : Owner(Owner), Name(Name),
+        Http(evhttp_connection_base_new(Owner.Loop.base(), nullptr,
+                                        Parts.Host.c_str(), Parts.Port)),
+        Deadline(Owner.Loop, [this] { expire(); }) {
+    // A retry by evhttp would start a task twice.
+    evhttp_connection_set_retries(Http, 0);
+    evhttp_connection_set_max_body_size(
+        Http, static_cast<ev_ssize_t>(Owner.Options.MaxReplyBody));
+    if (!Owner.Options.LocalIp.empty())
+      evhttp_connection_set_local_address(Http, Owner.Options.LocalIp.c_str());
+    evbuffer *Output =
+        bufferevent_get_output(evhttp_connection_get_bufferevent(Http));
+    OutputWatch = evbuffer_add_cb(Output, handleOutput, this);
+  }
+
+  Connection(const Connection &) = delete;
+  Connection &operator=(const Connection &) = delete;
+  ~Connection() { evhttp_connection_free(Http); }
+
+  void start(HttpCall Call, Callback WhenDone) {
+    Done = std::move(WhenDone);
+    BytesHandedOver = false;
+    TimedOut = false;
+    Request = evhttp_request_new(handleDone, this);
+    evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
+    evhttp_add_header(Headers, "Host", Name.Value.c_str());
+    if (!Call.Body.empty())
+      evhttp_add_header(Headers, "Content-Type", "application/json");
+    for (const auto &[Key, Value] : Call.Headers)
+      evhttp_add_header(Headers, Key.c_str(), Value.c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(Request), Call.Body.data(),
+                 Call.Body.size());
+    evhttp_connection_set_timeout_tv(Http, nullptr);
+    Deadline.startOnce(Call.Timeout);
+    ++Owner.CallsSent;
+    if (evhttp_make_request(Http, Request, methodType(Call.Method),
+                            Call.Path.c_str()) != 0) {
+      // evhttp has freed the request without calling back.
+      Request = nullptr;
+      Owner.failLater(
+          [this](HttpOutcome Outcome) {
+            if (Done)
+              complete(std::move(Outcome), /*Reusable=*/false);
+          },
+          {!BytesHandedOver, "can't open a connection to " + Name.Value});
+    }
+  }
+
+  const Address &name() const { return Name; }
+  Callback takeCallback() { return std::exchange(Done, nullptr); }
+  SteadyTime IdleSince{};
+
+private:
+  static void handleOutput(evbuffer *, const evbuffer_cb_info *Info,
+                           void *Arg) {
+    if (Info->n_added > 0)
+      static_cast<Connection *>(Arg)->BytesHandedOver = true;
+  }
+
+  static void handleDone(evhttp_request *Finished, void *Arg) {
+    auto *Self = static_cast<Connection *>(Arg);
+    Self->Request = nullptr;
+    int Status = Finished ? evhttp_request_get_response_code(Finished) : 0;
+    if (Status == 0) {
+      std::string Reason = Self->TimedOut          ? "no answer in time from "
+                           : Self->BytesHandedOver ? "connection lost to "
+                                                   : "can't connect to ";
+      Self->complete(
+          HttpFailure{!Self->BytesHandedOver, Reason + Self->Name.Value},
+          /*Reusable=*/false);
+      return;
+    }
+    HttpReply Reply;
+    Reply.Status = Status;
+    evbuffer *Input = evhttp_request_get_input_buffer(Finished);
+    Reply.Body.resize(evbuffer_get_length(Input));
+    evbuffer_remove(Input, Reply.Body.data(), Reply.Body.size());
+    evkeyvalq *Headers = evhttp_request_get_input_headers(Finished);
+    for (evkeyval *Kv = Headers->tqh_first; Kv; Kv = Kv->next.tqe_next)
+      Reply.Headers.emplace_back(Kv->key, Kv->value);
+    const char *Close = evhttp_find_header(Headers, "Connection");
+    bool Reusable = !Close || evutil_ascii_strcasecmp(Close, "close") != 0;
+    Self->complete(std::move(Reply), Reusable);
+  }
+
+  void expire() {
+    if (!Request)
+      return;
+    TimedOut = true;
+    // Cancelling does not call back.
+    evhttp_cancel_request(std::exchange(Request, nullptr));
+    complete(
+        HttpFailure{!BytesHandedOver, "no answer in time from " + Name.Value},
+        /*Reusable=*/false);
+  }
+
+  void complete(HttpOutcome Outcome, bool Reusable) {
+    Deadline.stop();
+    Owner.finish(this, std::move(Outcome), Reusable);
+  }
+
+  HttpClient &Owner;
+  Address Name;
+  evhttp_connection *Http;
+  evhttp_request *Request = nullptr;
+  evbuffer_cb_entry *OutputWatch = nullptr;
+  Callback Done;
+  Timer Deadline;
+  bool BytesHandedOver = false;
+  bool TimedOut = false;
+};
+
+HttpClient::HttpClient(EventLoop &Loop, HttpClientOptions Options)
+    : Loop(Loop), Options(std::move(Options)),
+      DeferredTimer(Loop, [this] { runDeferred(); }),
+      IdleTimer(Loop, [this] { closeIdle(); }) {
+  IdleTimer.startPeriodic(std::chrono::milliseconds(500));
+}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::send(HttpCall Call, Callback Done) {
+  Address Name = Call.Target;
+  Target &T = Targets[Name];
+  if (T.Queue.size() >= Options.MaxWaitingPerTarget) {
+    failLater(std::move(Done),
+              {true, "too many requests wait for " + Name.Value});
+    return;
+  }
+  T.Queue.push_back(
+      {std::move(Call), std::move(Done), std::chrono::steady_clock::now()});
+  dispatch(Name);
+}
+
+void HttpClient::dispatch(const Address &Name) {
+  Target &T = Targets[Name];
+  while (!T.Queue.empty() && T.Busy.size() < Options.MaxConnectionsPerTarget) {
+    Waiting Next = std::move(T.Queue.front());
+    T.Queue.pop_front();
+    std::unique_ptr<Connection> C;
+    if (!T.Idle.empty()) {
+      C = std::move(T.Idle.back());
+      T.Idle.pop_back();
+    } else {
+      Result<HostPort> Parts = parseAddress(Name);
+      if (failed(Parts)) {
+        failLater(std::move(Next.Done), {true, errorOf(Parts).Message});
+        continue;
+      }
+      C = std::make_unique<Connection>(*this, Name, valueOf(Parts));
+    }
+    Connection *Started = C.get();
+    T.Busy.push_back(std::move(C));
+    Started->start(std::move(Next.Call), std::move(Next.Done));
+  }
+}
+
+void HttpClient::finish(Connection *C, HttpOutcome Outcome, bool Reusable) {
+  Callback Done = C->takeCallback();
+  Address Name = C->name();
+  Target &T = Targets[Name];
+  auto It = std::find_if(T.Busy.begin(), T.Busy.end(),
+                         [C](const auto &Entry) { return Entry.get() == C; });
+  std::unique_ptr<Connection> Owned = std::move(*It);
+  T.Busy.erase(It);
+  // Both kinds leave evhttp's callback first: evhttp still uses the
+  // connection after it, so it can be neither freed nor given a new request.
+  if (Reusable) {
+    auto *Raw = Owned.release();
+    Deferred.push_back([this, Raw, Name] {
+      Raw->IdleSince = std::chrono::steady_clock::now();
+      Targets[Name].Idle.emplace_back(Raw);
+      dispatch(Name);
+    });
+  } else {
+    Retired.push_back(std::move(Owned));
+    Deferred.push_back([this, Name] { dispatch(Name); });
+  }
+  DeferredTimer.startOnce(Duration::zero());
+  if (Done)
+    Done(std::move(Outcome));
+}
+
+void HttpClient::failLater(Callback Done, HttpFailure Failure) {
+  Deferred.push_back([Done = std::move(Done), Failure = std::move(Failure)] {
+    Done(Failure);
+  });
+  DeferredTimer.startOnce(Duration::zero());
+}
+
+void HttpClient::runDeferred() {
+  Retired.clear();
+  std::vector<std::function<void()>> Now = std::move(Deferred);
+  Deferred.clear();
+  for (std::function<void()> &Step : Now)
+    Step();
+}
+
+void HttpClient::closeIdle() {
+  SteadyTime Limit = std::chrono::steady_clock::now() - Options.IdleLimit;
+  for (auto It = Targets.begin(); It != Targets.end();) {
+    Target &T = It->second;
+    while (!T.Idle.empty() && T.Idle.front()->IdleSince < Limit)
+      T.Idle.pop_front();
+    bool Unused = T.Idle.empty() && T.Busy.empty() && T.Queue.empty();
+    It = Unused ? Targets.erase(It) : std::next(It);
+  }
+}
+
+} // namespace snipeshunt
--- /dev/null
+++ b/src/http/http_client.h
@@ -0,0 +1,76 @@
+/// \file Pool of evhttp client connections.
+#ifndef SNIPESHUNT_HTTP_HTTP_CLIENT_H
+#define SNIPESHUNT_HTTP_HTTP_CLIENT_H
+
+#include "http/event_loop.h"
+#include "http/http_type.h"
+
+#include <deque>
+#include <functional>
+#include <list>
+#include <memory>
+#include <unordered_map>
+
+namespace snipeshunt {
+
+/// Settings of a client pool.
+struct HttpClientOptions {
+  /// Local IP of outgoing connections; empty leaves the choice to the system.
+  std::string LocalIp;
+  /// Idle connections are closed after this time. It is shorter than the
+  /// upstreams' own limit, since a request on a connection that the other
+  /// side is closing has an unknown outcome.
+  Duration IdleLimit = std::chrono::seconds(4);
+  size_t MaxConnectionsPerTarget = 64; ///< Further calls wait.
+  size_t MaxWaitingPerTarget = 4096;   ///< Further calls fail unsent.
+  size_t MaxReplyBody = 8 << 20;       ///< Bytes of a reply body.
+};
+
+/// Sends requests; never repeats one.
+class HttpClient {
+public:
+  using Callback = std::function<void(HttpOutcome)>;
+
+  HttpClient(EventLoop &Loop, HttpClientOptions Options);
+  HttpClient(const HttpClient &) = delete;
+  HttpClient &operator=(const HttpClient &) = delete;
+  ~HttpClient();
+
+  /// Sends \p Call and hands its outcome to \p Done, always later.
+  void send(HttpCall Call, Callback Done);
+  /// Requests and replies since the start, for the message counts.
+  uint64_t callsSent() const { return CallsSent; }
+
+private:
+  class Connection;
+  struct Waiting {
+    HttpCall Call;
+    Callback Done;
+    SteadyTime Since;
+  };
+  struct Target {
+    std::list<std::unique_ptr<Connection>> Busy;
+    std::deque<std::unique_ptr<Connection>> Idle;
+    std::deque<Waiting> Queue;
+  };
+
+  void dispatch(const Address &Name);
+  void finish(Connection *C, HttpOutcome Outcome, bool Reusable);
+  void failLater(Callback Done, HttpFailure Failure);
+  void runDeferred();
+  void closeIdle();
+
+  EventLoop &Loop;
+  HttpClientOptions Options;
+  std::unordered_map<Address, Target> Targets;
+  /// Connections can't be freed inside their own callbacks.
+  std::vector<std::unique_ptr<Connection>> Retired;
+  std::vector<std::function<void()>> Deferred;
+  Timer DeferredTimer;
+  Timer IdleTimer;
+  uint64_t CallsSent = 0;
+};
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_HTTP_HTTP_CLIENT_H
--- /dev/null
+++ b/src/http/http_server.cpp
@@ -0,0 +1,172 @@
+/// \file HTTP server over evhttp with answers that may come later.
+#include "http/http_server.h"
+
+#include "http/http_address.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <arpa/inet.h>
+#include <strings.h>
+
+namespace snipeshunt {
+
+namespace {
+
+const char *methodName(evhttp_cmd_type Type) {
+  switch (Type) {
+  case EVHTTP_REQ_GET:
+    return "GET";
+  case EVHTTP_REQ_POST:
+    return "POST";
+  case EVHTTP_REQ_PUT:
+    return "PUT";
+  case EVHTTP_REQ_DELETE:
+    return "DELETE";
+  case EVHTTP_REQ_HEAD:
+    return "HEAD";
+  default:
+    return "";
+  }
+}
+
+std::string decodeUri(const char *Text) {
+  size_t Size = 0;
+  char *Decoded = evhttp_uridecode(Text, /*decode_plus=*/0, &Size);
+  if (!Decoded)
+    return {};
+  std::string Out(Decoded, Size);
+  free(Decoded);
+  return Out;
+}
+
+std::string bodyOf(evhttp_request *Request) {
+  evbuffer *Input = evhttp_request_get_input_buffer(Request);
+  std::string Body(evbuffer_get_length(Input), '\0');
+  evbuffer_remove(Input, Body.data(), Body.size());
+  return Body;
+}
+
+} // namespace
+
+std::string HttpRequest::header(std::string_view Name) const {
+  for (const auto &[Key, Value] : Headers)
+    if (Key.size() == Name.size() &&
+        strncasecmp(Key.data(), Name.data(), Name.size()) == 0)
+      return Value;
+  return {};
+}
+
+void HttpServer::HttpDeleter::operator()(evhttp *H) const { evhttp_free(H); }
+
+HttpServer::HttpServer(EventLoop &Loop, HttpServerLimits Limits)
+    : Loop(Loop), Limits(Limits), Http(evhttp_new(Loop.base())) {
+  evhttp_set_max_body_size(Http.get(), Limits.MaxBody);
+  evhttp_set_max_headers_size(Http.get(), Limits.MaxHeaders);
+  evhttp_set_timeout(Http.get(), static_cast<int>(Limits.Timeout.count()));
+  evhttp_set_allowed_methods(Http.get(),
+                             EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+                                 EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD);
+  auto Callback = [](evhttp_request *Request, void *Arg) {
+    static_cast<HttpServer *>(Arg)->handle(Request);
+  };
+  evhttp_set_gencb(Http.get(), Callback, this);
+}
+
+HttpServer::~HttpServer() {
+  // Connections still open would otherwise report to a dead object.
+  for (auto &[Id, Entry] : Open)
+    evhttp_connection_set_closecb(Entry->Connection, nullptr, nullptr);
+}
+
+Result<Address> HttpServer::listen(const Address &Listen) {
+  Result<HostPort> Parsed = parseAddress(Listen);
+  if (failed(Parsed))
+    return errorOf(Parsed);
+  const HostPort &Parts = valueOf(Parsed);
+  Socket = evhttp_bind_socket_with_handle(Http.get(), Parts.Host.c_str(),
+                                          Parts.Port);
+  if (!Socket)
+    return Error{ErrorKind::Unavailable, "can't listen on " + Listen.Value,
+                 "choose a free port and an address of this machine"};
+  sockaddr_in Bound{};
+  socklen_t Size = sizeof(Bound);
+  getsockname(evhttp_bound_socket_get_fd(Socket),
+              reinterpret_cast<sockaddr *>(&Bound), &Size);
+  return Address{Parts.Host + ":" + std::to_string(ntohs(Bound.sin_port))};
+}
+
+void HttpServer::stopListening() {
+  if (!Socket)
+    return;
+  evhttp_del_accept_socket(Http.get(), Socket);
+  Socket = nullptr;
+}
+
+void HttpServer::handle(evhttp_request *Request) {
+  if (Open.size() >= Limits.MaxOpenRequests) {
+    evhttp_send_error(Request, 503, "too many open requests");
+    return;
+  }
+  auto Entry = std::make_unique<OpenRequest>();
+  Entry->Server = this;
+  Entry->Id = RequestId{NextId++};
+  Entry->Request = Request;
+  Entry->Connection = evhttp_request_get_connection(Request);
+  evhttp_connection_set_closecb(Entry->Connection, handleClose, Entry.get());
+
+  HttpRequest Out;
+  Out.Id = Entry->Id;
+  Out.Method = methodName(evhttp_request_get_command(Request));
+  const evhttp_uri *Uri = evhttp_request_get_evhttp_uri(Request);
+  const char *Path = Uri ? evhttp_uri_get_path(Uri) : nullptr;
+  Out.Path = decodeUri(Path && *Path ? Path : "/");
+  if (const char *Query = Uri ? evhttp_uri_get_query(Uri) : nullptr) {
+    evkeyvalq Parameters;
+    if (evhttp_parse_query_str(Query, &Parameters) == 0) {
+      for (evkeyval *Kv = Parameters.tqh_first; Kv; Kv = Kv->next.tqe_next)
+        Out.Query[Kv->key] = Kv->value;
+      evhttp_clear_headers(&Parameters);
+    }
+  }
+  evkeyvalq *Headers = evhttp_request_get_input_headers(Request);
+  for (evkeyval *Kv = Headers->tqh_first; Kv; Kv = Kv->next.tqe_next)
+    Out.Headers.emplace_back(Kv->key, Kv->value);
+  char *Remote = nullptr;
+  ev_uint16_t Port = 0;
+  evhttp_connection_get_peer(Entry->Connection, &Remote, &Port);
+  if (Remote)
+    Out.RemoteIp = Remote;
+  Out.Body = bodyOf(Request);
+
+  Open.emplace(Out.Id, std::move(Entry));
+  RequestReceived.emit(Out);
+}
+
+void HttpServer::handleClose(evhttp_connection *, void *Arg) {
+  auto *Entry = static_cast<OpenRequest *>(Arg);
+  HttpServer *Server = Entry->Server;
+  RequestId Id = Entry->Id;
+  Server->Open.erase(Id);
+  Server->RequestClosed.emit(Id);
+}
+
+void HttpServer::reply(RequestId Id, const HttpReply &Reply) {
+  auto It = Open.find(Id);
+  if (It == Open.end())
+    return;
+  std::unique_ptr<OpenRequest> Entry = std::move(It->second);
+  Open.erase(It);
+  evhttp_connection_set_closecb(Entry->Connection, nullptr, nullptr);
+  evkeyvalq *Headers = evhttp_request_get_output_headers(Entry->Request);
+  evhttp_add_header(Headers, "Content-Type", Reply.ContentType.c_str());
+  for (const auto &[Name, Value] : Reply.Headers)
+    evhttp_add_header(Headers, Name.c_str(), Value.c_str());
+  evbuffer *Output = evhttp_request_get_output_buffer(Entry->Request);
+  evbuffer_add(Output, Reply.Body.data(), Reply.Body.size());
+  evhttp_send_reply(Entry->Request, Reply.Status, nullptr, nullptr);
+}
+
+} // namespace snipeshunt
--- /dev/null
+++ b/tests/json_test.cpp
@@ -0,0 +1,40 @@
+/// \file Reading JSON with typed errors.
+#include "core/json_func.h"
+
+#include <gtest/gtest.h>
+
+namespace snipeshunt {
+namespace {
+
+// Guards against accepting input that a later stage would misread.
+TEST(JsonTest, RejectsMalformedInput) {
+  for (const char *Text : {"", "{", "{\"a\":1}x", "{\"a\":1,\"a\":2}", "nul"})
+    EXPECT_TRUE(failed(parseJson(Text))) << Text;
+  EXPECT_FALSE(failed(parseJson("{\"a\":1}")));
+}
+
+// Guards against a stack overflow by deeply nested input.
+TEST(JsonTest, RejectsDeepNesting) {
+  EXPECT_TRUE(failed(parseJson(std::string(100000, '['))));
+}
+
+// Guards against silently ignored or mistyped fields.
+TEST(JsonTest, ObjectReaderReportsFirstError) {
+  auto Parsed = parseJson(R"({"a":1,"b":"x","c":true})");
+  int64_t A = 0;
+  std::string B;
+  ObjectReader Unknown(valueOf(Parsed), "");
+  Unknown.integer("a", A, 0, 5).string("b", B, 10);
+  auto Problem = Unknown.finish();
+  ASSERT_TRUE(Problem);
+  EXPECT_EQ(Problem->Message, "field 'c' is not known");
+  ObjectReader Range(valueOf(Parsed), "job");
+  Range.integer("a", A, 2, 5);
+  Problem = Range.finish();
+  ASSERT_TRUE(Problem);
+  EXPECT_EQ(Problem->Message, "field 'job.a' has a wrong value");
+  EXPECT_EQ(Problem->Remedy, "give a whole number from 2 to 5");
+}
+
+} // namespace
+} // namespace snipeshunt
