jobs: add tickets, jobs, queues and the types of the other subsystems

Cause: the thin path needs the home's state machine. Measured: nothing yet, no process uses it. Conclusion: base of the reducer.

--- /dev/null
+++ b/src/handover/handover_base.h
@@ -0,0 +1,66 @@
+/// \file State of handovers on both sides.
+#ifndef SNIPESHUNT_HANDOVER_HANDOVER_BASE_H
+#define SNIPESHUNT_HANDOVER_HANDOVER_BASE_H
+
+#include "handover/handover_type.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace snipeshunt {
+
+/// A batch that the home has given away and that is not settled yet.
+struct OutgoingBatch {
+  HandoverMessage Message;      ///< As sent, for repeats.
+  std::set<TaskKey> Unsettled;  ///< Tasks without a result.
+  std::set<TaskKey> Revoking;   ///< Tasks to take back.
+  bool Acknowledged = false;
+  bool InFlight = false;        ///< A handover or revoke request is open.
+  uint32_t Sends = 0;
+  SteadyTime RepeatAt;          ///< Next repeat of the handover or revoke.
+};
+
+/// All batches to one incarnation of a receiver.
+struct OutgoingChannel {
+  Address Where;
+  uint64_t NextSequence = 1;
+  std::map<HandoverSequence, OutgoingBatch> Batches;
+};
+
+/// State of one received task.
+enum class ReceivedState { Held, Ended, Revoked };
+
+/// A batch that this instance has received.
+struct IncomingBatch {
+  bool Refused = false;
+  /// A revoke came before the handover; these tasks must not be queued.
+  std::set<TaskKey> Tombstones;
+  std::unordered_map<TaskKey, ReceivedState> Tasks;
+};
+
+/// All batches from one incarnation of a home.
+struct IncomingChannel {
+  Address Where;
+  HandoverSequence Floor{1}; ///< Batches below are settled and forgotten.
+  std::map<HandoverSequence, IncomingBatch> Batches;
+  std::vector<TaskReport> Unreported; ///< Results not yet acknowledged.
+  size_t ReportsInFlight = 0;         ///< Leading entries in an open request.
+  SteadyTime RepeatAt;
+  SteadyTime LastMessage;
+};
+
+/// All handovers.
+struct HandoverTable {
+  std::unordered_map<IncarnationId, OutgoingChannel> Outgoing;
+  std::unordered_map<IncarnationId, IncomingChannel> Incoming;
+  /// Where each handed-over task of this home is.
+  std::unordered_map<TaskKey, std::pair<IncarnationId, HandoverSequence>> Given;
+  /// Batch of each received task.
+  std::unordered_map<TaskKey, HandoverSequence> Held;
+};
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_HANDOVER_HANDOVER_BASE_H
--- /dev/null
+++ b/src/jobs/job_base.h
@@ -0,0 +1,75 @@
+/// \file State of the home: running jobs, retained answers and spent tickets.
+#ifndef SNIPESHUNT_JOBS_JOB_BASE_H
+#define SNIPESHUNT_JOBS_JOB_BASE_H
+
+#include "jobs/job_type.h"
+
+#include <deque>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace snipeshunt {
+
+/// One task of a running job.
+struct JobTask {
+  TaskSpecPtr Spec;
+  TaskState State = TaskState::Waiting;
+  std::string Output;     ///< Set when finished, or the reason of a failure.
+  SteadyTime FirstQueued; ///< Start of its wait.
+  uint32_t Retries = 0;   ///< Attempts that proved not to have started.
+};
+
+/// A job that this incarnation runs.
+struct Job {
+  TicketSequence Sequence;
+  std::string TicketText;
+  Team Owner;
+  std::vector<JobTask> Tasks;
+  size_t Unfinished = 0;   ///< Tasks without a result.
+  size_t OutputBytes = 0;  ///< Sum over finished tasks.
+  SteadyTime Submitted;
+  SteadyTime Deadline;     ///< The job fails when it has not ended by then.
+  std::vector<RequestId> Waiters; ///< Callers that get the answer.
+};
+
+/// What the home remembers of a used ticket.
+struct TicketRecord {
+  uint64_t BodyHash = 0;
+  SteadyTime ForgetAfter;         ///< Never before the ticket expires.
+  std::unique_ptr<Job> Running;   ///< Null once the job has ended.
+  StoredAnswerPtr Answer;         ///< Set once the job has ended.
+};
+
+/// A retained answer of a departed instance that handed its table over.
+struct InheritedAnswer {
+  uint64_t BodyHash = 0;
+  SteadyTime ForgetAfter;
+  StoredAnswerPtr Answer;
+};
+
+/// All jobs of this incarnation.
+struct JobTable {
+  uint64_t NextSequence = 1; ///< Of the next ticket.
+  std::unordered_map<TicketSequence, TicketRecord> Records;
+  /// Running jobs by deadline.
+  std::set<std::pair<SteadyTime, TicketSequence>> Deadlines;
+  /// Ended jobs by the time at which they are forgotten.
+  std::set<std::pair<SteadyTime, TicketSequence>> Forgetting;
+  /// Ended jobs whose answer is retained, oldest first.
+  std::deque<TicketSequence> Retained;
+  size_t RetainedBytes = 0;
+  size_t Running = 0;                    ///< Jobs without an answer.
+  std::unordered_map<Team, size_t> TeamTasks; ///< Unfinished tasks per team.
+  SteadyTime LastActivity; ///< Last submission or end of a job.
+  /// Answers of departed instances.
+  std::unordered_map<IncarnationId,
+                     std::unordered_map<TicketSequence, InheritedAnswer>>
+      Inherited;
+};
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_JOBS_JOB_BASE_H
--- /dev/null
+++ b/src/membership/member_base.h
@@ -0,0 +1,41 @@
+/// \file Roster of the instances.
+#ifndef SNIPESHUNT_MEMBERSHIP_MEMBER_BASE_H
+#define SNIPESHUNT_MEMBERSHIP_MEMBER_BASE_H
+
+#include "membership/member_type.h"
+
+#include <map>
+#include <unordered_map>
+
+namespace snipeshunt {
+
+/// Another instance.
+struct Member {
+  MemberAddress Self;
+  IncarnationId Incarnation; ///< Zero until first heard.
+  MemberState State = MemberState::Joining;
+  MemberHealth Health = MemberHealth::NeverHeard;
+  SteadyTime LastHeard{};
+  LoadReport Load;           ///< Last reported, less what was sent since.
+  Revision ConfigurationRevision;
+  bool HeartbeatPending = false; ///< A heartbeat to it is open.
+};
+
+/// Where the retained answers of a departed incarnation are.
+struct Departure {
+  IncarnationId Heir;
+  SteadyTime ForgetAfter;
+};
+
+/// All other instances, by address.
+struct Roster {
+  std::map<Address, Member> Members;
+  /// Graceful departures whose tickets may still be used.
+  std::unordered_map<IncarnationId, Departure> Departed;
+  MemberState OwnState = MemberState::Joining;
+  SteadyTime NextHeartbeat{};
+};
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_MEMBERSHIP_MEMBER_BASE_H
--- /dev/null
+++ b/src/membership/member_type.h
@@ -0,0 +1,40 @@
+/// \file Members and heartbeats.
+#ifndef SNIPESHUNT_MEMBERSHIP_MEMBER_TYPE_H
+#define SNIPESHUNT_MEMBERSHIP_MEMBER_TYPE_H
+
+#include "core/clock.h"
+#include "core/id_type.h"
+#include "handover/handover_type.h"
+
+#include <optional>
+#include <vector>
+
+namespace snipeshunt {
+
+/// What an instance says of itself.
+enum class MemberState { Joining, Live, Draining, Left };
+
+/// What others observe of it.
+enum class MemberHealth { NeverHeard, Alive, Suspect, Dead };
+
+/// An instance as settings, list or heartbeats name it.
+struct MemberAddress {
+  Address Where;
+  DataCentre Centre;
+};
+
+/// `member.heartbeat`, and its answer.
+struct Heartbeat {
+  MemberAddress Self;
+  IncarnationId Incarnation;
+  MemberState State = MemberState::Joining;
+  LoadReport Load;
+  Revision ConfigurationRevision;
+  /// Receives the retained answers of a member that has left.
+  std::optional<IncarnationId> Heir;
+  std::vector<MemberAddress> Known;
+};
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_MEMBERSHIP_MEMBER_TYPE_H
--- /dev/null
+++ b/src/reducer/policy_type.h
@@ -0,0 +1,23 @@
+/// \file Scheduling rules that can be replaced, for baselines and experiments.
+#ifndef SNIPESHUNT_REDUCER_POLICY_TYPE_H
+#define SNIPESHUNT_REDUCER_POLICY_TYPE_H
+
+namespace snipeshunt {
+
+/// Order of waiting tasks.
+enum class OrderRule { FirstInFirstOut, ShortestRemaining };
+
+/// Choice among upstreams with a free slot.
+enum class PlacementRule { Random, LeastOutstanding, EarliestFinish };
+
+/// The rules in force.
+struct PolicyOptions {
+  OrderRule Order = OrderRule::ShortestRemaining;
+  PlacementRule Placement = PlacementRule::EarliestFinish;
+  bool Lanes = true;  ///< Long tasks use only their share of the slots.
+  bool Probes = true; ///< Failing upstreams get only probes.
+};
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_REDUCER_POLICY_TYPE_H
--- /dev/null
+++ b/src/scheduling/queue.cpp
@@ -0,0 +1,32 @@
+/// \file Waiting tasks of one instance: its own jobs' and handed-over ones.
+#include "scheduling/queue_base.h"
+
+namespace snipeshunt {
+
+void WaitingQueue::push(WaitingTask Task) {
+  Task.Arrival = NextArrival++;
+  Work += Task.Estimate;
+  Lanes[Task.Long].insert({Task.Rank, Task.Arrival, Task.Key});
+  TaskKey Key = Task.Key;
+  Entries.insert_or_assign(Key, std::move(Task));
+}
+
+std::optional<WaitingTask> WaitingQueue::erase(const TaskKey &Key) {
+  auto It = Entries.find(Key);
+  if (It == Entries.end())
+    return std::nullopt;
+  WaitingTask Task = std::move(It->second);
+  Entries.erase(It);
+  Lanes[Task.Long].erase({Task.Rank, Task.Arrival, Key});
+  Work -= Task.Estimate;
+  return Task;
+}
+
+void WaitingQueue::visit(
+    bool Long, const std::function<bool(const WaitingTask &)> &Visit) const {
+  for (const Order &O : Lanes[Long])
+    if (!Visit(Entries.at(O.Key)))
+      return;
+}
+
+} // namespace snipeshunt
