settings: add the daemon's settings file

Cause: A daemon needs its address, data centre and bounds before it can start. Change: Read them from JSON with comments. Limits come from a constant table with names and ranges; every error names the file, the key and what is allowed. Conclusion: The daemon can be built on parseSettings and loadSettings.

--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,201 @@
+/// \file Reading a daemon's settings.
+#include "settings/settings_func.h"
+
+#include "core/json_func.h"
+#include "http/http_address.h"
+#include "settings/settings_table.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <set>
+
+namespace snipeshunt {
+
+namespace {
+
+constexpr size_t MaxAddressLength = 64;
+constexpr size_t MaxNameLength = 64;
+constexpr size_t MinKeyLength = 16;
+constexpr size_t MaxKeyLength = 128;
+constexpr size_t MaxPeers = 10000;
+constexpr size_t MaxUpstreams = 10000;
+constexpr int64_t MaxSlots = 1024;
+constexpr int64_t MaxAccelerators = 64;
+constexpr const char *AllowedAddress =
+    "IPv4 number and port from 1 to 65535, for instance 10.0.0.5:7070";
+
+/// Reads an address if present; others must be able to connect to it.
+void readAddress(ObjectReader &Reader, const char *Name, Address &Out) {
+  Address Text;
+  Reader.optionalString(Name, Text.Value, MaxAddressLength);
+  if (!Reader.has(Name))
+    return;
+  Result<HostPort> Parts = parseAddress(Text);
+  if (failed(Parts) || valueOf(Parts).Port == 0)
+    return Reader.fail(Name, AllowedAddress);
+  Out = Text;
+}
+
+void readRequiredAddress(ObjectReader &Reader, const char *Name, Address &Out) {
+  std::string Text;
+  Reader.string(Name, Text, MaxAddressLength);
+  readAddress(Reader, Name, Out);
+}
+
+// Data centres are part of ticket texts, so their characters are limited.
+bool isNameCharacter(char C) {
+  return (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') ||
+         (C >= '0' && C <= '9') || C == '-' || C == '_';
+}
+
+void readCentre(ObjectReader &Reader, DataCentre &Out) {
+  std::string Text;
+  Reader.string("data_centre", Text, MaxNameLength);
+  if (Text.empty() || !std::all_of(Text.begin(), Text.end(), isNameCharacter))
+    return Reader.fail("data_centre", "1 to 64 letters, digits, '-' or '_'");
+  Out.Value = std::move(Text);
+}
+
+void readKey(ObjectReader &Reader, std::string &Out) {
+  Reader.string("fleet_key", Out, MaxKeyLength);
+  if (Out.size() < MinKeyLength)
+    Reader.fail("fleet_key", "a string of 16 to 128 bytes");
+}
+
+/// Reads each item of the array \p Name by \p ReadItem into \p Out and rejects
+/// addresses that occur twice, because their other fields could contradict.
+template <typename Item, typename F>
+void readList(ObjectReader &Top, const char *Name, size_t MaxItems,
+              std::vector<Item> &Out, F ReadItem) {
+  const Json::Value *List = Top.optionalArray(Name, MaxItems);
+  if (!List)
+    return;
+  std::set<Address> Seen;
+  for (Json::ArrayIndex I = 0; I < List->size(); ++I) {
+    ObjectReader Reader((*List)[I],
+                        std::string(Name) + "[" + std::to_string(I) + "]");
+    Item Read;
+    readRequiredAddress(Reader, "address", Read.At);
+    readCentre(Reader, Read.Centre);
+    ReadItem(Reader, Read);
+    if (!Seen.insert(Read.At).second)
+      Reader.fail("address", "each address once");
+    if (std::optional<Error> Problem = Reader.finish())
+      return Top.fail(*Problem);
+    Out.push_back(std::move(Read));
+  }
+}
+
+void readLimits(ObjectReader &Top, DaemonLimits &Out) {
+  const Json::Value *Object = Top.optionalObject("limits");
+  if (!Object)
+    return;
+  ObjectReader Reader(*Object, "limits");
+  for (const LimitRow &Row : LimitTable) {
+    if (const auto *Count = std::get_if<LimitRow::Count>(&Row.Member)) {
+      Reader.optionalInteger(Row.Name, Out.**Count, Row.Min, Row.Max);
+    } else if (const auto *Time = std::get_if<LimitRow::Time>(&Row.Member)) {
+      int64_t Value = (Out.**Time).count();
+      Reader.optionalInteger(Row.Name, Value, Row.Min, Row.Max);
+      Out.**Time = std::chrono::milliseconds(Value);
+    }
+  }
+  if (std::optional<Error> Problem = Reader.finish())
+    Top.fail(*Problem);
+}
+
+void readLog(ObjectReader &Top, LogLevel &Out) {
+  const Json::Value *Object = Top.optionalObject("log");
+  if (!Object)
+    return;
+  ObjectReader Reader(*Object, "log");
+  std::string Text = "info";
+  Reader.optionalString("level", Text, MaxNameLength);
+  const auto *Row =
+      std::find_if(std::begin(LogLevelTable), std::end(LogLevelTable),
+                   [&](const LogLevelRow &R) { return Text == R.Name; });
+  if (Row == std::end(LogLevelTable))
+    Reader.fail("level", "error, warning, info or debug");
+  else
+    Out = Row->Level;
+  if (std::optional<Error> Problem = Reader.finish())
+    Top.fail(*Problem);
+}
+
+void checkLess(ObjectReader &Top, const char *Name,
+               std::chrono::milliseconds Value, const char *LimitName,
+               std::chrono::milliseconds Limit) {
+  if (Value >= Limit)
+    Top.fail(Name, std::string("less than ") + LimitName + ", which is " +
+                       std::to_string(Limit.count()));
+}
+
+void checkTogether(ObjectReader &Top, const DaemonSettings &S) {
+  const DaemonLimits &L = S.Limits;
+  checkLess(Top, "limits.heartbeat_ms", L.Heartbeat, "limits.suspect_ms",
+            L.Suspect);
+  checkLess(Top, "limits.suspect_ms", L.Suspect, "limits.dead_ms", L.Dead);
+  checkLess(Top, "limits.status_poll_ms", L.StatusPoll,
+            "limits.status_fresh_ms", L.StatusFresh);
+  // A listener on all interfaces has no address that others could reach.
+  if (S.Advertise.Value.rfind("0.0.0.0:", 0) == 0)
+    Top.fail("advertise", "an address that others can reach, not 0.0.0.0");
+}
+
+Error inFile(Error E, std::string_view FileName) {
+  E.Message = std::string(FileName) + ": " + E.Message + "; " + E.Remedy;
+  return E;
+}
+
+} // namespace
+
+Result<DaemonSettings> parseSettings(std::string_view Text,
+                                     std::string_view FileName) {
+  Result<Json::Value> Parsed = parseJson(Text, JsonComments::Accept);
+  if (failed(Parsed)) {
+    Error E = errorOf(Parsed);
+    E.Remedy = "give one JSON object, without duplicate keys";
+    return inFile(std::move(E), FileName);
+  }
+  ObjectReader Top(valueOf(Parsed), "");
+  DaemonSettings S;
+  readRequiredAddress(Top, "listen", S.Listen);
+  S.Advertise = S.Listen;
+  readAddress(Top, "advertise", S.Advertise);
+  readCentre(Top, S.Centre);
+  readKey(Top, S.FleetKey);
+  readList(Top, "peers", MaxPeers, S.Peers,
+           [](ObjectReader &, PeerSettings &) {});
+  Address Platform;
+  readAddress(Top, "platform", Platform);
+  if (!Platform.Value.empty())
+    S.Platform = Platform;
+  readList(Top, "upstreams", MaxUpstreams, S.Upstreams,
+           [](ObjectReader &Reader, UpstreamSettings &U) {
+             Reader.optionalInteger("slots", U.Slots, 1, MaxSlots);
+             Reader.optionalInteger("accelerators", U.Accelerators, 0,
+                                    MaxAccelerators);
+           });
+  readLimits(Top, S.Limits);
+  readLog(Top, S.Level);
+  checkTogether(Top, S);
+  if (std::optional<Error> Problem = Top.finish())
+    return inFile(std::move(*Problem), FileName);
+  return S;
+}
+
+Result<DaemonSettings> loadSettings(const std::string &FileName) {
+  std::ifstream File(FileName, std::ios::binary);
+  std::string Text;
+  char Chunk[4096];
+  while (File.read(Chunk, sizeof(Chunk)) || File.gcount() > 0)
+    Text.append(Chunk, static_cast<size_t>(File.gcount()));
+  if (!File.is_open() || File.bad())
+    return inFile({ErrorKind::NotFound, "the settings file can't be read",
+                   "check its name and permissions"},
+                  FileName);
+  return parseSettings(Text, FileName);
+}
+
+} // namespace snipeshunt
