--- /dev/null
+++ b/src/timeline/timeline_trace.cpp
@@ -0,0 +1,206 @@
+/// \file Export of merged timelines as trace-event JSON.
+#include "core/json_func.h"
+#include "timeline/timeline_func.h"
+
+#include <map>
+#include <set>
+
+namespace snipeshunt {
+
+namespace {
+
+bool endsTask(TimelineKind Kind) {
+  // An upstream's refusal also ends an attempt: the same instance may start
+  // the task again later.
+  return Kind == TimelineKind::TaskFinished ||
+         Kind == TimelineKind::TaskFailed ||
+         Kind == TimelineKind::TaskUnknown || Kind == TimelineKind::TaskNotRun;
+}
+
+int64_t wallMicroseconds(const TimelineEvent &Event) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             Event.Wall.time_since_epoch())
+      .count();
+}
+
+/// Job of an event; task events may name only the task.
+std::string jobOf(const TimelineEvent &Event) {
+  if (!Event.Job.empty())
+    return Event.Job;
+  return Event.Task.substr(0, Event.Task.rfind('-'));
+}
+
+/// Builds the list of trace events.
+class TraceWriter {
+public:
+  explicit TraceWriter(const std::vector<SourcedEvent> &Merged);
+  std::string text() const;
+
+private:
+  struct Process {
+    int Pid = 0;
+    /// Thread of each job and lane; lane 0 has the instant events.
+    std::map<std::pair<std::string, size_t>, int> Threads;
+    /// End of the last task in each lane, per job.
+    std::map<std::string, std::vector<int64_t>> LaneEnds;
+    /// Index of the start event of each running task.
+    std::map<std::string, size_t> Running;
+  };
+
+  void nameProcesses(const std::vector<SourcedEvent> &Merged);
+  void findSpans(const std::vector<SourcedEvent> &Merged);
+  void addMetadata(int Pid, int Tid, const char *Name,
+                   const std::string &Value);
+  int thread(Process &P, const std::string &Job, size_t Lane);
+  void addInstant(Process &P, const TimelineEvent &Event);
+  void addSpan(Process &P, const TimelineEvent &Start,
+               const TimelineEvent &End);
+
+  std::map<TimelineSource, Process> Processes;
+  /// End event of each start event, by index in the merged list.
+  std::map<size_t, size_t> EndOfStart;
+  std::set<size_t> SpanEnds;
+  std::vector<Json::Value> Events;
+};
+
+Json::Value arguments(const TimelineEvent &Event) {
+  Json::Value Out(Json::objectValue);
+  if (std::string Job = jobOf(Event); !Job.empty())
+    Out["job"] = Job;
+  if (!Event.Task.empty())
+    Out["task"] = Event.Task;
+  if (!Event.Detail.empty())
+    Out["detail"] = Event.Detail;
+  return Out;
+}
+
+TraceWriter::TraceWriter(const std::vector<SourcedEvent> &Merged) {
+  nameProcesses(Merged);
+  findSpans(Merged);
+  for (size_t I = 0; I < Merged.size(); ++I) {
+    Process &P = Processes[Merged[I].Source];
+    auto End = EndOfStart.find(I);
+    if (End != EndOfStart.end())
+      addSpan(P, Merged[I].Event, Merged[End->second].Event);
+    else if (!SpanEnds.count(I))
+      addInstant(P, Merged[I].Event);
+  }
+}
+
+void TraceWriter::nameProcesses(const std::vector<SourcedEvent> &Merged) {
+  for (const SourcedEvent &Entry : Merged)
+    Processes[Entry.Source];
+  int NextPid = 1;
+  for (auto &[Source, P] : Processes) {
+    P.Pid = NextPid++;
+    char Incarnation[17];
+    snprintf(Incarnation, sizeof(Incarnation), "%016llx",
+             static_cast<unsigned long long>(Source.Incarnation.Value));
+    addMetadata(P.Pid, 0, "process_name",
+                Source.Centre.Value + " " + Source.Instance.Value + " " +
+                    Incarnation);
+    addMetadata(P.Pid, 0, "thread_name", "instance");
+  }
+}
+
+void TraceWriter::findSpans(const std::vector<SourcedEvent> &Merged) {
+  for (size_t I = 0; I < Merged.size(); ++I) {
+    const TimelineEvent &Event = Merged[I].Event;
+    auto &Running = Processes[Merged[I].Source].Running;
+    if (Event.Kind == TimelineKind::TaskStarted) {
+      Running[Event.Task] = I;
+      continue;
+    }
+    auto Start = Running.find(Event.Task);
+    if (!endsTask(Event.Kind) || Start == Running.end())
+      continue;
+    EndOfStart[Start->second] = I;
+    SpanEnds.insert(I);
+    Running.erase(Start);
+  }
+}
+
+void TraceWriter::addMetadata(int Pid, int Tid, const char *Name,
+                              const std::string &Value) {
+  Json::Value Out(Json::objectValue);
+  Out["ph"] = "M";
+  Out["pid"] = Pid;
+  Out["tid"] = Tid;
+  Out["name"] = Name;
+  Out["args"]["name"] = Value;
+  Events.push_back(std::move(Out));
+}
+
+int TraceWriter::thread(Process &P, const std::string &Job, size_t Lane) {
+  if (Job.empty())
+    return 0;
+  int Next = static_cast<int>(P.Threads.size()) + 1;
+  auto [It, Added] = P.Threads.emplace(std::make_pair(Job, Lane), Next);
+  if (Added)
+    addMetadata(P.Pid, Next, "thread_name",
+                "job " + Job + (Lane ? " tasks " + std::to_string(Lane) : ""));
+  return It->second;
+}
+
+void TraceWriter::addInstant(Process &P, const TimelineEvent &Event) {
+  int Tid = thread(P, jobOf(Event), 0);
+  Json::Value Out(Json::objectValue);
+  Out["ph"] = "i";
+  Out["s"] = "t";
+  Out["pid"] = P.Pid;
+  Out["tid"] = Tid;
+  Out["ts"] = Json::Int64(wallMicroseconds(Event));
+  Out["name"] = std::string(timelineKindName(Event.Kind));
+  Out["args"] = arguments(Event);
+  Events.push_back(std::move(Out));
+}
+
+void TraceWriter::addSpan(Process &P, const TimelineEvent &Start,
+                          const TimelineEvent &End) {
+  int64_t Begin = wallMicroseconds(Start);
+  // The steady clock measures the duration, so that a step of the wall clock
+  // can't make it negative.
+  int64_t Length = std::max<int64_t>(
+      0, std::chrono::duration_cast<std::chrono::microseconds>(End.Steady -
+                                                               Start.Steady)
+             .count());
+  std::string Job = jobOf(Start);
+  // Viewers draw only nested spans of one thread, so tasks that overlap get
+  // separate lanes.
+  std::vector<int64_t> &Ends = P.LaneEnds[Job];
+  size_t Lane = 0;
+  while (Lane < Ends.size() && Ends[Lane] > Begin)
+    ++Lane;
+  if (Lane == Ends.size())
+    Ends.push_back(0);
+  Ends[Lane] = Begin + Length;
+  int Tid = thread(P, Job, Lane + 1);
+  Json::Value Out(Json::objectValue);
+  Out["ph"] = "X";
+  Out["pid"] = P.Pid;
+  Out["tid"] = Tid;
+  Out["ts"] = Json::Int64(Begin);
+  Out["dur"] = Json::Int64(Length);
+  Out["name"] = "task " + Start.Task.substr(Start.Task.rfind('-') + 1);
+  Out["args"] = arguments(Start);
+  Out["args"]["outcome"] = std::string(timelineKindName(End.Kind));
+  if (!End.Detail.empty())
+    Out["args"]["end_detail"] = End.Detail;
+  Events.push_back(std::move(Out));
+}
+
+std::string TraceWriter::text() const {
+  // One event per line keeps differences between two traces readable.
+  std::string Out = "{\"displayTimeUnit\":\"ms\",\"traceEvents\":[";
+  for (size_t I = 0; I < Events.size(); ++I)
+    Out += (I ? ",\n" : "\n") + writeJson(Events[I]);
+  return Out + "\n]}\n";
+}
+
+} // namespace
+
+std::string exportTrace(const std::vector<SourcedEvent> &Merged) {
+  return TraceWriter(Merged).text();
+}
+
+} // namespace snipeshunt
