--- /dev/null
+++ b/src/admission/admission.cpp
@@ -0,0 +1,103 @@
+/// \file Whether a submission can be taken.
+#include "admission/admission_func.h"
+
+#include "reducer/policy_func.h"
+
+#include <algorithm>
+
+namespace snipeshunt {
+
+namespace {
+
+/// Slots of the whole fleet that this instance can expect for its queue.
+double fairSlots(const InstanceState &State) {
+  double Slots = 0;
+  for (const auto &[Where, U] : State.Upstreams.All)
+    if (!U.Leaving)
+      Slots += U.Listed.Slots * (U.Owned ? U.Speed : 1.0);
+  double Instances = 1;
+  for (const auto &[Where, M] : State.Members.Members)
+    if (M.Health == MemberHealth::Alive && M.State == MemberState::Live)
+      ++Instances;
+  return Slots / Instances;
+}
+
+std::optional<Error> testFits(const InstanceState &State,
+                              const JobRequest &Request) {
+  if (State.Upstreams.All.empty())
+    return Error{ErrorKind::Unavailable, "no upstream is known",
+                 "list upstreams in the settings or on the platform"};
+  uint32_t Most = 0;
+  for (const auto &[Where, U] : State.Upstreams.All)
+    Most = std::max(Most, U.Listed.Accelerators);
+  for (const TaskSpecPtr &Spec : Request.Tasks)
+    if (Spec->Accelerators > Most)
+      return Error{ErrorKind::NeverFits,
+                   "a task needs " + std::to_string(Spec->Accelerators) +
+                       " accelerators; the largest upstream has " +
+                       std::to_string(Most),
+                   "lower the field accelerators"};
+  return std::nullopt;
+}
+
+std::optional<Error> testQuota(const InstanceState &State,
+                               const JobRequest &Request) {
+  auto Used = State.Jobs.TeamTasks.find(Request.Owner);
+  size_t Held = Used == State.Jobs.TeamTasks.end() ? 0 : Used->second;
+  size_t Quota = teamQuotaHere(State, Request.Owner);
+  if (Held + Request.Tasks.size() <= Quota)
+    return std::nullopt;
+  return Error{ErrorKind::QuotaExceeded,
+               "team '" + Request.Owner.Value + "' has " +
+                   std::to_string(Held) +
+                   " tasks here, its part of the quota "
+                   "is " +
+                   std::to_string(Quota),
+               "submit later, or ask the operators to raise team_quota_tasks"};
+}
+
+std::optional<Error> testPatience(const InstanceState &State,
+                                  const JobRequest &Request) {
+  Duration Expected = expectedWait(State);
+  // Declared run times are often far too long, so only the wait may refuse.
+  if (Expected <= Request.Patience)
+    return std::nullopt;
+  return Error{ErrorKind::PatienceTooShort,
+               "the expected wait of " +
+                   std::to_string(toMilliseconds(Expected)) +
+                   " ms exceeds patience_ms",
+               "submit later or with a longer patience_ms"};
+}
+
+} // namespace
+
+JobBodyLimits bodyLimits(const InstanceState &State) {
+  JobBodyLimits Limits;
+  Limits.MaxTasks = static_cast<size_t>(State.Settings.Limits.MaxTasksPerJob);
+  return Limits;
+}
+
+Duration expectedWait(const InstanceState &State) {
+  double Slots = std::max(1.0, fairSlots(State));
+  return std::chrono::duration_cast<Duration>(State.Queue.work() / Slots);
+}
+
+std::optional<Error> testAdmission(const InstanceState &State,
+                                   const JobRequest &Request, SteadyTime Now) {
+  if (State.Drain && State.Drain->Heir)
+    return Error{ErrorKind::Draining, "the instance is shutting down",
+                 "take a new ticket from another instance"};
+  size_t Limit = static_cast<size_t>(State.Settings.Limits.QueueLimitTasks);
+  if (State.Queue.size() + Request.Tasks.size() > Limit)
+    return Error{ErrorKind::QueueFull,
+                 "the queue holds " + std::to_string(State.Queue.size()) +
+                     " of " + std::to_string(Limit) + " tasks",
+                 "submit later with a new ticket"};
+  if (std::optional<Error> E = testFits(State, Request))
+    return E;
+  if (std::optional<Error> E = testQuota(State, Request))
+    return E;
+  return testPatience(State, Request);
+}
+
+} // namespace snipeshunt
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,99 @@
+/// \file The process around the reducer.
+#include "daemon/daemon.h"
+
+#include "daemon/caller_gateway.h"
+#include "daemon/log.h"
+#include "daemon/peer_gateway.h"
+#include "daemon/platform_gateway.h"
+#include "daemon/upstream_gateway.h"
+#include "tickets/ticket_func.h"
+
+#include <csignal>
+
+namespace snipeshunt {
+
+namespace {
+
+// Retries, probes and deadlines are due to within this time.
+constexpr Duration TickPeriod = std::chrono::milliseconds(10);
+
+IncarnationId drawIncarnation() {
+  std::random_device Device;
+  uint64_t High = Device();
+  return {(High << 32) | Device()};
+}
+
+HttpServerLimits serverLimits(const DaemonSettings &Settings) {
+  HttpServerLimits Limits;
+  Limits.MaxBody = static_cast<size_t>(Settings.Limits.MaxBodyBytes);
+  return Limits;
+}
+
+} // namespace
+
+Daemon::Daemon(EventLoop &Loop, const Clock &Time, DaemonSettings Settings)
+    : Loop(Loop), Time(Time),
+      State(initialState(std::move(Settings), drawIncarnation())),
+      Random(State.Incarnation.Value),
+      Timeline(static_cast<size_t>(State.Settings.Limits.TimelineEvents)),
+      Server(Loop, serverLimits(State.Settings)),
+      TickTimer(Loop, [this] { dispatch(Tick{}); }),
+      OnTerminate(Loop, SIGTERM, [this] { dispatch(DrainRequested{}); }),
+      OnInterrupt(Loop, SIGINT, [this] { dispatch(DrainRequested{}); }) {
+  Callers = std::make_unique<CallerGateway>(*this);
+  Peers = std::make_unique<PeerGateway>(*this);
+  Upstreams = std::make_unique<UpstreamGateway>(*this);
+  Platform = std::make_unique<PlatformGateway>(*this);
+  Effects.on<RecordTimeline>().connect(
+      [this](const RecordTimeline &Entry) { record(Entry); });
+  Effects.on<ExitProcess>().connect(
+      [this](const ExitProcess &) { this->Loop.stop(); });
+}
+
+Daemon::~Daemon() = default;
+
+Result<Ok> Daemon::start() {
+  Result<Address> Bound = Server.listen(State.Settings.Listen);
+  if (failed(Bound))
+    return errorOf(Bound);
+  SNIPESHUNT_LOG(INFO, "daemon")
+      << "listening on " << valueOf(Bound).Value << " as "
+      << State.Settings.Advertise.Value << ", incarnation "
+      << incarnationText(State.Incarnation) << ".";
+  record({TimelineKind::InstanceStarted, "", "", ""});
+  TickTimer.startPeriodic(TickPeriod);
+  dispatch(Tick{});
+  return Ok{};
+}
+
+void Daemon::dispatch(EventBody Body) {
+  Pending.push_back(std::move(Body));
+  // An effect may raise an event; it is handled after the current one.
+  if (Dispatching)
+    return;
+  Dispatching = true;
+  while (!Pending.empty()) {
+    Event Next{Time.steadyNow(), Random(), std::move(Pending.front())};
+    Pending.pop_front();
+    for (const Effect &E : reduce(State, Next))
+      Effects.emit(E);
+  }
+  Dispatching = false;
+}
+
+void Daemon::record(const RecordTimeline &Entry) {
+  TimelineEvent Event;
+  Event.Wall = Time.wallNow();
+  Event.Steady = Time.steadyNow();
+  Event.Kind = Entry.Kind;
+  Event.Job = Entry.Job;
+  Event.Task = Entry.Task;
+  Event.Detail = Entry.Detail;
+  Timeline.record(std::move(Event));
+}
+
+TimelineSource Daemon::timelineSource() const {
+  return {State.Settings.Advertise, State.Incarnation, State.Settings.Centre};
+}
+
+} // namespace snipeshunt
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,68 @@
+/// \file The process around the reducer: sockets and timers become events,
+/// effects become calls.
+#ifndef SNIPESHUNT_DAEMON_DAEMON_H
+#define SNIPESHUNT_DAEMON_DAEMON_H
+
+#include "daemon/signal_table.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "reducer/reducer.h"
+#include "timeline/timeline_ring.h"
+
+#include <deque>
+#include <memory>
+#include <random>
+
+namespace snipeshunt {
+
+class CallerGateway;
+class PeerGateway;
+class PlatformGateway;
+class UpstreamGateway;
+
+/// One instance.
+class Daemon {
+public:
+  Daemon(EventLoop &Loop, const Clock &Time, DaemonSettings Settings);
+  Daemon(const Daemon &) = delete;
+  Daemon &operator=(const Daemon &) = delete;
+  ~Daemon();
+
+  /// Listens and starts the timers; the loop then does the rest.
+  Result<Ok> start();
+
+  /// Hands an event to the reducer and carries out the effects.
+  void dispatch(EventBody Body);
+
+  EventLoop &loop() { return Loop; }
+  const InstanceState &state() const { return State; }
+  const TimelineRing &timeline() const { return Timeline; }
+  TimelineSource timelineSource() const;
+  HttpServer &server() { return Server; }
+  SignalTable<Effect> &effects() { return Effects; }
+  const Clock &clock() const { return Time; }
+
+private:
+  void record(const RecordTimeline &Entry);
+
+  EventLoop &Loop;
+  const Clock &Time;
+  InstanceState State;
+  std::mt19937_64 Random;
+  TimelineRing Timeline;
+  SignalTable<Effect> Effects;
+  HttpServer Server;
+  std::deque<EventBody> Pending;
+  bool Dispatching = false;
+  std::unique_ptr<CallerGateway> Callers;
+  std::unique_ptr<PeerGateway> Peers;
+  std::unique_ptr<UpstreamGateway> Upstreams;
+  std::unique_ptr<PlatformGateway> Platform;
+  Timer TickTimer;
+  SignalWatcher OnTerminate;
+  SignalWatcher OnInterrupt;
+};
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_DAEMON_DAEMON_H
--- /dev/null
+++ b/src/daemon/platform_gateway.cpp
@@ -0,0 +1,99 @@
+/// \file The platform's list and its key-value service.
+#include "daemon/platform_gateway.h"
+
+#include "core/json_func.h"
+#include "daemon/log.h"
+#include "daemon/view_func.h"
+
+namespace snipeshunt {
+
+namespace {
+
+// The list lags by seconds, so asking more often brings nothing.
+constexpr Duration ListPeriod = std::chrono::seconds(1);
+constexpr Duration ListTimeout = std::chrono::seconds(3);
+constexpr size_t MaxListed = 20000;
+constexpr size_t MaxName = 128;
+
+/// Calls \p Read for each object of the array under \p Name.
+void eachEntry(ObjectReader &Reader, const char *Name,
+               const std::function<void(ObjectReader &)> &Read) {
+  const Json::Value *List = Reader.array(Name, MaxListed);
+  if (!List)
+    return;
+  for (const Json::Value &Item : *List) {
+    ObjectReader Entry(Item, Name);
+    Read(Entry);
+    if (std::optional<Error> Problem = Entry.finish())
+      Reader.fail(*Problem);
+  }
+}
+
+} // namespace
+
+Result<ListRead> readListReply(std::string_view Body) {
+  Result<Json::Value> Parsed = parseJson(Body);
+  if (failed(Parsed))
+    return errorOf(Parsed);
+  ListRead List;
+  ObjectReader Reader(valueOf(Parsed), "");
+  eachEntry(Reader, "instances", [&](ObjectReader &Entry) {
+    MemberAddress Member;
+    std::string State;
+    Entry.string("address", Member.Where.Value, MaxName)
+        .string("data_centre", Member.Centre.Value, MaxName)
+        .string("state", State, MaxName);
+    if (State == "leaving")
+      List.LeavingInstances.push_back(Member.Where);
+    else
+      List.Instances.push_back(std::move(Member));
+  });
+  eachEntry(Reader, "upstreams", [&](ObjectReader &Entry) {
+    ListedUpstream U;
+    std::string State;
+    int64_t Slots = 0;
+    int64_t Accelerators = 0;
+    Entry.string("address", U.Where.Value, MaxName)
+        .string("data_centre", U.Centre.Value, MaxName)
+        .string("state", State, MaxName)
+        .integer("slots", Slots, 0, 1024)
+        .integer("accelerators", Accelerators, 0, 1024);
+    U.Slots = static_cast<uint32_t>(Slots);
+    U.Accelerators = static_cast<uint32_t>(Accelerators);
+    U.Leaving = State == "leaving";
+    List.Upstreams.push_back(std::move(U));
+  });
+  if (std::optional<Error> Problem = Reader.finish())
+    return *Problem;
+  return List;
+}
+
+PlatformGateway::PlatformGateway(Daemon &Owner)
+    : Owner(Owner),
+      Client(Owner.loop(), clientOptions(Owner.state().Settings, 4)),
+      ListTimer(Owner.loop(), [this] { pollList(); }) {
+  if (Owner.state().Settings.Platform)
+    ListTimer.startOnce(Duration::zero());
+}
+
+void PlatformGateway::pollList() {
+  HttpCall Call;
+  Call.Target = *Owner.state().Settings.Platform;
+  Call.Path = "/v1/instances";
+  Call.Timeout = ListTimeout;
+  Client.send(std::move(Call), [this](HttpOutcome Outcome) {
+    // Without an answer the list that was read last stays in use.
+    if (auto *Reply = std::get_if<HttpReply>(&Outcome);
+        Reply && Reply->Status == 200) {
+      Result<ListRead> List = readListReply(Reply->Body);
+      if (failed(List))
+        SNIPESHUNT_LOG(WARNING, "platform")
+            << "list can't be read: " << errorOf(List).Message << ".";
+      else
+        Owner.dispatch(std::move(valueOf(List)));
+    }
+    ListTimer.startOnce(ListPeriod);
+  });
+}
+
+} // namespace snipeshunt
--- /dev/null
+++ b/src/daemon/signal_table.h
@@ -0,0 +1,33 @@
+/// \file One signal per alternative of a variant.
+#ifndef SNIPESHUNT_DAEMON_SIGNAL_TABLE_H
+#define SNIPESHUNT_DAEMON_SIGNAL_TABLE_H
+
+#include <sigc++/sigc++.h>
+
+#include <tuple>
+#include <variant>
+
+namespace snipeshunt {
+
+template <typename Variant> class SignalTable;
+
+/// Emits each value on the signal of its type, so that the parts of the
+/// daemon connect to the effects that they carry out.
+template <typename... Ts> class SignalTable<std::variant<Ts...>> {
+public:
+  template <typename T> sigc::signal<void(const T &)> &on() {
+    return std::get<sigc::signal<void(const T &)>>(Signals);
+  }
+  void emit(const std::variant<Ts...> &Value) {
+    std::visit(
+        [this](const auto &V) { on<std::decay_t<decltype(V)>>().emit(V); },
+        Value);
+  }
+
+private:
+  std::tuple<sigc::signal<void(const Ts &)>...> Signals;
+};
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_DAEMON_SIGNAL_TABLE_H
--- /dev/null
+++ b/src/daemon/upstream_gateway.cpp
@@ -0,0 +1,110 @@
+/// \file HTTP towards upstreams.
+#include "daemon/upstream_gateway.h"
+
+#include "core/json_func.h"
+#include "daemon/view_func.h"
+#include "tickets/ticket_func.h"
+
+namespace snipeshunt {
+
+namespace {
+
+// Upstreams take about 60 connections each; tasks use one per slot.
+constexpr size_t MaxTaskConnections = 56;
+constexpr size_t MaxStatusConnections = 1;
+// Below the age up to which a status is trusted.
+constexpr Duration StatusTimeout = std::chrono::milliseconds(1000);
+
+std::string textOf(const Json::Value &Value, const char *Name) {
+  const Json::Value &Field = Value[Name];
+  return Field.isString() ? Field.asString() : std::string();
+}
+
+} // namespace
+
+AttemptResult readTaskReply(const HttpOutcome &Outcome) {
+  if (auto *Failure = std::get_if<HttpFailure>(&Outcome))
+    return {Failure->NothingSent ? AttemptEnd::NothingSent
+                                 : AttemptEnd::Unknown,
+            Failure->Message};
+  const HttpReply &Reply = std::get<HttpReply>(Outcome);
+  Result<Json::Value> Parsed = parseJson(Reply.Body);
+  if (failed(Parsed) || !valueOf(Parsed).isObject())
+    return {AttemptEnd::Unknown, "the upstream's answer can't be read"};
+  const Json::Value &Body = valueOf(Parsed);
+  std::string Said = textOf(Body, "outcome");
+  if (Reply.Status == 200 && Said == "finished")
+    return {AttemptEnd::Finished, textOf(Body, "output")};
+  if (Reply.Status == 500 && Said == "failed")
+    return {AttemptEnd::Failed, textOf(Body, "message")};
+  if (Reply.Status == 503 && Said == "not_run") {
+    std::string Reason = textOf(Body, "reason");
+    return {Reason == "leaving" ? AttemptEnd::Leaving : AttemptEnd::Busy,
+            "the upstream is " + Reason};
+  }
+  return {AttemptEnd::Unknown,
+          "the upstream answered with status " + std::to_string(Reply.Status)};
+}
+
+std::optional<UpstreamStatus> readStatusReply(const HttpOutcome &Outcome) {
+  auto *Reply = std::get_if<HttpReply>(&Outcome);
+  if (!Reply || Reply->Status != 200)
+    return std::nullopt;
+  Result<Json::Value> Parsed = parseJson(Reply->Body);
+  if (failed(Parsed) || !valueOf(Parsed).isObject())
+    return std::nullopt;
+  const Json::Value &Body = valueOf(Parsed);
+  if (!Body["slots"].isUInt() || !Body["accelerators"].isUInt() ||
+      !Body["leaving"].isBool())
+    return std::nullopt;
+  return UpstreamStatus{Body["slots"].asUInt(), Body["accelerators"].asUInt(),
+                        Body["leaving"].asBool()};
+}
+
+UpstreamGateway::UpstreamGateway(Daemon &Owner)
+    : Owner(Owner),
+      TaskClient(Owner.loop(),
+                 clientOptions(Owner.state().Settings, MaxTaskConnections)),
+      StatusClient(Owner.loop(), clientOptions(Owner.state().Settings,
+                                               MaxStatusConnections)) {
+  Owner.effects().on<StartTask>().connect(
+      [this](const StartTask &E) { startTask(E); });
+  Owner.effects().on<PollStatus>().connect(
+      [this](const PollStatus &E) { pollStatus(E); });
+}
+
+void UpstreamGateway::startTask(const StartTask &E) {
+  AttemptId Id = E.Attempt;
+  // The process may have been paused since the reducer decided.
+  if (Owner.clock().steadyNow() >= E.StartBefore) {
+    Owner.dispatch(
+        AttemptEnded{Id, {AttemptEnd::Busy, "the time to start had passed"}});
+    return;
+  }
+  Json::Value Body(Json::objectValue);
+  Body["task"] = taskText(E.Key);
+  Body["kind"] = E.Spec->Kind.Value;
+  Body["payload"] = E.Spec->Payload;
+  HttpCall Call;
+  Call.Target = E.Where;
+  Call.Method = "POST";
+  Call.Path = "/v1/tasks";
+  Call.Body = writeJson(Body);
+  Call.Timeout = E.Timeout;
+  TaskClient.send(std::move(Call), [this, Id](HttpOutcome Outcome) {
+    Owner.dispatch(AttemptEnded{Id, readTaskReply(Outcome)});
+  });
+}
+
+void UpstreamGateway::pollStatus(const PollStatus &E) {
+  HttpCall Call;
+  Call.Target = E.Where;
+  Call.Path = "/v1/status";
+  Call.Timeout = StatusTimeout;
+  Address Where = E.Where;
+  StatusClient.send(std::move(Call), [this, Where](HttpOutcome Outcome) {
+    Owner.dispatch(StatusRead{Where, readStatusReply(Outcome)});
+  });
+}
+
+} // namespace snipeshunt
--- /dev/null
+++ b/src/handover/give_cmd.cpp
@@ -0,0 +1,302 @@
+/// \file Home side of handovers.
+#include "handover/handover_cmd.h"
+
+#include "jobs/job_cmd.h"
+#include "scheduling/queue_cmd.h"
+#include "tickets/ticket_func.h"
+#include "upstreams/health_cmd.h"
+#include "upstreams/upstream_cmd.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipeshunt {
+
+namespace {
+
+// A lost message is noticed after this time, and then less and less often.
+constexpr Duration FirstRepeat = std::chrono::milliseconds(200);
+constexpr uint32_t MaxBackoffShift = 4;
+
+Duration repeatDelay(uint32_t Sends) {
+  return FirstRepeat * (1 << std::min(Sends, MaxBackoffShift));
+}
+
+OutgoingBatch *findBatch(InstanceState &State, IncarnationId Receiver,
+                         HandoverSequence Sequence) {
+  auto Channel = State.Handovers.Outgoing.find(Receiver);
+  if (Channel == State.Handovers.Outgoing.end())
+    return nullptr;
+  auto Batch = Channel->second.Batches.find(Sequence);
+  return Batch == Channel->second.Batches.end() ? nullptr : &Batch->second;
+}
+
+/// All batches below this are settled, so the receiver may forget them.
+HandoverSequence settledBelow(const OutgoingChannel &Channel) {
+  if (Channel.Batches.empty())
+    return {Channel.NextSequence};
+  return Channel.Batches.begin()->first;
+}
+
+HandedTask describe(const WaitingTask &Task, SteadyTime Now) {
+  HandedTask Handed;
+  Handed.Job = Task.Key.Job;
+  Handed.Index = Task.Key.Index;
+  Handed.Owner = Task.Owner;
+  Handed.Spec = Task.Spec;
+  Handed.StartWithin = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Task.StartBefore - Now);
+  Handed.Waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Now - Task.Enqueued);
+  return Handed;
+}
+
+void send(InstanceState &State, OutgoingChannel &Channel, OutgoingBatch &Batch,
+          SteadyTime Now, EffectList &Out) {
+  Batch.Message.SettledBelow = settledBelow(Channel);
+  Batch.Message.Load = currentLoad(State, Now);
+  Batch.InFlight = true;
+  ++Batch.Sends;
+  ++State.Counts.HandoverMessages;
+  Out.push_back(SendHandover{Channel.Where, Batch.Message});
+}
+
+void sendRevoke(InstanceState &State, OutgoingChannel &Channel,
+                OutgoingBatch &Batch, EffectList &Out) {
+  RevokeMessage Message;
+  Message.Home = State.Incarnation;
+  Message.Receiver = Batch.Message.Receiver;
+  Message.Sequence = Batch.Message.Sequence;
+  Message.Tasks.assign(Batch.Revoking.begin(), Batch.Revoking.end());
+  Batch.InFlight = true;
+  Out.push_back(SendRevoke{Channel.Where, std::move(Message)});
+}
+
+/// Takes \p Key out of its batch; false when it was settled before.
+bool settle(InstanceState &State, OutgoingChannel &Channel,
+            HandoverSequence Sequence, const TaskKey &Key) {
+  auto Batch = Channel.Batches.find(Sequence);
+  if (Batch == Channel.Batches.end() || !Batch->second.Unsettled.erase(Key))
+    return false;
+  Batch->second.Revoking.erase(Key);
+  State.Handovers.Given.erase(Key);
+  if (Batch->second.Unsettled.empty())
+    Channel.Batches.erase(Batch);
+  return true;
+}
+
+/// Queues a task again that its receiver has not started, or fails its job.
+void takeBack(InstanceState &State, const HandoverMessage &Message,
+              const TaskKey &Key, const std::string &Reason, SteadyTime Now,
+              uint64_t Seed, EffectList &Out) {
+  for (const HandedTask &Handed : Message.Tasks) {
+    if (Handed.Job != Key.Job || Handed.Index != Key.Index)
+      continue;
+    auto Record = State.Jobs.Records.find(Key.Job);
+    if (Record == State.Jobs.Records.end() || !Record->second.Running)
+      return;
+    const Job &J = *Record->second.Running;
+    WaitingTask Task;
+    Task.Key = Key;
+    Task.Spec = Handed.Spec;
+    Task.Owner = Handed.Owner;
+    Task.Enqueued = J.Tasks[Key.Index.Value].FirstQueued;
+    Task.StartBefore = J.Deadline;
+    if (!retryTask(State, Task, Now, Seed))
+      finishTask(State, Key, {TaskEnd::NotStarted, Reason}, Now, Out);
+    return;
+  }
+}
+
+/// Settles every task of a batch that its receiver has never taken.
+void takeBackBatch(InstanceState &State, IncarnationId Receiver,
+                   HandoverSequence Sequence, const std::string &Reason,
+                   SteadyTime Now, uint64_t Seed, EffectList &Out) {
+  OutgoingChannel &Channel = State.Handovers.Outgoing[Receiver];
+  HandoverMessage Message = Channel.Batches[Sequence].Message;
+  std::set<TaskKey> Keys = Channel.Batches[Sequence].Unsettled;
+  for (const TaskKey &Key : Keys)
+    if (settle(State, Channel, Sequence, Key))
+      takeBack(State, Message, Key, Reason, Now, Seed++, Out);
+}
+
+Member *memberWith(InstanceState &State, IncarnationId Incarnation) {
+  for (auto &[Where, M] : State.Members.Members)
+    if (M.Incarnation == Incarnation)
+      return &M;
+  return nullptr;
+}
+
+void adoptLoad(InstanceState &State, IncarnationId From,
+               const LoadReport &Load) {
+  if (Member *M = memberWith(State, From))
+    M->Load = Load;
+}
+
+} // namespace
+
+void giveTasks(InstanceState &State, Member &To,
+               const std::vector<TaskKey> &Keys, SteadyTime Now,
+               EffectList &Out) {
+  OutgoingChannel &Channel = State.Handovers.Outgoing[To.Incarnation];
+  Channel.Where = To.Self.Where;
+  HandoverSequence Sequence{Channel.NextSequence++};
+  OutgoingBatch &Batch = Channel.Batches[Sequence];
+  Batch.Message.Home = State.Incarnation;
+  Batch.Message.HomeAddress = State.Settings.Advertise;
+  Batch.Message.Receiver = To.Incarnation;
+  Batch.Message.Sequence = Sequence;
+  for (const TaskKey &Key : Keys) {
+    WaitingTask Task = *State.Queue.erase(Key);
+    Batch.Message.Tasks.push_back(describe(Task, Now));
+    Batch.Unsettled.insert(Key);
+    State.Handovers.Given[Key] = {To.Incarnation, Sequence};
+    setTaskState(State, Key, TaskState::HandedOver);
+    ++State.Counts.TasksHandedOver;
+    Out.push_back(RecordTimeline{TimelineKind::TaskHandedOver,
+                                 jobText(Key.Home, Key.Job), taskText(Key),
+                                 "to=" + To.Self.Where.Value});
+  }
+  send(State, Channel, Batch, Now, Out);
+}
+
+void revokeTasks(InstanceState &State, const std::vector<TaskKey> &Keys,
+                 SteadyTime Now, EffectList &Out) {
+  std::set<std::pair<IncarnationId, HandoverSequence>> Touched;
+  for (const TaskKey &Key : Keys) {
+    auto Given = State.Handovers.Given.find(Key);
+    if (Given == State.Handovers.Given.end())
+      continue;
+    auto [Receiver, Sequence] = Given->second;
+    findBatch(State, Receiver, Sequence)->Revoking.insert(Key);
+    Touched.insert(Given->second);
+  }
+  for (const auto &[Receiver, Sequence] : Touched) {
+    OutgoingBatch &Batch = *findBatch(State, Receiver, Sequence);
+    // An open handover is answered first; the repeat then sends the revoke.
+    Batch.RepeatAt = Now;
+    if (!Batch.InFlight)
+      sendRevoke(State, State.Handovers.Outgoing[Receiver], Batch, Out);
+  }
+}
+
+void applyHandoverAnswer(InstanceState &State, const HandoverAnswered &Event,
+                         SteadyTime Now, uint64_t Seed, EffectList &Out) {
+  OutgoingBatch *Batch = findBatch(State, Event.Receiver, Event.Sequence);
+  if (Event.Reply)
+    adoptLoad(State, Event.Receiver, Event.Reply->Load);
+  if (!Batch)
+    return;
+  Batch->InFlight = false;
+  Batch->RepeatAt = Now + repeatDelay(Batch->Sends);
+  if (!Event.Reply) {
+    // Only the very first send proves by not leaving that nothing arrived.
+    if (Event.NothingSent && Batch->Sends == 1) {
+      if (Member *M = memberWith(State, Event.Receiver))
+        M->Load.FreeSlots = 0;
+      takeBackBatch(State, Event.Receiver, Event.Sequence,
+                    "the receiver could not be reached", Now, Seed, Out);
+    }
+    return;
+  }
+  switch (Event.Reply->Verdict) {
+  case HandoverVerdict::Accepted:
+    Batch->Acknowledged = true;
+    break;
+  case HandoverVerdict::Refused:
+    takeBackBatch(State, Event.Receiver, Event.Sequence,
+                  "the receiver's queue is full", Now, Seed, Out);
+    break;
+  case HandoverVerdict::BelowFloor:
+    // The floor passes a batch only once it is settled here.
+    break;
+  case HandoverVerdict::WrongIncarnation:
+    loseReceiver(State, Event.Receiver, Now, Out);
+    break;
+  }
+}
+
+void applyRevokeAnswer(InstanceState &State, const RevokeAnswered &Event,
+                       SteadyTime Now, EffectList &Out) {
+  OutgoingBatch *Batch = findBatch(State, Event.Receiver, Event.Sequence);
+  if (!Batch)
+    return;
+  Batch->InFlight = false;
+  Batch->RepeatAt = Now + repeatDelay(++Batch->Sends);
+  if (!Event.Reply)
+    return;
+  if (Event.Reply->WrongIncarnation) {
+    loseReceiver(State, Event.Receiver, Now, Out);
+    return;
+  }
+  // What could not be revoked has started; its report settles it.
+  Batch->Revoking.clear();
+  OutgoingChannel &Channel = State.Handovers.Outgoing[Event.Receiver];
+  for (const TaskKey &Key : Event.Reply->Revoked) {
+    if (!settle(State, Channel, Event.Sequence, Key))
+      continue;
+    Out.push_back(RecordTimeline{TimelineKind::TaskRevoked,
+                                 jobText(Key.Home, Key.Job), taskText(Key),
+                                 ""});
+    finishTask(State, Key, {TaskEnd::NotStarted, "revoked"}, Now, Out);
+  }
+}
+
+void applyReport(InstanceState &State, const ReportReceived &Event,
+                 SteadyTime Now, uint64_t Seed, EffectList &Out) {
+  const ReportMessage &Message = Event.Message;
+  ReplyReport Reply{Event.Request, Message.Home != State.Incarnation, {}};
+  adoptLoad(State, Message.Receiver, Message.Load);
+  auto Channel = State.Handovers.Outgoing.find(Message.Receiver);
+  if (!Reply.WrongIncarnation && Channel != State.Handovers.Outgoing.end())
+    for (const TaskReport &Report : Message.Reports) {
+      OutgoingBatch *Batch =
+          findBatch(State, Message.Receiver, Report.Sequence);
+      if (!Batch)
+        continue;
+      HandoverMessage Sent = Batch->Message;
+      if (!settle(State, Channel->second, Report.Sequence, Report.Key))
+        continue;
+      if (Report.Result.End == TaskEnd::NotStarted)
+        takeBack(State, Sent, Report.Key, Report.Result.Output, Now, Seed++,
+                 Out);
+      else
+        finishTask(State, Report.Key, Report.Result, Now, Out);
+    }
+  Reply.Load = currentLoad(State, Now);
+  Out.push_back(std::move(Reply));
+}
+
+void loseReceiver(InstanceState &State, IncarnationId Receiver, SteadyTime Now,
+                  EffectList &Out) {
+  auto It = State.Handovers.Outgoing.find(Receiver);
+  if (It == State.Handovers.Outgoing.end())
+    return;
+  // The channel stays: its numbers must not be used twice when the receiver
+  // was only cut off and comes back.
+  std::map<HandoverSequence, OutgoingBatch> Lost =
+      std::exchange(It->second.Batches, {});
+  Address Where = It->second.Where;
+  for (const auto &[Sequence, Batch] : Lost)
+    for (const TaskKey &Key : Batch.Unsettled)
+      State.Handovers.Given.erase(Key);
+  for (const auto &[Sequence, Batch] : Lost)
+    for (const TaskKey &Key : Batch.Unsettled)
+      finishTask(State, Key,
+                 {TaskEnd::Unknown, "instance " + Where.Value + " was lost"},
+                 Now, Out);
+}
+
+void repeatHandovers(InstanceState &State, SteadyTime Now, EffectList &Out) {
+  for (auto &[Receiver, Channel] : State.Handovers.Outgoing)
+    for (auto &[Sequence, Batch] : Channel.Batches) {
+      if (Batch.InFlight || Batch.RepeatAt > Now)
+        continue;
+      if (!Batch.Revoking.empty())
+        sendRevoke(State, Channel, Batch, Out);
+      else if (!Batch.Acknowledged)
+        send(State, Channel, Batch, Now, Out);
+    }
+}
+
+} // namespace snipeshunt
--- a/src/handover/handover_base.h
+++ b/src/handover/handover_base.h
@@ -13,13 +13,13 @@
 
 /// A batch that the home has given away and that is not settled yet.
 struct OutgoingBatch {
-  HandoverMessage Message;      ///< As sent, for repeats.
-  std::set<TaskKey> Unsettled;  ///< Tasks without a result.
-  std::set<TaskKey> Revoking;   ///< Tasks to take back.
+  HandoverMessage Message;     ///< As sent, for repeats.
+  std::set<TaskKey> Unsettled; ///< Tasks without a result.
+  std::set<TaskKey> Revoking;  ///< Tasks to take back.
   bool Acknowledged = false;
-  bool InFlight = false;        ///< A handover or revoke request is open.
+  bool InFlight = false; ///< A handover or revoke request is open.
   uint32_t Sends = 0;
-  SteadyTime RepeatAt;          ///< Next repeat of the handover or revoke.
+  SteadyTime RepeatAt; ///< Next repeat of the handover or revoke.
 };
 
 /// All batches to one incarnation of a receiver.
@@ -55,6 +55,9 @@
 struct HandoverTable {
   std::unordered_map<IncarnationId, OutgoingChannel> Outgoing;
   std::unordered_map<IncarnationId, IncomingChannel> Incoming;
+  /// Replaced homes, until their tickets have expired. Late copies of their
+  /// handovers are refused.
+  std::unordered_map<IncarnationId, SteadyTime> ClosedHomes;
   /// Where each handed-over task of this home is.
   std::unordered_map<TaskKey, std::pair<IncarnationId, HandoverSequence>> Given;
   /// Batch of each received task.
--- /dev/null
+++ b/src/handover/handover_cmd.h
@@ -0,0 +1,57 @@
+/// \file Moving tasks between the home and a sender.
+#ifndef SNIPESHUNT_HANDOVER_HANDOVER_CMD_H
+#define SNIPESHUNT_HANDOVER_HANDOVER_CMD_H
+
+#include "reducer/effect_type.h"
+#include "reducer/state_base.h"
+
+namespace snipeshunt {
+
+// Home side.
+
+/// Gives waiting tasks of this home to \p To in one batch.
+void giveTasks(InstanceState &State, Member &To,
+               const std::vector<TaskKey> &Keys, SteadyTime Now,
+               EffectList &Out);
+/// Asks for tasks back whose job has ended.
+void revokeTasks(InstanceState &State, const std::vector<TaskKey> &Keys,
+                 SteadyTime Now, EffectList &Out);
+void applyHandoverAnswer(InstanceState &State, const HandoverAnswered &Event,
+                         SteadyTime Now, uint64_t Seed, EffectList &Out);
+void applyRevokeAnswer(InstanceState &State, const RevokeAnswered &Event,
+                       SteadyTime Now, EffectList &Out);
+void applyReport(InstanceState &State, const ReportReceived &Event,
+                 SteadyTime Now, uint64_t Seed, EffectList &Out);
+/// Gives up on an incarnation: its unsettled tasks may have started.
+void loseReceiver(InstanceState &State, IncarnationId Receiver, SteadyTime Now,
+                  EffectList &Out);
+/// Repeats handovers and revokes that are due.
+void repeatHandovers(InstanceState &State, SteadyTime Now, EffectList &Out);
+
+// Receiver side.
+
+void applyHandover(InstanceState &State, const HandoverReceived &Event,
+                   SteadyTime Now, EffectList &Out);
+void applyRevoke(InstanceState &State, const RevokeReceived &Event,
+                 SteadyTime Now, EffectList &Out);
+/// Records the end of a held task; the report follows with `sendReports`.
+void finishHeldTask(InstanceState &State, const TaskKey &Key, TaskResult Result,
+                    SteadyTime Now);
+/// Returns held tasks whose time to start has passed.
+void expireHeldTasks(InstanceState &State, SteadyTime Now);
+/// Returns held tasks that have not started: those of \p Home, or all.
+void returnHeldTasks(InstanceState &State, std::optional<IncarnationId> Home,
+                     const std::string &Reason, SteadyTime Now,
+                     EffectList &Out);
+/// Sends results that no open request carries.
+void sendReports(InstanceState &State, SteadyTime Now, EffectList &Out);
+void applyReportAnswer(InstanceState &State, const ReportAnswered &Event,
+                       SteadyTime Now);
+/// Closes the channel of a home that has been replaced.
+void dropIncoming(InstanceState &State, IncarnationId Home, SteadyTime Now);
+/// Forgets closed channels once no ticket of the home can be valid.
+void forgetClosedHomes(InstanceState &State, SteadyTime Now);
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_HANDOVER_HANDOVER_CMD_H
--- a/src/handover/handover_type.h
+++ b/src/handover/handover_type.h
@@ -10,9 +10,9 @@
 
 /// Load of an instance, carried by every message between instances.
 struct LoadReport {
-  uint32_t FreeSlots = 0;     ///< Slots that can take a short task now.
-  uint32_t TotalSlots = 0;    ///< Usable slots, busy ones included.
-  uint32_t WaitingTasks = 0;  ///< Tasks in its queue.
+  uint32_t FreeSlots = 0;    ///< Slots that can take a short task now.
+  uint32_t TotalSlots = 0;   ///< Usable slots, busy ones included.
+  uint32_t WaitingTasks = 0; ///< Tasks in its queue.
   std::chrono::milliseconds ExpectedWait{0}; ///< Of a task that joins now.
 };
 
--- /dev/null
+++ b/src/handover/receive_cmd.cpp
@@ -0,0 +1,264 @@
+/// \file Receiver side of handovers.
+#include "handover/handover_cmd.h"
+
+#include "scheduling/queue_cmd.h"
+#include "tickets/ticket_func.h"
+#include "upstreams/upstream_cmd.h"
+
+#include <algorithm>
+
+namespace snipeshunt {
+
+namespace {
+
+constexpr Duration ReportRepeat = std::chrono::milliseconds(200);
+// Keeps one report well under the body limit of a request.
+constexpr size_t MaxReportBytes = 512 << 10;
+// A start deadline further away than any patience is not meant seriously and
+// would overflow the clock.
+constexpr std::chrono::milliseconds MaxStartWithin{3600000};
+
+TaskKey keyOf(const HandoverMessage &Message, const HandedTask &Task) {
+  return {Message.Home, Task.Job, Task.Index};
+}
+
+void raiseFloor(InstanceState &State, IncomingChannel &Channel,
+                HandoverSequence Floor) {
+  if (Floor < Channel.Floor)
+    return;
+  Channel.Floor = Floor;
+  while (!Channel.Batches.empty() &&
+         Channel.Batches.begin()->first < Channel.Floor) {
+    for (const auto &[Key, TaskIs] : Channel.Batches.begin()->second.Tasks)
+      State.Handovers.Held.erase(Key);
+    Channel.Batches.erase(Channel.Batches.begin());
+  }
+}
+
+void holdTask(InstanceState &State, const HandoverMessage &Message,
+              const HandedTask &Handed, IncomingBatch &Batch, SteadyTime Now,
+              EffectList &Out) {
+  TaskKey Key = keyOf(Message, Handed);
+  if (Batch.Tombstones.count(Key)) {
+    Batch.Tasks[Key] = ReceivedState::Revoked;
+    return;
+  }
+  Batch.Tasks[Key] = ReceivedState::Held;
+  State.Handovers.Held[Key] = Message.Sequence;
+  WaitingTask Task;
+  Task.Key = Key;
+  Task.Spec = Handed.Spec;
+  Task.Owner = Handed.Owner;
+  Task.Enqueued = Now - std::min(Handed.Waited, MaxStartWithin);
+  Task.StartBefore = Now + std::min(Handed.StartWithin, MaxStartWithin);
+  queueTask(State, std::move(Task), 1, Now);
+  Out.push_back(RecordTimeline{TimelineKind::TaskReceived,
+                               jobText(Key.Home, Key.Job), taskText(Key),
+                               "from=" + Message.HomeAddress.Value});
+}
+
+HandoverVerdict takeBatch(InstanceState &State, const HandoverMessage &Message,
+                          SteadyTime Now, EffectList &Out) {
+  if (Message.Receiver != State.Incarnation)
+    return HandoverVerdict::WrongIncarnation;
+  // A late copy from a home that has been replaced must not run again.
+  if (State.Handovers.ClosedHomes.count(Message.Home))
+    return HandoverVerdict::BelowFloor;
+  IncomingChannel &Channel = State.Handovers.Incoming[Message.Home];
+  Channel.Where = Message.HomeAddress;
+  Channel.LastMessage = Now;
+  raiseFloor(State, Channel, Message.SettledBelow);
+  if (Message.Sequence < Channel.Floor)
+    return HandoverVerdict::BelowFloor;
+  IncomingBatch &Batch = Channel.Batches[Message.Sequence];
+  if (Batch.Refused)
+    return HandoverVerdict::Refused;
+  if (!Batch.Tasks.empty())
+    return HandoverVerdict::Accepted;
+  size_t Limit = static_cast<size_t>(State.Settings.Limits.QueueLimitTasks);
+  if (State.Drain || State.Queue.size() + Message.Tasks.size() > Limit) {
+    // Remembered, so that a late copy of the message is refused as well.
+    Batch.Refused = true;
+    return HandoverVerdict::Refused;
+  }
+  for (const HandedTask &Handed : Message.Tasks)
+    holdTask(State, Message, Handed, Batch, Now, Out);
+  return HandoverVerdict::Accepted;
+}
+
+/// Takes a held task out of the queue, if it has not started.
+bool revokeHeld(InstanceState &State, IncomingBatch &Batch,
+                const TaskKey &Key) {
+  auto Known = Batch.Tasks.find(Key);
+  if (Known == Batch.Tasks.end()) {
+    Batch.Tombstones.insert(Key);
+    return true;
+  }
+  if (Known->second == ReceivedState::Revoked)
+    return true;
+  if (Known->second == ReceivedState::Ended || !State.Queue.erase(Key))
+    return false;
+  Known->second = ReceivedState::Revoked;
+  State.Handovers.Held.erase(Key);
+  return true;
+}
+
+std::vector<TaskKey>
+heldTasks(const InstanceState &State,
+          const std::function<bool(const WaitingTask &)> &Wanted) {
+  std::vector<TaskKey> Keys;
+  for (bool Long : {false, true})
+    State.Queue.visit(Long, [&](const WaitingTask &Task) {
+      if (Task.Key.Home != State.Incarnation && Wanted(Task))
+        Keys.push_back(Task.Key);
+      return true;
+    });
+  return Keys;
+}
+
+/// Leading unreported results that fit into one message.
+std::vector<TaskReport> nextReports(const IncomingChannel &Channel) {
+  std::vector<TaskReport> Reports;
+  size_t Bytes = 0;
+  for (const TaskReport &Report : Channel.Unreported) {
+    Bytes += Report.Result.Output.size() + 128;
+    if (Bytes > MaxReportBytes && !Reports.empty())
+      break;
+    Reports.push_back(Report);
+  }
+  return Reports;
+}
+
+} // namespace
+
+void applyHandover(InstanceState &State, const HandoverReceived &Event,
+                   SteadyTime Now, EffectList &Out) {
+  ReplyHandover Reply{Event.Request, {}};
+  Reply.Reply.Verdict = takeBatch(State, Event.Message, Now, Out);
+  Reply.Reply.Load = currentLoad(State, Now);
+  Out.push_back(std::move(Reply));
+}
+
+void applyRevoke(InstanceState &State, const RevokeReceived &Event,
+                 SteadyTime Now, EffectList &Out) {
+  ReplyRevoke Reply{Event.Request, {}};
+  const RevokeMessage &Message = Event.Message;
+  if (Message.Receiver != State.Incarnation) {
+    Reply.Reply.WrongIncarnation = true;
+    Out.push_back(std::move(Reply));
+    return;
+  }
+  IncomingChannel &Channel = State.Handovers.Incoming[Message.Home];
+  Channel.LastMessage = Now;
+  // Below the floor everything is settled; there is nothing to take back.
+  if (!(Message.Sequence < Channel.Floor)) {
+    IncomingBatch &Batch = Channel.Batches[Message.Sequence];
+    for (const TaskKey &Key : Message.Tasks)
+      if (Key.Home == Message.Home && revokeHeld(State, Batch, Key))
+        Reply.Reply.Revoked.push_back(Key);
+  }
+  Out.push_back(std::move(Reply));
+}
+
+void finishHeldTask(InstanceState &State, const TaskKey &Key, TaskResult Result,
+                    SteadyTime Now) {
+  auto Held = State.Handovers.Held.find(Key);
+  auto Channel = State.Handovers.Incoming.find(Key.Home);
+  if (Held == State.Handovers.Held.end() ||
+      Channel == State.Handovers.Incoming.end())
+    return;
+  HandoverSequence Sequence = Held->second;
+  State.Handovers.Held.erase(Held);
+  Channel->second.Batches[Sequence].Tasks[Key] = ReceivedState::Ended;
+  Channel->second.Unreported.push_back({Sequence, Key, std::move(Result)});
+}
+
+void expireHeldTasks(InstanceState &State, SteadyTime Now) {
+  std::vector<TaskKey> Late = heldTasks(
+      State, [&](const WaitingTask &Task) { return Task.StartBefore <= Now; });
+  for (const TaskKey &Key : Late) {
+    State.Queue.erase(Key);
+    finishHeldTask(State, Key,
+                   {TaskEnd::NotStarted, "no slot in time at the sender"}, Now);
+  }
+}
+
+void returnHeldTasks(InstanceState &State, std::optional<IncarnationId> Home,
+                     const std::string &Reason, SteadyTime Now,
+                     EffectList &Out) {
+  std::vector<TaskKey> Keys = heldTasks(State, [&](const WaitingTask &Task) {
+    return !Home || Task.Key.Home == *Home;
+  });
+  for (const TaskKey &Key : Keys) {
+    State.Queue.erase(Key);
+    Out.push_back(RecordTimeline{TimelineKind::TaskReturned,
+                                 jobText(Key.Home, Key.Job), taskText(Key),
+                                 ""});
+    finishHeldTask(State, Key, {TaskEnd::NotStarted, Reason}, Now);
+  }
+}
+
+void sendReports(InstanceState &State, SteadyTime Now, EffectList &Out) {
+  for (auto &[Home, Channel] : State.Handovers.Incoming) {
+    if (Channel.Unreported.empty() || Channel.ReportsInFlight > 0 ||
+        Channel.RepeatAt > Now)
+      continue;
+    ReportMessage Message;
+    Message.Home = Home;
+    Message.Receiver = State.Incarnation;
+    Message.Reports = nextReports(Channel);
+    Message.Load = currentLoad(State, Now);
+    Channel.ReportsInFlight = Message.Reports.size();
+    ++State.Counts.ReportMessages;
+    Out.push_back(SendReport{Channel.Where, std::move(Message)});
+  }
+}
+
+void applyReportAnswer(InstanceState &State, const ReportAnswered &Event,
+                       SteadyTime Now) {
+  auto It = State.Handovers.Incoming.find(Event.Home);
+  if (It == State.Handovers.Incoming.end())
+    return;
+  IncomingChannel &Channel = It->second;
+  size_t Sent = std::exchange(Channel.ReportsInFlight, 0);
+  if (Event.WrongIncarnation) {
+    dropIncoming(State, Event.Home, Now);
+    return;
+  }
+  if (!Event.Acknowledged) {
+    Channel.RepeatAt = Now + ReportRepeat;
+    return;
+  }
+  Channel.RepeatAt = SteadyTime{};
+  Channel.Unreported.erase(Channel.Unreported.begin(),
+                           Channel.Unreported.begin() +
+                               static_cast<std::ptrdiff_t>(Sent));
+  if (Event.Load)
+    for (auto &[Where, M] : State.Members.Members)
+      if (M.Incarnation == Event.Home)
+        M.Load = *Event.Load;
+}
+
+void dropIncoming(InstanceState &State, IncarnationId Home, SteadyTime Now) {
+  State.Handovers.ClosedHomes[Home] =
+      Now + State.Settings.Limits.TicketLifetime;
+  std::vector<TaskKey> Keys = heldTasks(
+      State, [&](const WaitingTask &Task) { return Task.Key.Home == Home; });
+  for (const TaskKey &Key : Keys)
+    State.Queue.erase(Key);
+  auto It = State.Handovers.Incoming.find(Home);
+  if (It == State.Handovers.Incoming.end())
+    return;
+  for (const auto &[Sequence, Batch] : It->second.Batches)
+    for (const auto &[Key, TaskIs] : Batch.Tasks)
+      State.Handovers.Held.erase(Key);
+  State.Handovers.Incoming.erase(It);
+}
+
+void forgetClosedHomes(InstanceState &State, SteadyTime Now) {
+  auto &Closed = State.Handovers.ClosedHomes;
+  for (auto It = Closed.begin(); It != Closed.end();)
+    It = It->second < Now ? Closed.erase(It) : std::next(It);
+}
+
+} // namespace snipeshunt
--- /dev/null
+++ b/src/jobs/forward_cmd.cpp
@@ -0,0 +1,135 @@
+/// \file Requests on jobs whose home is another instance.
+#include "jobs/forward_cmd.h"
+
+#include "jobs/answer_func.h"
+#include "jobs/job_cmd.h"
+#include "jobs/retention_cmd.h"
+#include "membership/member_cmd.h"
+#include "tickets/ticket_func.h"
+
+namespace snipeshunt {
+
+namespace {
+
+Error homeGone(const Address &Home) {
+  return {ErrorKind::HomeUnreachable,
+          "the instance " + Home.Value +
+              " in charge of the job is gone or does not answer",
+          "submit the same ticket again later; if this stays, check at the "
+          "upstreams before submitting with a new ticket"};
+}
+
+void replyUnknown(const JobRequested &Event, const Error &E, EffectList &Out) {
+  Out.push_back(ReplyToCaller{
+      Event.Request, plainAnswer(Outcome::Unknown, Event.TicketText, E)});
+}
+
+void replyInherited(const JobRequested &Event, const InheritedAnswer &Kept,
+                    EffectList &Out) {
+  if (Event.Verb == JobVerb::Submit && Event.BodyHash != Kept.BodyHash) {
+    replyUnknown(Event,
+                 {ErrorKind::TicketConflict,
+                  "the ticket was used with another body",
+                  "send the same body, or take a new ticket"},
+                 Out);
+    return;
+  }
+  Out.push_back(ReplyToCaller{Event.Request, Kept.Answer});
+}
+
+void forward(InstanceState &State, const JobRequested &Event, const Ticket &T,
+             const Address &To, IncarnationId Incarnation, EffectList &Out) {
+  State.Forwards[Event.Request] = {To, Incarnation, Event.TicketText};
+  ++State.Counts.JobsForwarded;
+  Out.push_back(RecordTimeline{TimelineKind::JobForwarded,
+                               jobText(T.Incarnation, T.Sequence), "",
+                               "to=" + To.Value});
+  Out.push_back(ForwardRequest{Event.Request, To, Event.Verb, Event.TicketText,
+                               Event.Body, Event.Wait});
+}
+
+/// The member that has the retained answers of a departed incarnation.
+const Member *heirOf(const InstanceState &State, IncarnationId Incarnation) {
+  auto Departure = State.Members.Departed.find(Incarnation);
+  if (Departure == State.Members.Departed.end())
+    return nullptr;
+  return findMember(State, Departure->second.Heir);
+}
+
+void forwardToHome(InstanceState &State, const JobRequested &Event,
+                   const Ticket &T, EffectList &Out) {
+  if (const Member *Heir = heirOf(State, T.Incarnation)) {
+    forward(State, Event, T, Heir->Self.Where, Heir->Incarnation, Out);
+    return;
+  }
+  auto Home = State.Members.Members.find(T.Home);
+  if (Home == State.Members.Members.end()) {
+    replyUnknown(Event,
+                 {ErrorKind::HomeNotKnown,
+                  "no instance at " + T.Home.Value + " is known here",
+                  "submit the same ticket to another instance"},
+                 Out);
+    return;
+  }
+  const Member &M = Home->second;
+  bool Replaced = State.Members.Former.count(T.Incarnation) != 0;
+  if (Replaced || M.Health == MemberHealth::Dead) {
+    replyUnknown(Event, homeGone(T.Home), Out);
+    return;
+  }
+  forward(State, Event, T, T.Home, T.Incarnation, Out);
+}
+
+} // namespace
+
+void handleJobRequest(InstanceState &State, const JobRequested &Event,
+                      SteadyTime Now, EffectList &Out) {
+  Result<Ticket> Decoded =
+      decodeTicket(Event.TicketText, State.Settings.FleetKey);
+  if (failed(Decoded)) {
+    replyUnknown(Event, errorOf(Decoded), Out);
+    return;
+  }
+  const Ticket &T = valueOf(Decoded);
+  if (T.Incarnation == State.Incarnation) {
+    handleHomeRequest(State, T, Event, Now, Out);
+    return;
+  }
+  if (const InheritedAnswer *Kept =
+          inheritedAnswer(State, T.Incarnation, T.Sequence)) {
+    replyInherited(Event, *Kept, Out);
+    return;
+  }
+  // One hop only: a request that was passed on here has missed its home.
+  if (Event.Forwarded || T.Home == State.Settings.Advertise) {
+    replyUnknown(Event, homeGone(T.Home), Out);
+    return;
+  }
+  forwardToHome(State, Event, T, Out);
+}
+
+void endForward(InstanceState &State, const ForwardEnded &Event,
+                EffectList &Out) {
+  auto It = State.Forwards.find(Event.Request);
+  if (It == State.Forwards.end())
+    return;
+  ForwardedRequest Request = std::move(It->second);
+  State.Forwards.erase(It);
+  StoredAnswerPtr Answer =
+      Event.Answer ? std::make_shared<StoredAnswer>(*Event.Answer)
+                   : plainAnswer(Outcome::Unknown, Request.TicketText,
+                                 homeGone(Request.Home));
+  Out.push_back(ReplyToCaller{Event.Request, std::move(Answer)});
+}
+
+void endForwardsTo(InstanceState &State, IncarnationId Incarnation,
+                   EffectList &Out) {
+  std::vector<RequestId> Gone;
+  for (const auto &[Request, Forwarded] : State.Forwards)
+    if (Forwarded.Incarnation == Incarnation)
+      Gone.push_back(Request);
+  for (RequestId Request : Gone)
+    endForward(State, {Request, std::nullopt}, Out);
+}
+
+} // namespace snipeshunt
--- a/src/jobs/job_base.h
+++ b/src/jobs/job_base.h
@@ -28,19 +28,20 @@
   std::string TicketText;
   Team Owner;
   std::vector<JobTask> Tasks;
-  size_t Unfinished = 0;   ///< Tasks without a result.
-  size_t OutputBytes = 0;  ///< Sum over finished tasks.
+  size_t Unfinished = 0;  ///< Tasks without a result.
+  size_t OutputBytes = 0; ///< Sum over finished tasks.
   SteadyTime Submitted;
-  SteadyTime Deadline;     ///< The job fails when it has not ended by then.
+  SteadyTime Deadline; ///< The job fails when it has not ended by then.
   std::vector<RequestId> Waiters; ///< Callers that get the answer.
 };
 
 /// What the home remembers of a used ticket.
 struct TicketRecord {
   uint64_t BodyHash = 0;
-  SteadyTime ForgetAfter;         ///< Never before the ticket expires.
-  std::unique_ptr<Job> Running;   ///< Null once the job has ended.
-  StoredAnswerPtr Answer;         ///< Set once the job has ended.
+  SteadyTime ForgetAfter;       ///< Never before the ticket expires.
+  std::unique_ptr<Job> Running; ///< Null once the job has ended.
+  StoredAnswerPtr Answer;       ///< Set once the job has ended.
+  size_t CountedBytes = 0;      ///< Its part of `RetainedBytes`.
 };
 
 /// A retained answer of a departed instance that handed its table over.
@@ -61,7 +62,9 @@
   /// Ended jobs whose answer is retained, oldest first.
   std::deque<TicketSequence> Retained;
   size_t RetainedBytes = 0;
-  size_t Running = 0;                    ///< Jobs without an answer.
+  /// Jobs by the callers that wait for their answers.
+  std::unordered_map<RequestId, TicketSequence> WaitedFor;
+  size_t Running = 0;                         ///< Jobs without an answer.
   std::unordered_map<Team, size_t> TeamTasks; ///< Unfinished tasks per team.
   SteadyTime LastActivity; ///< Last submission or end of a job.
   /// Answers of departed instances.
--- a/src/jobs/job_cmd.cpp
+++ b/src/jobs/job_cmd.cpp
@@ -39,8 +39,8 @@
 /// Refuses a submission and spends its ticket, so that a delayed copy of it
 /// gets the same answer instead of running.
 void refuseSubmission(InstanceState &State, const Ticket &T,
-                      const JobRequested &Event, const Error &E,
-                      SteadyTime Now, EffectList &Out) {
+                      const JobRequested &Event, const Error &E, SteadyTime Now,
+                      EffectList &Out) {
   TicketRecord &Record = State.Jobs.Records[T.Sequence];
   Record.BodyHash = Event.BodyHash;
   retainAnswer(State, T.Sequence, Record,
@@ -51,6 +51,11 @@
   reply(Event.Request, Record.Answer, Out);
 }
 
+void addWaiter(InstanceState &State, Job &J, RequestId Request) {
+  J.Waiters.push_back(Request);
+  State.Jobs.WaitedFor[Request] = J.Sequence;
+}
+
 void enqueueTask(InstanceState &State, const Job &J, TaskIndex Index,
                  SteadyTime Now) {
   const JobTask &Task = J.Tasks[Index.Value];
@@ -88,7 +93,7 @@
   for (uint32_t I = 0; I < J->Tasks.size(); ++I)
     enqueueTask(State, *J, TaskIndex{I}, Now);
   if (Event.Wait)
-    J->Waiters.push_back(Event.Request);
+    addWaiter(State, *J, Event.Request);
   else
     reply(Event.Request, runningAnswer(*J), Out);
 
@@ -120,12 +125,13 @@
 
   bool Complete = Answer->Result == Outcome::Complete;
   ++(Complete ? State.Counts.JobsCompleted : State.Counts.JobsFailed);
-  record(State,
-         Complete ? TimelineKind::JobCompleted : TimelineKind::JobFailed,
+  record(State, Complete ? TimelineKind::JobCompleted : TimelineKind::JobFailed,
          J->Sequence, "", Out);
   retainAnswer(State, J->Sequence, Record, std::move(Answer), Now);
-  for (RequestId Waiter : J->Waiters)
+  for (RequestId Waiter : J->Waiters) {
+    State.Jobs.WaitedFor.erase(Waiter);
     reply(Waiter, Record.Answer, Out);
+  }
 }
 
 void failJob(InstanceState &State, TicketRecord &Record, const Error &E,
@@ -184,7 +190,7 @@
   Job &J = *Record.Running;
   if (Event.Verb == JobVerb::Cancel) {
     record(State, TimelineKind::JobCancelled, J.Sequence, "", Out);
-    J.Waiters.push_back(Event.Request);
+    addWaiter(State, J, Event.Request);
     failJob(State, Record,
             {ErrorKind::Cancelled, "the caller cancelled the job",
              "submit it with a new ticket to run it"},
@@ -196,7 +202,7 @@
     return;
   }
   record(State, TimelineKind::JobJoined, J.Sequence, "", Out);
-  J.Waiters.push_back(Event.Request);
+  addWaiter(State, J, Event.Request);
 }
 
 bool ticketExpired(const InstanceState &State, const Ticket &T,
@@ -303,15 +309,14 @@
 }
 
 void forgetWaiter(InstanceState &State, RequestId Request) {
-  for (const auto &[Deadline, Sequence] : State.Jobs.Deadlines) {
-    std::vector<RequestId> &Waiters =
-        State.Jobs.Records[Sequence].Running->Waiters;
-    auto It = std::find(Waiters.begin(), Waiters.end(), Request);
-    if (It == Waiters.end())
-      continue;
-    Waiters.erase(It);
+  auto Waited = State.Jobs.WaitedFor.find(Request);
+  if (Waited == State.Jobs.WaitedFor.end())
     return;
-  }
+  std::vector<RequestId> &Waiters =
+      State.Jobs.Records[Waited->second].Running->Waiters;
+  Waiters.erase(std::remove(Waiters.begin(), Waiters.end(), Request),
+                Waiters.end());
+  State.Jobs.WaitedFor.erase(Waited);
 }
 
 void expireJobs(InstanceState &State, SteadyTime Now, EffectList &Out) {
--- a/src/jobs/job_cmd.h
+++ b/src/jobs/job_cmd.h
@@ -32,8 +32,7 @@
 
 /// Retained answers for a departing instance's heir, from \p First on.
 std::vector<AnswersReceived::Entry> exportAnswers(const InstanceState &State,
-                                                  size_t First,
-                                                  size_t MaxBytes,
+                                                  size_t First, size_t MaxBytes,
                                                   SteadyTime Now);
 
 /// Takes over retained answers of a departing instance.
--- a/src/jobs/job_type.h
+++ b/src/jobs/job_type.h
@@ -13,10 +13,10 @@
 
 /// What a caller says of one task.
 struct TaskSpec {
-  TaskKind Kind;                           ///< Tasks of a kind run alike long.
-  std::string Payload;                     ///< Opaque to the dispatcher.
+  TaskKind Kind;       ///< Tasks of a kind run alike long.
+  std::string Payload; ///< Opaque to the dispatcher.
   std::chrono::milliseconds ExpectedTime{0}; ///< Declared run time; 0 is none.
-  uint32_t Accelerators = 0;               ///< Accelerators it needs.
+  uint32_t Accelerators = 0;                 ///< Accelerators it needs.
 };
 
 /// Shared by the job, the queues and the running attempt.
--- a/src/jobs/retention_cmd.cpp
+++ b/src/jobs/retention_cmd.cpp
@@ -5,6 +5,7 @@
 #include "jobs/job_cmd.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace snipeshunt {
 
@@ -24,7 +25,7 @@
     if (It == State.Jobs.Records.end() || !It->second.Answer)
       continue;
     StoredAnswerPtr &Answer = It->second.Answer;
-    State.Jobs.RetainedBytes -= Answer->Body.size();
+    State.Jobs.RetainedBytes -= std::exchange(It->second.CountedBytes, 0);
     // A refusal stays a refusal: it is small and must stay true.
     if (Answer->Result != Outcome::NotRun) {
       std::string Ended(outcomeName(Answer->Result));
@@ -48,7 +49,8 @@
   Record.ForgetAfter = Now + State.Settings.Limits.TicketLifetime;
   State.Jobs.Forgetting.insert({Record.ForgetAfter, Sequence});
   State.Jobs.Retained.push_back(Sequence);
-  State.Jobs.RetainedBytes += Record.Answer->Body.size();
+  Record.CountedBytes = Record.Answer->Body.size();
+  State.Jobs.RetainedBytes += Record.CountedBytes;
   enforceByteLimit(State);
 }
 
@@ -57,10 +59,13 @@
          State.Jobs.Forgetting.begin()->first < Now) {
     TicketSequence Sequence = State.Jobs.Forgetting.begin()->second;
     State.Jobs.Forgetting.erase(State.Jobs.Forgetting.begin());
-    State.Jobs.Records.erase(Sequence);
+    auto It = State.Jobs.Records.find(Sequence);
+    State.Jobs.RetainedBytes -= It->second.CountedBytes;
+    State.Jobs.Records.erase(It);
   }
-  // Forgotten records leave stale entries at the front; drop them here.
-  while (!State.Jobs.Retained.empty() &&
+  // Forgotten records leave stale entries at the front. While draining,
+  // positions must not move: the transfer counts them.
+  while (!State.Drain && !State.Jobs.Retained.empty() &&
          !State.Jobs.Records.count(State.Jobs.Retained.front()))
     State.Jobs.Retained.pop_front();
   for (auto It = State.Jobs.Inherited.begin();
@@ -84,8 +89,7 @@
 }
 
 std::vector<AnswersReceived::Entry> exportAnswers(const InstanceState &State,
-                                                  size_t First,
-                                                  size_t MaxBytes,
+                                                  size_t First, size_t MaxBytes,
                                                   SteadyTime Now) {
   std::vector<AnswersReceived::Entry> Entries;
   size_t Bytes = 0;
--- a/src/jobs/retention_cmd.h
+++ b/src/jobs/retention_cmd.h
@@ -8,8 +8,7 @@
 
 /// Retains \p Answer for \p Record until its ticket has expired.
 void retainAnswer(InstanceState &State, TicketSequence Sequence,
-                  TicketRecord &Record, StoredAnswerPtr Answer,
-                  SteadyTime Now);
+                  TicketRecord &Record, StoredAnswerPtr Answer, SteadyTime Now);
 
 /// Drops the records of expired tickets.
 void forgetExpiredAnswers(InstanceState &State, SteadyTime Now);
--- a/src/membership/member_base.h
+++ b/src/membership/member_base.h
@@ -16,9 +16,10 @@
   MemberState State = MemberState::Joining;
   MemberHealth Health = MemberHealth::NeverHeard;
   SteadyTime LastHeard{};
-  LoadReport Load;           ///< Last reported, less what was sent since.
+  LoadReport Load; ///< Last reported, less what was sent since.
   Revision ConfigurationRevision;
   bool HeartbeatPending = false; ///< A heartbeat to it is open.
+  SteadyTime LastAnnounced{};    ///< Last heartbeat sent ahead of its time.
 };
 
 /// Where the retained answers of a departed incarnation are.
@@ -32,6 +33,10 @@
   std::map<Address, Member> Members;
   /// Graceful departures whose tickets may still be used.
   std::unordered_map<IncarnationId, Departure> Departed;
+  /// Incarnations that were replaced; late messages of theirs are ignored.
+  std::unordered_map<IncarnationId, SteadyTime> Former;
+  SteadyTime LastTick{};
+  SteadyTime NextFetch{}; ///< Earliest next fetch of the configuration.
   MemberState OwnState = MemberState::Joining;
   SteadyTime NextHeartbeat{};
 };
--- /dev/null
+++ b/src/membership/member_cmd.h
@@ -0,0 +1,36 @@
+/// \file State changes of the roster.
+#ifndef SNIPESHUNT_MEMBERSHIP_MEMBER_CMD_H
+#define SNIPESHUNT_MEMBERSHIP_MEMBER_CMD_H
+
+#include "reducer/effect_type.h"
+#include "reducer/state_base.h"
+
+namespace snipeshunt {
+
+/// Adds an instance that settings, list or a heartbeat names.
+void addMember(InstanceState &State, const MemberAddress &Named);
+
+/// Adopts a heartbeat, received or as an answer.
+void applyHeartbeat(InstanceState &State, const Heartbeat &Message,
+                    SteadyTime Now, EffectList &Out);
+void applyHeartbeatAnswer(InstanceState &State, const HeartbeatAnswered &Event,
+                          SteadyTime Now, EffectList &Out);
+
+/// Detects silent members and sends heartbeats that are due.
+void tickMembership(InstanceState &State, SteadyTime Now, EffectList &Out);
+
+/// Tells peers with waiting tasks at once that slots are free here.
+void announceFreeSlots(InstanceState &State, SteadyTime Now, EffectList &Out);
+
+/// What this instance says of itself.
+Heartbeat ownHeartbeat(const InstanceState &State, SteadyTime Now);
+
+/// Sends a heartbeat to every member now.
+void broadcastHeartbeat(InstanceState &State, SteadyTime Now, EffectList &Out);
+
+/// The member of \p Incarnation, or null.
+const Member *findMember(const InstanceState &State, IncarnationId Incarnation);
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_MEMBERSHIP_MEMBER_CMD_H
--- a/src/reducer/effect_type.h
+++ b/src/reducer/effect_type.h
@@ -141,13 +141,12 @@
 /// End the process; all work is done.
 struct ExitProcess {};
 
-using Effect =
-    std::variant<ReplyTickets, ReplyToCaller, ForwardRequest, StartTask,
-                 PollStatus, SendHandover, ReplyHandover, SendReport,
-                 ReplyReport, SendRevoke, ReplyRevoke, SendHeartbeat,
-                 ReplyHeartbeat, FetchConfiguration, ReplyConfiguration,
-                 WatchConfiguration, SendAnswers, ReplyAnswers, RecordTimeline,
-                 ExitProcess>;
+using Effect = std::variant<ReplyTickets, ReplyToCaller, ForwardRequest,
+                            StartTask, PollStatus, SendHandover, ReplyHandover,
+                            SendReport, ReplyReport, SendRevoke, ReplyRevoke,
+                            SendHeartbeat, ReplyHeartbeat, FetchConfiguration,
+                            ReplyConfiguration, WatchConfiguration, SendAnswers,
+                            ReplyAnswers, RecordTimeline, ExitProcess>;
 
 using EffectList = std::vector<Effect>;
 
--- /dev/null
+++ b/src/reducer/policy.cpp
@@ -0,0 +1,64 @@
+/// \file Policy values as the configuration in force gives them.
+#include "reducer/policy_func.h"
+
+#include "configuration/configuration_func.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace snipeshunt {
+
+Duration longThreshold(const InstanceState &State) {
+  return State.Configuration.InForce.Defaults.LongThreshold;
+}
+
+double longShare(const InstanceState &State) {
+  return State.Configuration.InForce.Defaults.LongShare;
+}
+
+double teamWeightOf(const InstanceState &State, const Team &Owner) {
+  return teamWeight(State.Configuration.InForce, Owner);
+}
+
+size_t teamQuotaHere(const InstanceState &State, const Team &Owner) {
+  // Every member that has been heard of counts, reachable or not: in a cut
+  // each side must not take the other side's part of the quota.
+  size_t Instances = 1;
+  for (const auto &[Where, M] : State.Members.Members)
+    if (M.Incarnation != IncarnationId{} && M.State != MemberState::Left)
+      ++Instances;
+  double Quota =
+      static_cast<double>(teamQuota(State.Configuration.InForce, Owner));
+  return static_cast<size_t>(std::ceil(Quota / static_cast<double>(Instances)));
+}
+
+Duration taskTimeoutOf(const InstanceState &State, const TaskKind &Kind) {
+  return taskTimeout(State.Configuration.InForce, Kind);
+}
+
+uint32_t failuresBeforeProbing(const InstanceState &State) {
+  return static_cast<uint32_t>(
+      State.Configuration.InForce.Defaults.FailuresBeforeProbing);
+}
+
+Duration firstProbePause(const InstanceState &State) {
+  return State.Configuration.InForce.Defaults.ProbePause;
+}
+
+Duration maxProbePause(const InstanceState &State) {
+  return State.Configuration.InForce.Defaults.ProbePauseMax;
+}
+
+double retryShare(const InstanceState &State) {
+  return State.Configuration.InForce.Defaults.RetryShare;
+}
+
+size_t retryBurst(const InstanceState &State) {
+  return static_cast<size_t>(State.Configuration.InForce.Defaults.RetryBurst);
+}
+
+bool upstreamExcluded(const InstanceState &State, const Address &Where) {
+  return upstreamLeaving(State.Configuration.InForce, Where);
+}
+
+} // namespace snipeshunt
--- /dev/null
+++ b/src/reducer/reducer.h
@@ -0,0 +1,20 @@
+/// \file The one function that changes an instance's state.
+#ifndef SNIPESHUNT_REDUCER_REDUCER_H
+#define SNIPESHUNT_REDUCER_REDUCER_H
+
+#include "reducer/effect_type.h"
+#include "reducer/event_type.h"
+#include "reducer/state_base.h"
+
+namespace snipeshunt {
+
+/// State of a process that has just started.
+InstanceState initialState(DaemonSettings Settings, IncarnationId Incarnation);
+
+/// Applies \p E to \p State and gives what the process must do. Reads no clock
+/// and draws no random number: both come with the event.
+EffectList reduce(InstanceState &State, const Event &E);
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_REDUCER_REDUCER_H
--- a/src/reducer/state_base.h
+++ b/src/reducer/state_base.h
@@ -44,17 +44,17 @@
   SteadyTime Started;
   std::optional<IncarnationId> Heir; ///< Chosen receiver of the answers.
   Address HeirAddress;
-  size_t AnswersSent = 0;       ///< Entries that the heir has accepted.
-  bool SendPending = false;     ///< A part is under way.
-  bool AnswersDone = false;     ///< The heir has all.
-  SteadyTime LeftAt{};          ///< When `Left` was announced.
+  size_t AnswersSent = 0;   ///< Entries that the heir has accepted.
+  bool SendPending = false; ///< A part is under way.
+  size_t PartSize = 0;      ///< Entries of the part under way.
+  SteadyTime LeftAt{};      ///< When `Left` was announced.
 };
 
 /// State that only the reducer changes.
 struct InstanceState {
   DaemonSettings Settings;
-  PolicyOptions Policy;        ///< Scheduling rules, replaceable for baselines.
-  IncarnationId Incarnation;   ///< Of this process.
+  PolicyOptions Policy;      ///< Scheduling rules, replaceable for baselines.
+  IncarnationId Incarnation; ///< Of this process.
   JobTable Jobs;
   WaitingQueue Queue;
   RuntimeEstimates Estimates;
@@ -62,7 +62,7 @@
   HandoverTable Handovers;
   Roster Members;
   ConfigurationState Configuration;
-  bool Watching = false;       ///< Watches the configuration for its centre.
+  bool Watching = false; ///< Watches the configuration for its centre.
   std::unordered_map<RequestId, ForwardedRequest> Forwards;
   std::optional<DrainState> Drain;
   Counters Counts;
--- /dev/null
+++ b/src/rpc/rpc_codec.cpp
@@ -0,0 +1,317 @@
+/// \file JSON forms of the messages between instances.
+#include "rpc/rpc_codec.h"
+
+#include "core/json_func.h"
+#include "rpc/rpc_field.h"
+
+namespace snipeshunt {
+
+namespace {
+
+constexpr size_t MaxBatchTasks = 20000;
+constexpr size_t MaxMembers = 1024;
+constexpr size_t MaxDocument = 1 << 20;
+constexpr size_t MaxAnswers = 100000;
+
+Json::Value encodeTask(const HandedTask &Task) {
+  Json::Value V(Json::objectValue);
+  V["job"] = Json::UInt64(Task.Job.Value);
+  V["index"] = Task.Index.Value;
+  V["team"] = Task.Owner.Value;
+  V["kind"] = Task.Spec->Kind.Value;
+  V["payload"] = Task.Spec->Payload;
+  V["expected_ms"] = Json::Int64(Task.Spec->ExpectedTime.count());
+  V["accelerators"] = Task.Spec->Accelerators;
+  V["start_within_ms"] = Json::Int64(Task.StartWithin.count());
+  V["waited_ms"] = Json::Int64(Task.Waited.count());
+  return V;
+}
+
+Result<HandedTask> decodeTask(const Json::Value &Value) {
+  HandedTask Task;
+  auto Spec = std::make_shared<TaskSpec>();
+  ObjectReader Reader(Value, "tasks[]");
+  Reader.unsignedId("job", Task.Job.Value)
+      .string("team", Task.Owner.Value, MaxTextLength)
+      .string("kind", Spec->Kind.Value, MaxTextLength)
+      .string("payload", Spec->Payload, MaxPayload);
+  readCount(Reader, "index", Task.Index.Value);
+  readMs(Reader, "expected_ms", Spec->ExpectedTime);
+  readCount(Reader, "accelerators", Spec->Accelerators);
+  readMs(Reader, "start_within_ms", Task.StartWithin);
+  readMs(Reader, "waited_ms", Task.Waited);
+  Task.Spec = std::move(Spec);
+  return finishReading(Reader, std::move(Task));
+}
+
+Json::Value encodeEntry(const TaskReport &Report) {
+  Json::Value V = encodeKey(Report.Key);
+  V["sequence"] = Json::UInt64(Report.Sequence.Value);
+  V["end"] = static_cast<int>(Report.Result.End);
+  V["output"] = Report.Result.Output;
+  return V;
+}
+
+Result<TaskReport> decodeEntry(const Json::Value &Value) {
+  TaskReport Report;
+  ObjectReader Reader(Value, "reports[]");
+  Reader.unsignedId("sequence", Report.Sequence.Value)
+      .string("output", Report.Result.Output, MaxPayload);
+  readKey(Reader, Report.Key);
+  readEnum(Reader, "end", Report.Result.End, TaskEnd::Unknown);
+  return finishReading(Reader, std::move(Report));
+}
+
+Json::Value encodeMember(const MemberAddress &Member) {
+  Json::Value V(Json::objectValue);
+  V["address"] = Member.Where.Value;
+  V["data_centre"] = Member.Centre.Value;
+  return V;
+}
+
+Result<MemberAddress> decodeMember(const Json::Value &Value) {
+  MemberAddress Member;
+  ObjectReader Reader(Value, "members[]");
+  Reader.string("address", Member.Where.Value, MaxTextLength)
+      .string("data_centre", Member.Centre.Value, MaxTextLength);
+  return finishReading(Reader, std::move(Member));
+}
+
+Json::Value encodeAnswer(const AnswersReceived::Entry &Entry) {
+  Json::Value V(Json::objectValue);
+  V["sequence"] = Json::UInt64(Entry.Sequence.Value);
+  V["body_hash"] = Json::UInt64(Entry.BodyHash);
+  V["forget_ms"] = Json::Int64(std::max<int64_t>(0, Entry.ForgetIn.count()));
+  V["outcome"] = static_cast<int>(Entry.Answer.Result);
+  V["status"] = Entry.Answer.Status;
+  V["body"] = Entry.Answer.Body;
+  return V;
+}
+
+Result<AnswersReceived::Entry> decodeAnswer(const Json::Value &Value) {
+  AnswersReceived::Entry Entry;
+  int64_t Status = 0;
+  ObjectReader Reader(Value, "entries[]");
+  Reader.unsignedId("sequence", Entry.Sequence.Value)
+      .unsignedId("body_hash", Entry.BodyHash)
+      .integer("status", Status, 0, 999)
+      .string("body", Entry.Answer.Body, MaxPayload);
+  readMs(Reader, "forget_ms", Entry.ForgetIn);
+  readEnum(Reader, "outcome", Entry.Answer.Result, Outcome::Running);
+  Entry.Answer.Status = static_cast<int>(Status);
+  return finishReading(Reader, std::move(Entry));
+}
+
+Result<TaskKey> decodeKey(const Json::Value &Value) {
+  TaskKey Key;
+  ObjectReader Reader(Value, "tasks[]");
+  readKey(Reader, Key);
+  return finishReading(Reader, Key);
+}
+
+} // namespace
+
+std::string encodeRpcRequest(const std::string &Method,
+                             const Json::Value &Message) {
+  Json::Value V(Json::objectValue);
+  V["jsonrpc"] = "2.0";
+  V["id"] = 1;
+  V["method"] = Method;
+  V["params"]["message"] = Message;
+  return writeJson(V);
+}
+
+Result<Json::Value> decodeRpcResponse(std::string_view Text) {
+  Result<Json::Value> Parsed = parseJson(Text);
+  if (failed(Parsed))
+    return Parsed;
+  const Json::Value &V = valueOf(Parsed);
+  if (!V.isObject() || !V["result"].isObject() ||
+      V["result"].isMember("rpc_error"))
+    return Error{ErrorKind::Unavailable,
+                 "the peer did not understand the message: " +
+                     std::string(Text.substr(0, 200)),
+                 "run the same version on all instances"};
+  return V["result"];
+}
+
+Json::Value encodeRpcError(const Error &E) {
+  Json::Value V(Json::objectValue);
+  V["rpc_error"] = E.Message + "; " + E.Remedy;
+  return V;
+}
+
+Json::Value encodeHandover(const HandoverMessage &Message) {
+  Json::Value V(Json::objectValue);
+  V["home"] = Json::UInt64(Message.Home.Value);
+  V["home_address"] = Message.HomeAddress.Value;
+  V["receiver"] = Json::UInt64(Message.Receiver.Value);
+  V["sequence"] = Json::UInt64(Message.Sequence.Value);
+  V["settled_below"] = Json::UInt64(Message.SettledBelow.Value);
+  V["tasks"] = encodeList(Message.Tasks, encodeTask);
+  V["load"] = encodeLoad(Message.Load);
+  return V;
+}
+
+Result<HandoverMessage> decodeHandover(const Json::Value &Value) {
+  HandoverMessage Message;
+  ObjectReader Reader(Value, "message");
+  Reader.unsignedId("home", Message.Home.Value)
+      .string("home_address", Message.HomeAddress.Value, MaxTextLength)
+      .unsignedId("receiver", Message.Receiver.Value)
+      .unsignedId("sequence", Message.Sequence.Value)
+      .unsignedId("settled_below", Message.SettledBelow.Value);
+  readList(Reader, "tasks", MaxBatchTasks, Message.Tasks, decodeTask);
+  readLoad(Reader, "load", Message.Load);
+  return finishReading(Reader, std::move(Message));
+}
+
+Json::Value encodeHandoverReply(const HandoverReply &Reply) {
+  Json::Value V(Json::objectValue);
+  V["verdict"] = static_cast<int>(Reply.Verdict);
+  V["load"] = encodeLoad(Reply.Load);
+  return V;
+}
+
+Result<HandoverReply> decodeHandoverReply(const Json::Value &Value) {
+  HandoverReply Reply;
+  ObjectReader Reader(Value, "result");
+  readEnum(Reader, "verdict", Reply.Verdict, HandoverVerdict::WrongIncarnation);
+  readLoad(Reader, "load", Reply.Load);
+  return finishReading(Reader, std::move(Reply));
+}
+
+Json::Value encodeReport(const ReportMessage &Message) {
+  Json::Value V(Json::objectValue);
+  V["home"] = Json::UInt64(Message.Home.Value);
+  V["receiver"] = Json::UInt64(Message.Receiver.Value);
+  V["reports"] = encodeList(Message.Reports, encodeEntry);
+  V["load"] = encodeLoad(Message.Load);
+  return V;
+}
+
+Result<ReportMessage> decodeReport(const Json::Value &Value) {
+  ReportMessage Message;
+  ObjectReader Reader(Value, "message");
+  Reader.unsignedId("home", Message.Home.Value)
+      .unsignedId("receiver", Message.Receiver.Value);
+  readList(Reader, "reports", MaxBatchTasks, Message.Reports, decodeEntry);
+  readLoad(Reader, "load", Message.Load);
+  return finishReading(Reader, std::move(Message));
+}
+
+Json::Value encodeReportReply(const ReplyReport &Reply) {
+  Json::Value V(Json::objectValue);
+  V["wrong_incarnation"] = Reply.WrongIncarnation;
+  V["load"] = encodeLoad(Reply.Load);
+  return V;
+}
+
+Result<ReportAnswered> decodeReportReply(const Json::Value &Value) {
+  ReportAnswered Answer;
+  LoadReport Load;
+  ObjectReader Reader(Value, "result");
+  Reader.boolean("wrong_incarnation", Answer.WrongIncarnation);
+  readLoad(Reader, "load", Load);
+  Answer.Acknowledged = true;
+  Answer.Load = Load;
+  return finishReading(Reader, std::move(Answer));
+}
+
+Json::Value encodeRevoke(const RevokeMessage &Message) {
+  Json::Value V(Json::objectValue);
+  V["home"] = Json::UInt64(Message.Home.Value);
+  V["receiver"] = Json::UInt64(Message.Receiver.Value);
+  V["sequence"] = Json::UInt64(Message.Sequence.Value);
+  V["tasks"] = encodeList(Message.Tasks, encodeKey);
+  return V;
+}
+
+Result<RevokeMessage> decodeRevoke(const Json::Value &Value) {
+  RevokeMessage Message;
+  ObjectReader Reader(Value, "message");
+  Reader.unsignedId("home", Message.Home.Value)
+      .unsignedId("receiver", Message.Receiver.Value)
+      .unsignedId("sequence", Message.Sequence.Value);
+  readList(Reader, "tasks", MaxBatchTasks, Message.Tasks, decodeKey);
+  return finishReading(Reader, std::move(Message));
+}
+
+Json::Value encodeRevokeReply(const RevokeReply &Reply) {
+  Json::Value V(Json::objectValue);
+  V["wrong_incarnation"] = Reply.WrongIncarnation;
+  V["revoked"] = encodeList(Reply.Revoked, encodeKey);
+  return V;
+}
+
+Result<RevokeReply> decodeRevokeReply(const Json::Value &Value) {
+  RevokeReply Reply;
+  ObjectReader Reader(Value, "result");
+  Reader.boolean("wrong_incarnation", Reply.WrongIncarnation);
+  readList(Reader, "revoked", MaxBatchTasks, Reply.Revoked, decodeKey);
+  return finishReading(Reader, std::move(Reply));
+}
+
+Json::Value encodeHeartbeat(const Heartbeat &Message) {
+  Json::Value V = encodeMember(Message.Self);
+  V["incarnation"] = Json::UInt64(Message.Incarnation.Value);
+  V["state"] = static_cast<int>(Message.State);
+  V["load"] = encodeLoad(Message.Load);
+  V["configuration_revision"] =
+      Json::UInt64(Message.ConfigurationRevision.Value);
+  if (Message.Heir)
+    V["heir"] = Json::UInt64(Message.Heir->Value);
+  V["known"] = encodeList(Message.Known, encodeMember);
+  return V;
+}
+
+Result<Heartbeat> decodeHeartbeat(const Json::Value &Value) {
+  Heartbeat Message;
+  ObjectReader Reader(Value, "message");
+  Reader.string("address", Message.Self.Where.Value, MaxTextLength)
+      .string("data_centre", Message.Self.Centre.Value, MaxTextLength)
+      .unsignedId("incarnation", Message.Incarnation.Value)
+      .unsignedId("configuration_revision",
+                  Message.ConfigurationRevision.Value);
+  readEnum(Reader, "state", Message.State, MemberState::Left);
+  readLoad(Reader, "load", Message.Load);
+  if (Reader.has("heir")) {
+    Message.Heir = IncarnationId{};
+    Reader.unsignedId("heir", Message.Heir->Value);
+  }
+  readList(Reader, "known", MaxMembers, Message.Known, decodeMember);
+  return finishReading(Reader, std::move(Message));
+}
+
+Json::Value encodeConfiguration(const ReplyConfiguration &Reply) {
+  Json::Value V(Json::objectValue);
+  V["revision"] = Json::UInt64(Reply.Number.Value);
+  V["text"] = Reply.Text;
+  return V;
+}
+
+Result<ConfigurationRead> decodeConfiguration(const Json::Value &Value) {
+  ConfigurationRead Read;
+  ObjectReader Reader(Value, "result");
+  Reader.unsignedId("revision", Read.Number.Value)
+      .string("text", Read.Text, MaxDocument);
+  return finishReading(Reader, std::move(Read));
+}
+
+Json::Value encodeAnswers(IncarnationId From, const SendAnswers &Part) {
+  Json::Value V(Json::objectValue);
+  V["from"] = Json::UInt64(From.Value);
+  V["entries"] = encodeList(Part.Entries, encodeAnswer);
+  V["last"] = Part.Last;
+  return V;
+}
+
+Result<AnswersReceived> decodeAnswers(const Json::Value &Value) {
+  AnswersReceived Message;
+  ObjectReader Reader(Value, "message");
+  Reader.unsignedId("from", Message.From.Value).boolean("last", Message.Last);
+  readList(Reader, "entries", MaxAnswers, Message.Entries, decodeAnswer);
+  return finishReading(Reader, std::move(Message));
+}
+
+} // namespace snipeshunt
--- /dev/null
+++ b/src/rpc/rpc_server.cpp
@@ -0,0 +1,66 @@
+/// \file JSON-RPC methods served over any transport.
+#include "rpc/rpc_server.h"
+
+#include <jsonrpccpp/server.h>
+
+#include <map>
+
+namespace snipeshunt {
+
+/// Takes responses in memory; the library's own connectors block and use
+/// threads.
+class RpcServer::Connector : public jsonrpc::AbstractServerConnector {
+public:
+  bool StartListening() override { return true; }
+  bool StopListening() override { return true; }
+  bool SendResponse(const std::string &Text, void *Target) override {
+    *static_cast<std::string *>(Target) = Text;
+    return true;
+  }
+};
+
+class RpcServer::Dispatcher : public jsonrpc::IProcedureInvokationHandler {
+public:
+  explicit Dispatcher(jsonrpc::AbstractServerConnector &Link)
+      : Handler(jsonrpc::RequestHandlerFactory::createProtocolHandler(
+            jsonrpc::JSONRPC_SERVER_V2, *this)) {
+    Link.SetHandler(Handler.get());
+  }
+
+  void bind(const std::string &Name, Method Function) {
+    Methods[Name] = std::move(Function);
+    jsonrpc::Procedure Described(Name, jsonrpc::PARAMS_BY_NAME,
+                                 jsonrpc::JSON_OBJECT, "message",
+                                 jsonrpc::JSON_OBJECT, NULL);
+    Handler->AddProcedure(Described);
+  }
+
+  void HandleMethodCall(jsonrpc::Procedure &Called, const Json::Value &Input,
+                        Json::Value &Output) override {
+    Output = Methods[Called.GetProcedureName()](Input["message"]);
+  }
+  void HandleNotificationCall(jsonrpc::Procedure &,
+                              const Json::Value &) override {}
+
+private:
+  std::map<std::string, Method> Methods;
+  std::unique_ptr<jsonrpc::IProtocolHandler> Handler;
+};
+
+RpcServer::RpcServer()
+    : Link(std::make_unique<Connector>()),
+      Methods(std::make_unique<Dispatcher>(*Link)) {}
+
+RpcServer::~RpcServer() = default;
+
+void RpcServer::bind(const std::string &Name, Method Function) {
+  Methods->bind(Name, std::move(Function));
+}
+
+std::string RpcServer::handle(const std::string &Request) {
+  std::string Response;
+  Link->OnRequest(Request, &Response);
+  return Response;
+}
+
+} // namespace snipeshunt
--- /dev/null
+++ b/src/scheduling/dispatch_cmd.cpp
@@ -0,0 +1,217 @@
+/// \file Matching waiting tasks with free slots, here and at peers.
+#include "scheduling/dispatch_cmd.h"
+
+#include "admission/admission_func.h"
+#include "handover/handover_cmd.h"
+#include "jobs/job_cmd.h"
+#include "reducer/policy_func.h"
+#include "tickets/ticket_func.h"
+#include "upstreams/upstream_cmd.h"
+
+#include <algorithm>
+
+namespace snipeshunt {
+
+namespace {
+
+// A round of dispatch looks at this many tasks that fit no free slot, so that
+// a queue full of them costs a bounded time per event.
+constexpr size_t MaxMisfits = 64;
+// Round trip to another data centre: 1 to 1.5 ms one way.
+constexpr Duration CentreRoundTrip = std::chrono::milliseconds(3);
+// Long tasks get at least this share of the slots, so that they don't starve.
+constexpr double LongMinimumShare = 0.1;
+
+using Candidates = std::vector<Upstream *>;
+
+bool fits(const Upstream &U, const TaskSpec &Spec) {
+  return Spec.Accelerators == 0 || U.Listed.Accelerators >= Spec.Accelerators;
+}
+
+/// Whether \p L is the better place for a task than \p R.
+bool betterPlace(PlacementRule Rule, const Upstream &L, const Upstream &R) {
+  if (Rule == PlacementRule::LeastOutstanding)
+    return L.Busy < R.Busy;
+  return L.Speed > R.Speed;
+}
+
+Upstream *choosePlace(const InstanceState &State, const Candidates &Free,
+                      const TaskSpec &Spec, uint64_t Seed) {
+  Candidates Fitting;
+  for (Upstream *U : Free)
+    if (fits(*U, Spec))
+      Fitting.push_back(U);
+  if (Fitting.empty())
+    return nullptr;
+  PlacementRule Rule = State.Policy.Placement;
+  if (Rule == PlacementRule::Random)
+    return Fitting[Seed % Fitting.size()];
+  return *std::min_element(Fitting.begin(), Fitting.end(),
+                           [Rule](const Upstream *L, const Upstream *R) {
+                             return betterPlace(Rule, *L, *R);
+                           });
+}
+
+void startTask(InstanceState &State, const TaskKey &Key, Upstream &U,
+               SteadyTime Now, EffectList &Out) {
+  WaitingTask Task = *State.Queue.erase(Key);
+  ++U.Busy;
+  if (Task.Long)
+    ++U.BusyLong;
+  AttemptId Id{State.Upstreams.NextAttempt++};
+  setTaskState(State, Key, TaskState::Running);
+  State.Upstreams.RecentStarts.push_back(Now);
+  ++State.Counts.TasksStarted;
+  Out.push_back(RecordTimeline{TimelineKind::TaskStarted,
+                               jobText(Key.Home, Key.Job), taskText(Key),
+                               "upstream=" + U.Listed.Where.Value});
+  Out.push_back(StartTask{Id, Key, U.Listed.Where, Task.Spec, Task.StartBefore,
+                          taskTimeoutOf(State, Task.Spec->Kind)});
+  State.Upstreams.ByTask[Key] = Id;
+  State.Upstreams.Attempts.emplace(
+      Id, Attempt{std::move(Task), U.Listed.Where, Now});
+}
+
+struct SlotUse {
+  uint32_t Slots = 0;
+  uint32_t Long = 0;
+};
+
+SlotUse slotUse(const InstanceState &State) {
+  SlotUse Use;
+  for (const auto &[Where, U] : State.Upstreams.All)
+    if (U.Owned && !U.Leaving) {
+      Use.Slots += U.Listed.Slots;
+      Use.Long += U.BusyLong;
+    }
+  return Use;
+}
+
+/// The lanes in the order in which they may use the next slot.
+std::vector<bool> laneOrder(const InstanceState &State, const SlotUse &Use) {
+  if (!State.Policy.Lanes)
+    return {false, true};
+  double Long = Use.Long;
+  if (Long + 1 > longShare(State) * Use.Slots && Long > 0)
+    return {false};
+  if (Long < LongMinimumShare * Use.Slots)
+    return {true, false};
+  return {false, true};
+}
+
+Candidates freeUpstreams(InstanceState &State, SteadyTime Now) {
+  Candidates Free;
+  for (auto &[Where, U] : State.Upstreams.All)
+    if (acceptsTask(State, U, Now))
+      Free.push_back(&U);
+  return Free;
+}
+
+/// Starts the first task of a lane that fits a free slot.
+bool startFromLane(InstanceState &State, bool Long, const Candidates &Free,
+                   SteadyTime Now, uint64_t Seed, EffectList &Out) {
+  Upstream *Place = nullptr;
+  TaskKey Key;
+  size_t Misfits = 0;
+  State.Queue.visit(Long, [&](const WaitingTask &Task) {
+    if (Task.NotBefore <= Now && Task.StartBefore > Now)
+      Place = choosePlace(State, Free, *Task.Spec, Seed);
+    Key = Task.Key;
+    return !Place && ++Misfits < MaxMisfits;
+  });
+  if (!Place)
+    return false;
+  startTask(State, Key, *Place, Now, Out);
+  return true;
+}
+
+bool canReceive(const Member &M) {
+  return M.Health == MemberHealth::Alive && M.State == MemberState::Live &&
+         M.Load.FreeSlots > 0;
+}
+
+/// Peers with free slots: those of this data centre first, then by free slots.
+std::vector<Member *> receivers(InstanceState &State) {
+  std::vector<Member *> Found;
+  for (auto &[Where, M] : State.Members.Members)
+    if (canReceive(M))
+      Found.push_back(&M);
+  std::sort(Found.begin(), Found.end(), [&](const Member *L, const Member *R) {
+    bool LocalL = L->Self.Centre == State.Settings.Centre;
+    bool LocalR = R->Self.Centre == State.Settings.Centre;
+    return std::make_tuple(!LocalL, -int64_t{L->Load.FreeSlots},
+                           L->Self.Where.Value) <
+           std::make_tuple(!LocalR, -int64_t{R->Load.FreeSlots},
+                           R->Self.Where.Value);
+  });
+  return Found;
+}
+
+bool memberFits(const InstanceState &State, const Member &M,
+                const TaskSpec &Spec) {
+  if (Spec.Accelerators == 0)
+    return true;
+  return std::any_of(State.Upstreams.All.begin(), State.Upstreams.All.end(),
+                     [&](const auto &Entry) {
+                       return Entry.second.Sender == M.Self.Where &&
+                              fits(Entry.second, Spec);
+                     });
+}
+
+/// Tasks of this home that \p M can take now.
+std::vector<TaskKey> tasksFor(const InstanceState &State, const Member &M,
+                              SteadyTime Now) {
+  std::vector<TaskKey> Keys;
+  for (bool Long : {false, true}) {
+    size_t Misfits = 0;
+    State.Queue.visit(Long, [&](const WaitingTask &Task) {
+      bool Ready = Task.Key.Home == State.Incarnation &&
+                   Task.NotBefore <= Now && Task.StartBefore > Now;
+      if (Ready && memberFits(State, M, *Task.Spec))
+        Keys.push_back(Task.Key);
+      else
+        ++Misfits;
+      return Keys.size() < M.Load.FreeSlots && Misfits < MaxMisfits;
+    });
+    if (Keys.size() >= M.Load.FreeSlots)
+      break;
+  }
+  return Keys;
+}
+
+} // namespace
+
+void startTasks(InstanceState &State, SteadyTime Now, uint64_t Seed,
+                EffectList &Out) {
+  while (State.Queue.size() > 0) {
+    Candidates Free = freeUpstreams(State, Now);
+    if (Free.empty())
+      return;
+    bool Started = false;
+    for (bool Long : laneOrder(State, slotUse(State))) {
+      Started = startFromLane(State, Long, Free, Now, Seed++, Out);
+      if (Started)
+        break;
+    }
+    if (!Started)
+      return;
+  }
+}
+
+void handOverTasks(InstanceState &State, SteadyTime Now, EffectList &Out) {
+  if (State.Queue.size() == 0)
+    return;
+  for (Member *M : receivers(State)) {
+    bool SameCentre = M->Self.Centre == State.Settings.Centre;
+    if (!SameCentre && State.Members.OwnState == MemberState::Live &&
+        M->Load.ExpectedWait + CentreRoundTrip >= expectedWait(State))
+      continue;
+    std::vector<TaskKey> Keys = tasksFor(State, *M, Now);
+    if (Keys.empty())
+      continue;
+    M->Load.FreeSlots -= static_cast<uint32_t>(Keys.size());
+    giveTasks(State, *M, Keys, Now, Out);
+  }
+}
+
+} // namespace snipeshunt
--- a/src/scheduling/queue_base.h
+++ b/src/scheduling/queue_base.h
@@ -16,13 +16,13 @@
   TaskKey Key;
   TaskSpecPtr Spec;
   Team Owner;
-  SteadyTime Enqueued;       ///< Start of the wait, kept over retries.
-  SteadyTime StartBefore;    ///< Not started after this time.
-  SteadyTime NotBefore;      ///< Backoff after an attempt that did not start.
-  Duration Estimate{0};      ///< Run time at speed 1.
-  bool Long = false;         ///< Belongs to the lane of long tasks.
-  double Rank = 0;           ///< Lower goes first; set by the order policy.
-  uint64_t Arrival = 0;      ///< Breaks ties by order of arrival.
+  SteadyTime Enqueued;    ///< Start of the wait, kept over retries.
+  SteadyTime StartBefore; ///< Not started after this time.
+  SteadyTime NotBefore;   ///< Backoff after an attempt that did not start.
+  Duration Estimate{0};   ///< Run time at speed 1.
+  bool Long = false;      ///< Belongs to the lane of long tasks.
+  double Rank = 0;        ///< Lower goes first; set by the order policy.
+  uint64_t Arrival = 0;   ///< Breaks ties by order of arrival.
 };
 
 /// The tasks that wait, ordered within two lanes.
--- /dev/null
+++ b/src/upstreams/health_cmd.cpp
@@ -0,0 +1,122 @@
+/// \file Learned speed and health of upstreams, and the retry budget.
+#include "upstreams/health_cmd.h"
+
+#include "jobs/job_cmd.h"
+#include "reducer/policy_func.h"
+#include "scheduling/estimate_func.h"
+#include "scheduling/queue_cmd.h"
+
+#include <algorithm>
+
+namespace snipeshunt {
+
+namespace {
+
+// Window of the retry budget.
+constexpr Duration BudgetWindow = std::chrono::seconds(10);
+// Speeds of real upstreams differ by about 1:4; the bounds only stop a single
+// wrong measurement from hiding an upstream.
+constexpr double MinSpeed = 0.05;
+constexpr double MaxSpeed = 20;
+constexpr double SpeedWeight = 0.1;
+// Short enough that a slot freed at a busy upstream is soon used.
+constexpr Duration BusyPause = std::chrono::milliseconds(20);
+constexpr Duration RefusedPause = std::chrono::milliseconds(200);
+
+/// \p Base times a factor from 1 to 2 drawn from \p Seed.
+Duration withJitter(Duration Base, uint64_t Seed) {
+  return Base + Base * static_cast<int64_t>(Seed % 1024) / 1024;
+}
+
+void learnSpeed(InstanceState &State, Upstream &U, const Attempt &A,
+                SteadyTime Now) {
+  Duration Observed = Now - A.Started;
+  auto Kind = State.Estimates.Kinds.find(A.Task.Spec->Kind);
+  double Seconds = std::chrono::duration<double>(Observed).count();
+  if (Kind != State.Estimates.Kinds.end() && Kind->second.Samples >= 3 &&
+      Seconds > 0) {
+    double Sample =
+        std::clamp(Kind->second.MeanSeconds / Seconds, MinSpeed, MaxSpeed);
+    ++U.SpeedSamples;
+    double Share =
+        std::max(SpeedWeight, 1.0 / static_cast<double>(U.SpeedSamples));
+    U.Speed += (Sample - U.Speed) * Share;
+  }
+  learnRuntime(State.Estimates, A.Task.Spec->Kind, Observed, U.Speed);
+}
+
+void noteFailure(InstanceState &State, Upstream &U, SteadyTime Now,
+                 uint64_t Seed, EffectList &Out) {
+  ++U.ConsecutiveFailures;
+  if (U.ConsecutiveFailures < failuresBeforeProbing(State))
+    return;
+  if (!U.Probing)
+    Out.push_back(RecordTimeline{TimelineKind::UpstreamProbing, "", "",
+                                 "upstream=" + U.Listed.Where.Value});
+  U.ProbePause = U.Probing ? std::min(U.ProbePause * 2, maxProbePause(State))
+                           : firstProbePause(State);
+  U.Probing = true;
+  U.ProbeAfter = Now + withJitter(U.ProbePause, Seed);
+}
+
+void noteSuccess(Upstream &U) {
+  U.ConsecutiveFailures = 0;
+  U.Probing = false;
+}
+
+void dropOld(std::deque<SteadyTime> &Times, SteadyTime Now) {
+  while (!Times.empty() && Now - Times.front() > BudgetWindow)
+    Times.pop_front();
+}
+
+} // namespace
+
+void learnFromAttempt(InstanceState &State, const Attempt &A, AttemptEnd End,
+                      SteadyTime Now, uint64_t Seed, EffectList &Out) {
+  auto It = State.Upstreams.All.find(A.Where);
+  if (It == State.Upstreams.All.end())
+    return;
+  Upstream &U = It->second;
+  switch (End) {
+  case AttemptEnd::Finished:
+    noteSuccess(U);
+    learnSpeed(State, U, A, Now);
+    break;
+  case AttemptEnd::Failed:
+  case AttemptEnd::Unknown:
+    noteFailure(State, U, Now, Seed, Out);
+    break;
+  case AttemptEnd::NothingSent:
+    noteFailure(State, U, Now, Seed, Out);
+    U.BlockedUntil = Now + withJitter(RefusedPause, Seed);
+    break;
+  case AttemptEnd::Busy:
+    U.BlockedUntil = Now + withJitter(BusyPause, Seed);
+    break;
+  case AttemptEnd::Leaving:
+    U.Leaving = true;
+    break;
+  }
+}
+
+bool retryTask(InstanceState &State, const WaitingTask &Task, SteadyTime Now,
+               uint64_t Seed) {
+  UpstreamTable &Table = State.Upstreams;
+  dropOld(Table.RecentStarts, Now);
+  dropOld(Table.RecentRetries, Now);
+  double Budget =
+      retryShare(State) * static_cast<double>(Table.RecentStarts.size()) +
+      static_cast<double>(retryBurst(State));
+  if (static_cast<double>(Table.RecentRetries.size()) >= Budget ||
+      Now >= Task.StartBefore)
+    return false;
+  Table.RecentRetries.push_back(Now);
+  ++State.Counts.Retries;
+  WaitingTask Again = Task;
+  Again.NotBefore = Now + withJitter(BusyPause, Seed) / 4;
+  setTaskState(State, Again.Key, TaskState::Waiting);
+  queueTask(State, std::move(Again), 1, Now);
+  return true;
+}
+
+} // namespace snipeshunt
--- /dev/null
+++ b/src/upstreams/health_cmd.h
@@ -0,0 +1,21 @@
+/// \file Learned speed and health of upstreams, and the retry budget.
+#ifndef SNIPESHUNT_UPSTREAMS_HEALTH_CMD_H
+#define SNIPESHUNT_UPSTREAMS_HEALTH_CMD_H
+
+#include "reducer/effect_type.h"
+#include "reducer/state_base.h"
+
+namespace snipeshunt {
+
+/// Updates speed, run times and health from the end of an attempt.
+void learnFromAttempt(InstanceState &State, const Attempt &A, AttemptEnd End,
+                      SteadyTime Now, uint64_t Seed, EffectList &Out);
+
+/// Queues a task again whose attempt has not started it. Gives false when the
+/// retry budget or the task's time is used up.
+bool retryTask(InstanceState &State, const WaitingTask &Task, SteadyTime Now,
+               uint64_t Seed);
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_UPSTREAMS_HEALTH_CMD_H
--- a/src/upstreams/upstream_base.h
+++ b/src/upstreams/upstream_base.h
@@ -15,19 +15,21 @@
 /// One upstream as this instance knows it.
 struct Upstream {
   ListedUpstream Listed;
+  Address Sender;                       ///< Instance that sends to it.
   bool Owned = false;                   ///< This instance is its sender.
   bool Leaving = false;                 ///< By list, status or reply.
   std::optional<SteadyTime> StatusRead; ///< Last status while owned.
   bool StatusPending = false;           ///< A status request is open.
+  SteadyTime NextPoll{};                ///< When its status is due.
   uint32_t Busy = 0;                    ///< Slots in use by this instance.
   uint32_t BusyLong = 0;                ///< Of these, by long tasks.
   double Speed = 1.0;                   ///< Learned; 2 halves run times.
   uint64_t SpeedSamples = 0;
   uint32_t ConsecutiveFailures = 0;
-  bool Probing = false;       ///< Gets one task at a time, with pauses.
-  SteadyTime ProbeAfter{};    ///< Earliest start of the next probe.
-  Duration ProbePause{0};     ///< Grows with each failed probe.
-  SteadyTime BlockedUntil{};  ///< After a busy reply or a refused connection.
+  bool Probing = false;      ///< Gets one task at a time, with pauses.
+  SteadyTime ProbeAfter{};   ///< Earliest start of the next probe.
+  Duration ProbePause{0};    ///< Grows with each failed probe.
+  SteadyTime BlockedUntil{}; ///< After a busy reply or a refused connection.
 };
 
 /// One request to start a task, until it ends.
--- /dev/null
+++ b/src/upstreams/upstream_cmd.cpp
@@ -0,0 +1,241 @@
+/// \file State changes of the sender.
+#include "upstreams/upstream_cmd.h"
+
+#include "admission/admission_func.h"
+#include "handover/handover_cmd.h"
+#include "jobs/job_cmd.h"
+#include "reducer/policy_func.h"
+#include "scheduling/dispatch_cmd.h"
+#include "tickets/ticket_func.h"
+#include "upstreams/health_cmd.h"
+#include "upstreams/ownership_func.h"
+
+#include <algorithm>
+#include <set>
+
+namespace snipeshunt {
+
+namespace {
+
+void record(TimelineKind Kind, const Address &Where, EffectList &Out) {
+  Out.push_back(RecordTimeline{Kind, "", "", "upstream=" + Where.Value});
+}
+
+void setLeaving(Upstream &U, bool Leaving, EffectList &Out) {
+  if (U.Leaving != Leaving && Leaving)
+    record(TimelineKind::UpstreamLeaving, U.Listed.Where, Out);
+  U.Leaving = Leaving;
+}
+
+/// Live instances of each data centre, this one included unless it drains.
+std::map<DataCentre, std::vector<Address>>
+sendersByCentre(const InstanceState &State) {
+  std::map<DataCentre, std::vector<Address>> Senders;
+  if (State.Members.OwnState == MemberState::Live ||
+      State.Members.OwnState == MemberState::Joining)
+    Senders[State.Settings.Centre].push_back(State.Settings.Advertise);
+  for (const auto &[Where, M] : State.Members.Members) {
+    bool Present =
+        M.Health == MemberHealth::Alive || M.Health == MemberHealth::Suspect;
+    if (Present && M.State == MemberState::Live)
+      Senders[M.Self.Centre].push_back(Where);
+  }
+  return Senders;
+}
+
+TaskResult toTaskResult(AttemptResult Result) {
+  switch (Result.End) {
+  case AttemptEnd::Finished:
+    return {TaskEnd::Finished, std::move(Result.Output)};
+  case AttemptEnd::Failed:
+    return {TaskEnd::Failed, std::move(Result.Output)};
+  case AttemptEnd::Unknown:
+    return {TaskEnd::Unknown, std::move(Result.Output)};
+  case AttemptEnd::Busy:
+  case AttemptEnd::Leaving:
+  case AttemptEnd::NothingSent:
+    return {TaskEnd::NotStarted, std::move(Result.Output)};
+  }
+  return {TaskEnd::Unknown, ""};
+}
+
+TimelineKind timelineKind(AttemptEnd End) {
+  switch (End) {
+  case AttemptEnd::Finished:
+    return TimelineKind::TaskFinished;
+  case AttemptEnd::Failed:
+    return TimelineKind::TaskFailed;
+  case AttemptEnd::Unknown:
+    return TimelineKind::TaskUnknown;
+  default:
+    return TimelineKind::TaskNotRun;
+  }
+}
+
+void countEnd(Counters &Counts, AttemptEnd End) {
+  if (End == AttemptEnd::Finished)
+    ++Counts.TasksFinished;
+  else if (End == AttemptEnd::Unknown)
+    ++Counts.TasksUnknown;
+  else if (End != AttemptEnd::Failed)
+    ++Counts.TasksNotRun;
+}
+
+/// Frees the slot that an attempt had.
+void releaseSlot(InstanceState &State, const Attempt &A) {
+  auto It = State.Upstreams.All.find(A.Where);
+  if (It == State.Upstreams.All.end())
+    return;
+  --It->second.Busy;
+  if (A.Task.Long)
+    --It->second.BusyLong;
+}
+
+/// Drops upstreams that neither the list nor the settings name any more.
+void dropUnlisted(InstanceState &State, std::set<Address> Listed,
+                  EffectList &Out) {
+  for (const UpstreamSettings &S : State.Settings.Upstreams)
+    Listed.insert(S.At);
+  for (auto It = State.Upstreams.All.begin();
+       It != State.Upstreams.All.end();) {
+    if (Listed.count(It->first)) {
+      ++It;
+      continue;
+    }
+    setLeaving(It->second, true, Out);
+    It = It->second.Busy == 0 ? State.Upstreams.All.erase(It) : std::next(It);
+  }
+}
+
+} // namespace
+
+void addConfiguredUpstreams(InstanceState &State) {
+  for (const UpstreamSettings &S : State.Settings.Upstreams) {
+    Upstream U;
+    U.Listed = {S.At, S.Centre, static_cast<uint32_t>(S.Slots),
+                static_cast<uint32_t>(S.Accelerators), false};
+    State.Upstreams.All.emplace(S.At, std::move(U));
+  }
+}
+
+void applyUpstreamList(InstanceState &State,
+                       const std::vector<ListedUpstream> &List,
+                       EffectList &Out) {
+  std::set<Address> Listed;
+  for (const ListedUpstream &Entry : List) {
+    Listed.insert(Entry.Where);
+    Upstream &U = State.Upstreams.All[Entry.Where];
+    bool StatusKnown = U.StatusRead.has_value();
+    uint32_t Slots = U.Listed.Slots;
+    U.Listed = Entry;
+    // The upstream's own word on its slots is newer than the lagging list.
+    if (StatusKnown)
+      U.Listed.Slots = Slots;
+    if (Entry.Leaving)
+      setLeaving(U, true, Out);
+  }
+  dropUnlisted(State, std::move(Listed), Out);
+  updateOwnership(State, Out);
+}
+
+void applyStatus(InstanceState &State, const StatusRead &Event, SteadyTime Now,
+                 EffectList &Out) {
+  auto It = State.Upstreams.All.find(Event.Where);
+  if (It == State.Upstreams.All.end())
+    return;
+  Upstream &U = It->second;
+  U.StatusPending = false;
+  if (!Event.Status)
+    return;
+  U.StatusRead = Now;
+  U.Listed.Slots = Event.Status->Slots;
+  U.Listed.Accelerators = Event.Status->Accelerators;
+  setLeaving(U, Event.Status->Leaving || U.Listed.Leaving, Out);
+}
+
+void updateOwnership(InstanceState &State, EffectList &Out) {
+  std::map<DataCentre, std::vector<Address>> Senders = sendersByCentre(State);
+  for (auto &[Where, U] : State.Upstreams.All) {
+    std::optional<Address> Owner =
+        rendezvousOwner(Where.Value, Senders[U.Listed.Centre]);
+    U.Sender = Owner.value_or(Address{});
+    bool Owned = U.Sender == State.Settings.Advertise;
+    if (Owned == U.Owned)
+      continue;
+    U.Owned = Owned;
+    // A new sender asks for the status before its first task.
+    U.StatusRead.reset();
+    record(Owned ? TimelineKind::UpstreamOwned : TimelineKind::UpstreamReleased,
+           Where, Out);
+  }
+}
+
+void pollStatuses(InstanceState &State, SteadyTime Now, EffectList &Out) {
+  for (auto &[Where, U] : State.Upstreams.All) {
+    if (!U.Owned || U.StatusPending || U.NextPoll > Now)
+      continue;
+    U.StatusPending = true;
+    U.NextPoll = Now + State.Settings.Limits.StatusPoll;
+    Out.push_back(PollStatus{Where});
+  }
+}
+
+bool acceptsTask(const InstanceState &State, const Upstream &U,
+                 SteadyTime Now) {
+  if (!U.Owned || U.Leaving || U.BlockedUntil > Now || !U.StatusRead)
+    return false;
+  if (Now - *U.StatusRead > State.Settings.Limits.StatusFresh)
+    return false;
+  if (U.Busy >= U.Listed.Slots || upstreamExcluded(State, U.Listed.Where))
+    return false;
+  if (!State.Policy.Probes)
+    return true;
+  // After a failure one task at a time, so that an upstream that fails every
+  // task loses few jobs before the next failure moves it to probes.
+  if (U.ConsecutiveFailures > 0 && U.Busy > 0)
+    return false;
+  return !U.Probing || U.ProbeAfter <= Now;
+}
+
+void endAttempt(InstanceState &State, const AttemptEnded &Event, SteadyTime Now,
+                uint64_t Seed, EffectList &Out) {
+  auto It = State.Upstreams.Attempts.find(Event.Attempt);
+  if (It == State.Upstreams.Attempts.end())
+    return;
+  Attempt A = std::move(It->second);
+  State.Upstreams.Attempts.erase(It);
+  State.Upstreams.ByTask.erase(A.Task.Key);
+  releaseSlot(State, A);
+  learnFromAttempt(State, A, Event.Result.End, Now, Seed, Out);
+  countEnd(State.Counts, Event.Result.End);
+  Out.push_back(RecordTimeline{
+      timelineKind(Event.Result.End), jobText(A.Task.Key.Home, A.Task.Key.Job),
+      taskText(A.Task.Key), "upstream=" + A.Where.Value});
+  TaskResult Result = toTaskResult(Event.Result);
+  if (Result.End == TaskEnd::NotStarted && retryTask(State, A.Task, Now, Seed))
+    return;
+  if (A.Task.Key.Home == State.Incarnation)
+    finishTask(State, A.Task.Key, std::move(Result), Now, Out);
+  else
+    finishHeldTask(State, A.Task.Key, std::move(Result), Now);
+}
+
+LoadReport currentLoad(const InstanceState &State, SteadyTime Now) {
+  LoadReport Load;
+  for (const auto &[Where, U] : State.Upstreams.All) {
+    if (!U.Owned || U.Leaving)
+      continue;
+    Load.TotalSlots += U.Listed.Slots;
+    if (acceptsTask(State, U, Now))
+      Load.FreeSlots += U.ConsecutiveFailures > 0 ? 1 : U.Listed.Slots - U.Busy;
+  }
+  size_t Waiting = State.Queue.size();
+  // Slots that this instance's own queue is about to fill are not free.
+  Load.FreeSlots -= std::min<size_t>(Load.FreeSlots, Waiting);
+  Load.WaitingTasks = static_cast<uint32_t>(Waiting);
+  Load.ExpectedWait = std::chrono::duration_cast<std::chrono::milliseconds>(
+      expectedWait(State));
+  return Load;
+}
+
+} // namespace snipeshunt
