configuration: add the messages of the etcd v3 gateway

Cause: The document is kept in the platform's service, where an answer can be lost after the change took effect.

--- /dev/null
+++ b/src/configuration/etcd_type.h
@@ -0,0 +1,64 @@
+/// \file Requests to the platform's key-value service and its replies.
+#ifndef SNIPESHUNT_CONFIGURATION_ETCD_TYPE_H
+#define SNIPESHUNT_CONFIGURATION_ETCD_TYPE_H
+
+#include "core/id_type.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace snipeshunt {
+
+/// An HTTP POST to the service.
+struct EtcdRequest {
+  std::string Path; ///< For instance `/v3/kv/range`.
+  std::string Body; ///< JSON text.
+};
+
+/// A value with the revision that last changed it.
+struct EtcdValue {
+  std::string Value;
+  Revision ModRevision;
+};
+
+/// Reply to a range request for one key.
+struct EtcdRangeReply {
+  Revision StoreRevision;         ///< The store's revision at the reading.
+  std::optional<EtcdValue> Found; ///< Empty if the key does not exist.
+};
+
+/// What became of a compare-and-swap.
+enum class SwapOutcome {
+  Swapped,        ///< This request changed the value.
+  AlreadyApplied, ///< An earlier copy of this change did; its answer was lost.
+  Conflict,       ///< Another change came first; nothing was changed.
+};
+
+/// Reply to a compare-and-swap.
+struct EtcdSwapReply {
+  SwapOutcome Outcome = SwapOutcome::Conflict;
+  Revision StoreRevision;           ///< If swapped, the value's new revision.
+  std::optional<EtcdValue> Current; ///< Current value unless swapped.
+};
+
+/// One change of a watched key.
+struct EtcdEvent {
+  bool Deleted = false; ///< Whether the key was deleted.
+  std::string Key;      ///< The key that changed.
+  EtcdValue Now;        ///< Its value, empty if deleted, and the revision.
+};
+
+/// One message of a watch.
+struct EtcdWatchReply {
+  Revision StoreRevision; ///< The store's revision when it was sent.
+  bool Created = false;   ///< Whether it confirms the watch.
+  bool Cancelled = false; ///< Whether the watch has ended; no event follows.
+  /// Oldest revision that can still be watched, if the one asked for can't be.
+  Revision CompactRevision;
+  std::vector<EtcdEvent> Events;
+};
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_CONFIGURATION_ETCD_TYPE_H
