http: add closing a connection without an answer

Cause: stand-ins have to simulate connections lost before or after a task starts, and the server could only reply. Change: HttpServer::drop closes the connection of a request. The connection is freed from the event loop, because evhttp may still use it after its request callback. Conclusion: requests that were dropped must not be used afterwards.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -11,6 +11,8 @@
 #include <arpa/inet.h>
 #include <strings.h>
 
+#include <algorithm>
+
 namespace snipeshunt {
 
 namespace {
@@ -62,7 +64,8 @@
 void HttpServer::HttpDeleter::operator()(evhttp *H) const { evhttp_free(H); }
 
 HttpServer::HttpServer(EventLoop &Loop, HttpServerLimits Limits)
-    : Loop(Loop), Limits(Limits), Http(evhttp_new(Loop.base())) {
+    : Loop(Loop), Limits(Limits), Http(evhttp_new(Loop.base())),
+      DropTimer(Loop, [this] { closeDropped(); }) {
   evhttp_set_max_body_size(Http.get(), Limits.MaxBody);
   evhttp_set_max_headers_size(Http.get(), Limits.MaxHeaders);
   evhttp_set_timeout(Http.get(), static_cast<int>(Limits.Timeout.count()));
@@ -79,6 +82,8 @@
   // Connections still open would otherwise report to a dead object.
   for (auto &[Id, Entry] : Open)
     evhttp_connection_set_closecb(Entry->Connection, nullptr, nullptr);
+  for (evhttp_connection *Connection : Dropped)
+    evhttp_connection_set_closecb(Connection, nullptr, nullptr);
 }
 
 Result<Address> HttpServer::listen(const Address &Listen) {
@@ -153,6 +158,34 @@
   Server->RequestClosed.emit(Id);
 }
 
+void HttpServer::drop(RequestId Id) {
+  auto It = Open.find(Id);
+  if (It == Open.end())
+    return;
+  // evhttp may still use the connection after its request callback, so it is
+  // freed from the loop. Until then a client that leaves must not cause a
+  // second free.
+  evhttp_connection *Connection = It->second->Connection;
+  Open.erase(It);
+  auto Forget = [](evhttp_connection *Closed, void *Arg) {
+    auto &List = static_cast<HttpServer *>(Arg)->Dropped;
+    List.erase(std::remove(List.begin(), List.end(), Closed), List.end());
+  };
+  evhttp_connection_set_closecb(Connection, Forget, this);
+  Dropped.push_back(Connection);
+  DropTimer.startOnce(Duration::zero());
+}
+
+void HttpServer::closeDropped() {
+  std::vector<evhttp_connection *> Now = std::move(Dropped);
+  Dropped.clear();
+  for (evhttp_connection *Connection : Now) {
+    evhttp_connection_set_closecb(Connection, nullptr, nullptr);
+    // Also frees the request, which is still on the connection's list.
+    evhttp_connection_free(Connection);
+  }
+}
+
 void HttpServer::reply(RequestId Id, const HttpReply &Reply) {
   auto It = Open.find(Id);
   if (It == Open.end())
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -40,6 +40,9 @@
   void stopListening();
   /// Answers request \p Id; does nothing when the client has gone.
   void reply(RequestId Id, const HttpReply &Reply);
+  /// Closes the connection of request \p Id without an answer; the request
+  /// must not be used afterwards.
+  void drop(RequestId Id);
   size_t openRequests() const { return Open.size(); }
 
   /// A whole request has come in.
@@ -59,6 +62,7 @@
   };
 
   void handle(evhttp_request *Request);
+  void closeDropped();
   static void handleClose(evhttp_connection *Connection, void *Arg);
 
   EventLoop &Loop;
@@ -66,6 +70,8 @@
   std::unique_ptr<evhttp, HttpDeleter> Http;
   evhttp_bound_socket *Socket = nullptr;
   std::unordered_map<RequestId, std::unique_ptr<OpenRequest>> Open;
+  std::vector<evhttp_connection *> Dropped;
+  Timer DropTimer;
   uint64_t NextId = 1;
 };
 
