standins: add the key-value logic of the platform stand-in

Cause: the configuration is kept in the platform's key-value service, which tests can only meet as a stand-in. Change: KvStore has etcd's revisions, versions, transactions, leases and watch events, free of HTTP and clocks. It is header only, because the test program links no sources of program folders.

--- /dev/null
+++ b/src/standins/kv_store.h
@@ -0,0 +1,305 @@
+/// \file Key-value logic of the platform stand-in, after etcd v3.
+///
+/// Header only, so that the tests need no source of a program folder.
+#ifndef SNIPESHUNT_STANDINS_KV_STORE_H
+#define SNIPESHUNT_STANDINS_KV_STORE_H
+
+#include "core/clock.h"
+#include "core/error_type.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace snipeshunt {
+
+/// A key with its value and revisions.
+struct KeyValue {
+  std::string Key;
+  std::string Value;
+  int64_t CreateRevision = 0; ///< Revision that created the key.
+  int64_t ModRevision = 0;    ///< Revision of the last change.
+  int64_t Version = 0;        ///< Changes since the creation.
+  int64_t Lease = 0;          ///< Lease that keeps the key, or 0.
+};
+
+/// One change, as watches see it.
+struct KvEvent {
+  bool Deleted = false;
+  KeyValue Kv; ///< Of a deletion only key and ModRevision.
+};
+
+/// A key, or the keys from Key up to but not including End.
+struct KeyRange {
+  std::string Key;
+  std::string End; ///< Empty: only Key. One zero byte: no upper end.
+
+  bool contains(const std::string &K) const {
+    if (End.empty())
+      return K == Key;
+    return K >= Key && (End == std::string(1, '\0') || K < End);
+  }
+};
+
+/// A condition of a transaction.
+struct KvCompare {
+  enum class Field { Version, Create, Mod, Value };
+  enum class Relation { Equal, Greater, Less };
+
+  std::string Key;
+  Field Target = Field::Version;
+  Relation Expected = Relation::Equal;
+  int64_t Number = 0; ///< For revisions and versions.
+  std::string Value;  ///< For Field::Value.
+};
+
+/// A step of a transaction.
+struct KvOperation {
+  enum class Type { Range, Put, Delete };
+
+  Type Kind = Type::Range;
+  KeyRange Keys;
+  std::string Value; ///< Of a put.
+  int64_t Lease = 0; ///< Of a put; 0 for none.
+  int64_t Limit = 0; ///< Of a range; 0 for none.
+};
+
+/// What a step gave.
+struct KvResult {
+  KvOperation::Type Kind = KvOperation::Type::Range;
+  std::vector<KeyValue> Found; ///< Keys in order, at most the limit.
+  int64_t Count = 0;           ///< Keys found or deleted, without the limit.
+};
+
+/// What a transaction gave.
+struct KvTxnResult {
+  bool Succeeded = false; ///< Whether all conditions held.
+  std::vector<KvResult> Results;
+};
+
+/// Events for a watch, or the revision up to which events are gone.
+struct KvChanges {
+  std::vector<KvEvent> Events;
+  int64_t CompactedUpTo = 0; ///< Not 0 when the events are no longer held.
+};
+
+/// Keys, leases and recent events; time comes with each call.
+class KvStore {
+public:
+  /// Bounds the memory of events that hold values of up to 1 MB.
+  static constexpr size_t MaxEvents = 1000;
+
+  int64_t revision() const { return Revision; }
+
+  /// Runs \p Success when all conditions hold, else \p Failure. All changes
+  /// get one revision; on an error nothing changes.
+  Result<KvTxnResult> txn(const std::vector<KvCompare> &Conditions,
+                          const std::vector<KvOperation> &Success,
+                          const std::vector<KvOperation> &Failure) {
+    KvTxnResult Out;
+    Out.Succeeded =
+        std::all_of(Conditions.begin(), Conditions.end(),
+                    [this](const KvCompare &C) { return holds(C); });
+    const std::vector<KvOperation> &Steps = Out.Succeeded ? Success : Failure;
+    if (std::optional<Error> E = testSteps(Steps))
+      return *E;
+    const int64_t Next = Revision + 1;
+    for (const KvOperation &Step : Steps)
+      Out.Results.push_back(apply(Step, Next));
+    return Out;
+  }
+
+  /// Runs one step without conditions.
+  Result<KvResult> run(const KvOperation &Step) {
+    Result<KvTxnResult> Out = txn({}, {Step}, {});
+    if (failed(Out))
+      return errorOf(Out);
+    return valueOf(Out).Results.front();
+  }
+
+  /// Events on \p Keys at or after \p StartRevision.
+  KvChanges changes(const KeyRange &Keys, int64_t StartRevision) const {
+    KvChanges Out;
+    if (StartRevision <= Compacted) {
+      Out.CompactedUpTo = Compacted;
+      return Out;
+    }
+    for (const KvEvent &E : Events)
+      if (E.Kv.ModRevision >= StartRevision && Keys.contains(E.Kv.Key))
+        Out.Events.push_back(E);
+    return Out;
+  }
+
+  /// False when the lease exists already.
+  bool grantLease(int64_t Id, std::chrono::seconds Ttl, SteadyTime Now) {
+    return Leases.emplace(Id, Lease{Ttl, Now + Ttl, {}}).second;
+  }
+
+  /// Extends the lease by its full time; nothing when it does not exist.
+  std::optional<std::chrono::seconds> keepLeaseAlive(int64_t Id,
+                                                     SteadyTime Now) {
+    auto It = Leases.find(Id);
+    if (It == Leases.end())
+      return std::nullopt;
+    It->second.Expiry = Now + It->second.Ttl;
+    return It->second.Ttl;
+  }
+
+  /// Ends the lease and deletes its keys; false when it does not exist.
+  bool revokeLease(int64_t Id) {
+    auto It = Leases.find(Id);
+    if (It == Leases.end())
+      return false;
+    const std::set<std::string> Owned = std::move(It->second.Keys);
+    Leases.erase(It);
+    const int64_t Next = Revision + 1;
+    for (const std::string &Key : Owned)
+      erase(Key, Next);
+    return true;
+  }
+
+  /// Revokes the leases whose time is over at \p Now.
+  void expireLeases(SteadyTime Now) {
+    std::vector<int64_t> Over;
+    for (const auto &[Id, L] : Leases)
+      if (L.Expiry <= Now)
+        Over.push_back(Id);
+    for (int64_t Id : Over)
+      revokeLease(Id);
+  }
+
+private:
+  struct Lease {
+    std::chrono::seconds Ttl;
+    SteadyTime Expiry;
+    std::set<std::string> Keys;
+  };
+
+  template <typename T>
+  static bool related(const T &L, KvCompare::Relation Relation, const T &R) {
+    switch (Relation) {
+    case KvCompare::Relation::Equal:
+      return L == R;
+    case KvCompare::Relation::Greater:
+      return L > R;
+    case KvCompare::Relation::Less:
+      return L < R;
+    }
+    return false;
+  }
+
+  bool holds(const KvCompare &C) const {
+    auto It = Keys.find(C.Key);
+    const KeyValue Kv = It == Keys.end() ? KeyValue{} : It->second;
+    switch (C.Target) {
+    case KvCompare::Field::Version:
+      return related(Kv.Version, C.Expected, C.Number);
+    case KvCompare::Field::Create:
+      return related(Kv.CreateRevision, C.Expected, C.Number);
+    case KvCompare::Field::Mod:
+      return related(Kv.ModRevision, C.Expected, C.Number);
+    case KvCompare::Field::Value:
+      // As in etcd, no condition on the value of a missing key holds.
+      return It != Keys.end() && related(Kv.Value, C.Expected, C.Value);
+    }
+    return false;
+  }
+
+  std::optional<Error> testSteps(const std::vector<KvOperation> &Steps) const {
+    std::set<std::string> Written;
+    for (const KvOperation &Step : Steps) {
+      if (Step.Kind != KvOperation::Type::Put)
+        continue;
+      if (!Written.insert(Step.Keys.Key).second)
+        return Error{ErrorKind::InvalidField,
+                     "etcdserver: duplicate key given in txn request",
+                     "put each key once"};
+      if (Step.Lease != 0 && !Leases.count(Step.Lease))
+        return Error{ErrorKind::NotFound,
+                     "etcdserver: requested lease not found",
+                     "grant the lease first"};
+    }
+    return std::nullopt;
+  }
+
+  KvResult apply(const KvOperation &Step, int64_t At) {
+    KvResult Out;
+    Out.Kind = Step.Kind;
+    if (Step.Kind == KvOperation::Type::Put) {
+      put(Step, At);
+      return Out;
+    }
+    std::vector<KeyValue> Found;
+    for (auto It = Keys.lower_bound(Step.Keys.Key);
+         It != Keys.end() && Step.Keys.contains(It->first); ++It)
+      Found.push_back(It->second);
+    Out.Count = static_cast<int64_t>(Found.size());
+    if (Step.Kind == KvOperation::Type::Delete) {
+      for (const KeyValue &Kv : Found)
+        erase(Kv.Key, At);
+      return Out;
+    }
+    if (Step.Limit > 0 && Out.Count > Step.Limit)
+      Found.resize(static_cast<size_t>(Step.Limit));
+    Out.Found = std::move(Found);
+    return Out;
+  }
+
+  void put(const KvOperation &Step, int64_t At) {
+    KeyValue &Kv = Keys[Step.Keys.Key];
+    detach(Kv);
+    if (Kv.Version == 0) {
+      Kv.Key = Step.Keys.Key;
+      Kv.CreateRevision = At;
+    }
+    Kv.Value = Step.Value;
+    Kv.ModRevision = At;
+    ++Kv.Version;
+    Kv.Lease = Step.Lease;
+    if (Kv.Lease != 0)
+      Leases.at(Kv.Lease).Keys.insert(Kv.Key);
+    note({/*Deleted=*/false, Kv});
+  }
+
+  void erase(const std::string &Key, int64_t At) {
+    auto It = Keys.find(Key);
+    if (It == Keys.end())
+      return;
+    detach(It->second);
+    KeyValue Gone;
+    Gone.Key = Key;
+    Gone.ModRevision = At;
+    Keys.erase(It);
+    note({/*Deleted=*/true, std::move(Gone)});
+  }
+
+  void detach(const KeyValue &Kv) {
+    auto It = Leases.find(Kv.Lease);
+    if (It != Leases.end())
+      It->second.Keys.erase(Kv.Key);
+  }
+
+  void note(KvEvent E) {
+    Revision = E.Kv.ModRevision;
+    Events.push_back(std::move(E));
+    if (Events.size() <= MaxEvents)
+      return;
+    Compacted = Events.front().Kv.ModRevision;
+    Events.pop_front();
+  }
+
+  std::map<std::string, KeyValue> Keys;
+  std::map<int64_t, Lease> Leases;
+  std::deque<KvEvent> Events;
+  int64_t Compacted = 0;
+  int64_t Revision = 1; ///< An empty etcd is at revision 1.
+};
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_STANDINS_KV_STORE_H
