--- a/src/standins/upstream_main.cpp
+++ b/src/standins/upstream_main.cpp
@@ -6,7 +6,6 @@
 #include <unistd.h>
 #include <xxhash.h>
 
-#include <cmath>
 #include <cstdio>
 #include <list>
 #include <random>
