demo: run the main job on real processes

Cause: the README's first command. Change: a script starts the stand-ins and nine instances in three data centres and submits one job of mixed tasks with the tool.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	ctest --test-dir $(BUILD) --output-on-failure -j 4 --no-tests=error
 
 demo: install build
-	$(BUILD)/snipeshunt-demo
+	scripts/demo.sh $(BUILD)
 
 format:
 	git ls-files '*.h' '*.cpp' | xargs clang-format -i
