tool: add the command-line tool

Cause: callers and operators need a way to submit jobs and to look at a running fleet without writing HTTP requests. Change: add the program snipeshunt with submit, status, cancel, instances, upstreams, drain and timeline. A submission whose answer is lost or whose home is unreachable is repeated with the same ticket, so that it can't run twice. The exit status keeps an unknown outcome apart from a refusal. Arguments and formatting are in src/tool_support, which tests link. Conclusion: the tool is usable once the daemon serves the paths; it has not run against the daemon yet.

--- /dev/null
+++ b/src/tool/submit_command.cpp
@@ -0,0 +1,156 @@
+/// \file Subcommand that submits a job.
+#include "core/json_func.h"
+#include "tool/api_client.h"
+#include "tool/commands.h"
+#include "tool_support/tool_answer.h"
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+#include <unistd.h>
+
+namespace snipeshunt {
+
+namespace {
+
+/// Shows how long a submission has waited, on a terminal only.
+class ProgressLine {
+public:
+  explicit ProgressLine(ApiClient &Client) : Client(Client) {
+    if (!isatty(STDERR_FILENO))
+      return;
+    Client.Progress = [this](Duration Waited) {
+      fprintf(stderr, "\rwaiting for the answer, %.1f s",
+              std::chrono::duration<double>(Waited).count());
+      Shown = true;
+    };
+  }
+  ProgressLine(const ProgressLine &) = delete;
+  ProgressLine &operator=(const ProgressLine &) = delete;
+  ~ProgressLine() {
+    Client.Progress = nullptr;
+    // Returns to the start of the line and erases it.
+    if (Shown)
+      fputs("\r\033[K", stderr);
+  }
+
+private:
+  ApiClient &Client;
+  bool Shown = false;
+};
+
+Result<std::string> readBody(const std::string &File) {
+  Error Unreadable{ErrorKind::NotFound, "can't read '" + File + "'",
+                   "name a readable file, or - for standard input"};
+  std::string Text;
+  if (File == "-") {
+    Text.assign(std::istreambuf_iterator<char>(std::cin), {});
+    return Text;
+  }
+  std::ifstream In(File, std::ios::binary);
+  if (!In)
+    return Unreadable;
+  Text.assign(std::istreambuf_iterator<char>(In), {});
+  if (In.bad())
+    return Unreadable;
+  return Text;
+}
+
+/// Takes a ticket from the first instance that issues one.
+std::variant<std::string, ToolExit> takeTicket(ApiClient &Client,
+                                               const ToolArguments &Arguments) {
+  HttpOutcome Outcome = Client.callFirst(
+      Arguments.Instances, Client.request("POST", "/v1/tickets?count=1"),
+      [](const HttpReply &Reply) { return !readTicket(Reply).empty(); });
+  if (const auto *Failure = std::get_if<HttpFailure>(&Outcome))
+    return failUnreachable(*Failure);
+  const auto &Reply = *std::get_if<HttpReply>(&Outcome);
+  if (std::string Ticket = readTicket(Reply); !Ticket.empty())
+    return Ticket;
+  ToolAnswer Answer = readToolAnswer(Reply);
+  return fail(ToolExit::Failed, "no ticket was issued: " + Answer.Message,
+              Answer.Remedy.empty() ? "name another instance by --instance"
+                                    : Answer.Remedy);
+}
+
+/// Last outcome of a submission.
+struct Submission {
+  HttpOutcome Last = HttpFailure{true, "nothing was sent"};
+  bool MayHaveArrived = false; ///< Some attempt reached a connection.
+};
+
+Submission sendJob(ApiClient &Client, const ToolArguments &Arguments,
+                   const HttpCall &Job) {
+  Submission Out;
+  size_t Count = Arguments.Instances.size();
+  for (int Attempt = 0; Attempt < Arguments.Attempts; ++Attempt) {
+    // The pause gives a home that restarts or is partitioned time to return.
+    if (Attempt > 0)
+      Client.pause(std::chrono::milliseconds(100 << std::min(Attempt, 4)));
+    HttpCall Call = Job;
+    Call.Target = Arguments.Instances[static_cast<size_t>(Attempt) % Count];
+    Out.Last = Client.call(std::move(Call));
+    const auto *Failure = std::get_if<HttpFailure>(&Out.Last);
+    Out.MayHaveArrived |= !Failure || !Failure->NothingSent;
+    if (!shouldResubmit(Out.Last))
+      break;
+  }
+  return Out;
+}
+
+ToolExit reportFailure(const HttpFailure &Failure, bool MayHaveArrived,
+                       const std::string &Ticket) {
+  if (!MayHaveArrived)
+    return failUnreachable(Failure);
+  return fail(ToolExit::Unknown,
+              "the outcome of the job is unknown: " + Failure.Message,
+              "ask for it by: snipeshunt status " + Ticket);
+}
+
+ToolExit reportReply(const HttpReply &Reply, const ToolArguments &Arguments,
+                     const std::string &Ticket) {
+  ToolAnswer Answer = readToolAnswer(Reply);
+  ToolExit Exit = exitOf(Answer);
+  if (Arguments.Json)
+    std::cout << Reply.Body << "\n";
+  else if (Answer.Outcome == "running")
+    std::cout << Ticket << "\n";
+  else
+    std::cout << formatResults(Answer);
+  if (Exit != ToolExit::Success)
+    std::cerr << formatFailure(Answer) << "  ticket: " << Ticket << "\n";
+  return Exit;
+}
+
+} // namespace
+
+ToolExit runSubmit(const ToolArguments &Arguments) {
+  Result<std::string> Body = readBody(Arguments.File);
+  if (failed(Body))
+    return fail(ToolExit::Usage, errorOf(Body).Message, errorOf(Body).Remedy);
+  Result<Json::Value> Parsed = parseJson(valueOf(Body));
+  if (failed(Parsed))
+    return fail(ToolExit::Usage, "the job is " + errorOf(Parsed).Message,
+                errorOf(Parsed).Remedy);
+  ApiClient Client(Arguments);
+  std::variant<std::string, ToolExit> Taken = takeTicket(Client, Arguments);
+  if (const ToolExit *Exit = std::get_if<ToolExit>(&Taken))
+    return *Exit;
+  const std::string &Ticket = *std::get_if<std::string>(&Taken);
+  HttpCall Job =
+      Client.request("PUT", "/v1/jobs/" + encodePathSegment(Ticket) +
+                                (Arguments.Wait ? "" : "?wait=false"));
+  Job.Body = valueOf(Body);
+  Job.Timeout = Arguments.Timeout.value_or(submissionTimeout(valueOf(Parsed)));
+  Submission Sent;
+  {
+    ProgressLine Line(Client);
+    Sent = sendJob(Client, Arguments, Job);
+  }
+  if (const auto *Failure = std::get_if<HttpFailure>(&Sent.Last))
+    return reportFailure(*Failure, Sent.MayHaveArrived, Ticket);
+  return reportReply(*std::get_if<HttpReply>(&Sent.Last), Arguments, Ticket);
+}
+
+} // namespace snipeshunt
--- /dev/null
+++ b/src/tool_support/tool_arguments.cpp
@@ -0,0 +1,272 @@
+/// \file Command line of the tool.
+#include "tool_support/tool_arguments.h"
+
+#include "http/http_address.h"
+#include "tool_support/tool_table.h"
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+
+#include <getopt.h>
+
+namespace snipeshunt {
+
+namespace {
+
+enum OptionCode {
+  InstanceOption = 256,
+  TimeoutOption,
+  JsonOption,
+  HelpOption,
+  VersionOption,
+  WaitOption,
+  AttemptsOption,
+  TraceOption,
+  JobOption,
+};
+
+const option GlobalOptions[] = {
+    {"instance", required_argument, nullptr, InstanceOption},
+    {"timeout-ms", required_argument, nullptr, TimeoutOption},
+    {"json", no_argument, nullptr, JsonOption},
+    {"help", no_argument, nullptr, HelpOption},
+    {"version", no_argument, nullptr, VersionOption},
+};
+
+std::vector<option> optionsOf(std::optional<ToolCommand> Command) {
+  std::vector<option> Out(std::begin(GlobalOptions), std::end(GlobalOptions));
+  if (Command == ToolCommand::Submit) {
+    Out.push_back({"wait", optional_argument, nullptr, WaitOption});
+    Out.push_back({"attempts", required_argument, nullptr, AttemptsOption});
+  }
+  if (Command == ToolCommand::Timeline) {
+    Out.push_back({"trace", required_argument, nullptr, TraceOption});
+    Out.push_back({"job", required_argument, nullptr, JobOption});
+  }
+  Out.push_back({nullptr, 0, nullptr, 0});
+  return Out;
+}
+
+const ToolCommandEntry *findCommand(std::string_view Name) {
+  const auto *Found = std::find_if(
+      std::begin(ToolCommandTable), std::end(ToolCommandTable),
+      [Name](const ToolCommandEntry &Entry) { return Entry.Name == Name; });
+  return Found == std::end(ToolCommandTable) ? nullptr : Found;
+}
+
+const ToolCommandEntry &entryOf(ToolCommand Command) {
+  return *std::find_if(std::begin(ToolCommandTable), std::end(ToolCommandTable),
+                       [Command](const ToolCommandEntry &Entry) {
+                         return Entry.Command == Command;
+                       });
+}
+
+Error usageError(std::string Message, std::optional<ToolCommand> Command) {
+  std::string Name =
+      Command ? " " + std::string(entryOf(*Command).Name) : std::string();
+  return {ErrorKind::InvalidField, std::move(Message),
+          "see snipeshunt" + Name + " --help"};
+}
+
+/// Parses one command line; a member per step keeps the steps short.
+class ArgumentParser {
+public:
+  Result<ToolArguments> parse(const std::vector<std::string> &Words,
+                              const std::string &InstancesVariable);
+
+private:
+  /// Reads options of \p Words and gives the words that are none. In front of
+  /// the subcommand, reading stops at the first of these.
+  std::vector<std::string> readOptions(const std::vector<std::string> &Words);
+  void apply(int Code, const char *Value);
+  void readPositionals(const std::vector<std::string> &Words);
+  void addInstances(const std::string &List);
+  void checkInstances(const std::string &InstancesVariable);
+  int readNumber(const char *Option, const char *Text, int Max);
+  void fail(std::string Message) {
+    if (!Problem)
+      Problem = usageError(std::move(Message), Out.Command);
+  }
+
+  ToolArguments Out;
+  std::optional<Error> Problem;
+};
+
+std::vector<std::string>
+ArgumentParser::readOptions(const std::vector<std::string> &Words) {
+  std::vector<std::string> Copies = Words;
+  std::string Program = "snipeshunt";
+  std::vector<char *> Pointers = {Program.data()};
+  for (std::string &Word : Copies)
+    Pointers.push_back(Word.data());
+  Pointers.push_back(nullptr);
+  int Count = static_cast<int>(Pointers.size()) - 1;
+  std::vector<option> Options = optionsOf(Out.Command);
+  const char *Short = Out.Command ? ":" : "+:";
+  // Zero makes the GNU implementation forget an earlier command line.
+  optind = 0;
+  opterr = 0;
+  for (;;) {
+    int Before = std::max(optind, 1);
+    int Code = getopt_long(Count, Pointers.data(), Short, Options.data(),
+                           /*longindex=*/nullptr);
+    if (Code == -1)
+      break;
+    std::string Word = Pointers[std::min(std::max(optind - 1, Before), Count)];
+    if (Code == ':')
+      fail("option '" + Word + "' needs a value");
+    else if (Code == '?')
+      fail("option '" + Word + "' is not known or has a wrong form");
+    else
+      apply(Code, optarg);
+  }
+  return {Pointers.data() + optind, Pointers.data() + Count};
+}
+
+void ArgumentParser::apply(int Code, const char *Value) {
+  switch (Code) {
+  case InstanceOption:
+    addInstances(Value);
+    break;
+  case TimeoutOption:
+    Out.Timeout =
+        std::chrono::milliseconds(readNumber("--timeout-ms", Value, 86400000));
+    break;
+  case JsonOption:
+    Out.Json = true;
+    break;
+  case HelpOption:
+    Out.Help = true;
+    break;
+  case VersionOption:
+    Out.Version = true;
+    break;
+  case WaitOption:
+    Out.Wait = !Value || std::string_view(Value) == "true";
+    if (Value && !Out.Wait && std::string_view(Value) != "false")
+      fail("--wait must be true or false");
+    break;
+  case AttemptsOption:
+    Out.Attempts = readNumber("--attempts", Value, 100);
+    break;
+  case TraceOption:
+    Out.TraceFile = Value;
+    break;
+  case JobOption:
+    Out.Job = Value;
+    break;
+  }
+}
+
+int ArgumentParser::readNumber(const char *Option, const char *Text, int Max) {
+  int Number = 0;
+  std::string_view View(Text);
+  const char *End = View.data() + View.size();
+  auto [Rest, Code] = std::from_chars(View.data(), End, Number);
+  if (Code == std::errc() && Rest == End && Number >= 1 && Number <= Max)
+    return Number;
+  fail(std::string(Option) + " must be a whole number from 1 to " +
+       std::to_string(Max));
+  return 1;
+}
+
+void ArgumentParser::addInstances(const std::string &List) {
+  std::istringstream Items(List);
+  for (std::string Item; std::getline(Items, Item, ',');) {
+    if (Item.empty())
+      continue;
+    Address Name{Item};
+    if (failed(parseAddress(Name)))
+      fail("'" + Item + "' is not an IPv4 address and port");
+    if (std::find(Out.Instances.begin(), Out.Instances.end(), Name) ==
+        Out.Instances.end())
+      Out.Instances.push_back(std::move(Name));
+  }
+}
+
+void ArgumentParser::readPositionals(const std::vector<std::string> &Words) {
+  bool TakesTicket =
+      Out.Command == ToolCommand::Status || Out.Command == ToolCommand::Cancel;
+  size_t Limit = TakesTicket || Out.Command == ToolCommand::Submit ? 1 : 0;
+  if (Words.size() > Limit)
+    fail("unexpected argument '" + Words[Limit] + "'");
+  if (TakesTicket && Words.empty())
+    fail("the ticket is missing");
+  if (Words.empty())
+    return;
+  if (TakesTicket)
+    Out.Ticket = Words[0];
+  else
+    Out.File = Words[0];
+}
+
+void ArgumentParser::checkInstances(const std::string &InstancesVariable) {
+  // An instance is drained only when named on the command line, so that a
+  // list left in the environment can't shut anything down.
+  if (Out.Command == ToolCommand::Drain) {
+    if (Out.Instances.size() != 1)
+      fail("drain needs exactly one --instance");
+    return;
+  }
+  if (Out.Instances.empty())
+    addInstances(InstancesVariable);
+  if (Out.Instances.empty())
+    fail("no instance is named; add --instance IP:port or set "
+         "SNIPESHUNT_INSTANCES");
+}
+
+Result<ToolArguments>
+ArgumentParser::parse(const std::vector<std::string> &Words,
+                      const std::string &InstancesVariable) {
+  std::vector<std::string> Rest = readOptions(Words);
+  if (!Problem && (Out.Help || Out.Version))
+    return Out;
+  if (!Problem && Rest.empty())
+    fail("a subcommand is missing");
+  if (Problem)
+    return *Problem;
+  const ToolCommandEntry *Entry = findCommand(Rest.front());
+  if (!Entry)
+    return usageError("'" + Rest.front() + "' is not a subcommand",
+                      std::nullopt);
+  Out.Command = Entry->Command;
+  Rest = readOptions({Rest.begin() + 1, Rest.end()});
+  if (!Problem && (Out.Help || Out.Version))
+    return Out;
+  readPositionals(Rest);
+  checkInstances(InstancesVariable);
+  if (Problem)
+    return *Problem;
+  return Out;
+}
+
+} // namespace
+
+Result<ToolArguments> parseToolArguments(const std::vector<std::string> &Words,
+                                         const std::string &InstancesVariable) {
+  return ArgumentParser().parse(Words, InstancesVariable);
+}
+
+std::string toolHelp(std::optional<ToolCommand> Command) {
+  std::ostringstream Out;
+  if (Command) {
+    const ToolCommandEntry &Entry = entryOf(*Command);
+    Out << "Usage: snipeshunt " << Entry.Name << " " << Entry.Synopsis << "\n"
+        << Entry.Brief << "\n";
+    if (!Entry.Details.empty())
+      Out << "\n" << Entry.Details;
+  } else {
+    Out << "Usage: snipeshunt [OPTIONS] SUBCOMMAND [ARGUMENTS]\n\n"
+        << "Subcommands:\n";
+    for (const ToolCommandEntry &Entry : ToolCommandTable)
+      Out << "  " << Entry.Name << std::string(12 - Entry.Name.size(), ' ')
+          << Entry.Brief << "\n";
+  }
+  Out << "\nOptions:\n"
+      << ToolGlobalOptions << "\nExit status:\n"
+      << ToolExitCodes;
+  return Out.str();
+}
+
+} // namespace snipeshunt
--- /dev/null
+++ b/src/tool_support/tool_table.h
@@ -0,0 +1,57 @@
+/// \file Subcommands of the tool and their help texts.
+#ifndef SNIPESHUNT_TOOL_SUPPORT_TOOL_TABLE_H
+#define SNIPESHUNT_TOOL_SUPPORT_TOOL_TABLE_H
+
+#include "tool_support/tool_type.h"
+
+#include <string_view>
+
+namespace snipeshunt {
+
+/// One subcommand.
+struct ToolCommandEntry {
+  ToolCommand Command;
+  std::string_view Name;
+  std::string_view Synopsis; ///< Arguments and own options.
+  std::string_view Brief;    ///< One line for the list.
+  std::string_view Details;  ///< Options, one a line; may be empty.
+};
+
+inline constexpr std::string_view ToolVersion = "0.1.0";
+
+inline constexpr ToolCommandEntry ToolCommandTable[] = {
+    {ToolCommand::Submit, "submit",
+     "[FILE|-] [--wait[=true|false]] [--attempts N]",
+     "submit a job and print its results",
+     "  FILE              job body as JSON; - or nothing reads standard input\n"
+     "  --wait=false      print the ticket without waiting for the answer\n"
+     "  --attempts N      sends of the same ticket, 1 to 100 (default 3)\n"},
+    {ToolCommand::Status, "status", "TICKET", "print the state of a job", ""},
+    {ToolCommand::Cancel, "cancel", "TICKET", "cancel a job", ""},
+    {ToolCommand::Instances, "instances", "", "list the known instances", ""},
+    {ToolCommand::Upstreams, "upstreams", "", "list the known upstreams", ""},
+    {ToolCommand::Drain, "drain", "--instance IP:port",
+     "shut one instance down gracefully", ""},
+    {ToolCommand::Timeline, "timeline", "[--trace FILE] [--job JOB]",
+     "print the merged events of all instances",
+     "  --trace FILE      write trace-event JSON to FILE, or - for standard "
+     "output\n"
+     "  --job JOB         only events of this job id or ticket\n"},
+};
+
+inline constexpr std::string_view ToolGlobalOptions =
+    "  --instance IP:port  instance to ask; repeat it to name several\n"
+    "                      (default: SNIPESHUNT_INSTANCES, comma separated)\n"
+    "  --timeout-ms N      limit of each request (default 30000; submit waits\n"
+    "                      at least as long as the job's patience_ms)\n"
+    "  --json              print answers as JSON\n"
+    "  --help              print this help\n"
+    "  --version           print the version\n";
+
+inline constexpr std::string_view ToolExitCodes =
+    "  0 success, 1 the job failed or a request was refused, 2 wrong usage,\n"
+    "  3 nothing reachable, 4 outcome unknown\n";
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_TOOL_SUPPORT_TOOL_TABLE_H
