history: add the checker of histories

Cause: runs on real processes show the guarantees only if their records are checked by a separate program. It reads ticket texts itself and shares the decoding of timelines. Two lint findings in the tool and its test are fixed.

--- /dev/null
+++ b/src/history/history_read.cpp
@@ -0,0 +1,194 @@
+/// \file Reading histories.
+#include "core/json_func.h"
+#include "history/history_func.h"
+#include "timeline/timeline_func.h"
+
+#include <functional>
+#include <initializer_list>
+
+namespace snipeshunt {
+
+namespace {
+
+// Longer than any id or answer that the protocols allow.
+constexpr size_t MaxText = 16 << 20;
+
+using LineReader = std::function<std::optional<Error>(const Json::Value &)>;
+
+std::optional<Error> readLines(std::istream &In, const std::string &Name,
+                               HistoryInput &Out, const LineReader &Read) {
+  size_t Number = 0;
+  std::optional<Error> Broken;
+  for (std::string Line; std::getline(In, Line);) {
+    ++Number;
+    if (Line.empty())
+      continue;
+    if (Broken)
+      return Broken;
+    Result<Json::Value> Parsed = parseJson(Line);
+    std::optional<Error> Problem;
+    if (failed(Parsed))
+      Broken = Problem = errorOf(Parsed);
+    else
+      Problem = Read(valueOf(Parsed));
+    if (!Problem)
+      continue;
+    Problem->Message =
+        Name + " line " + std::to_string(Number) + ": " + Problem->Message;
+    Problem->Remedy = "give a history in the form of the design page";
+    if (!Broken)
+      return Problem;
+    Broken = Problem;
+  }
+  if (In.bad())
+    return Error{ErrorKind::Unavailable, "can't read " + Name,
+                 "check the file and its permissions"};
+  if (Broken)
+    ++Out.BrokenLastLines;
+  return std::nullopt;
+}
+
+/// Copy of \p Object with only the fields \p Names, so that a writer may add
+/// fields that no check needs.
+Json::Value keepFields(const Json::Value &Object,
+                       std::initializer_list<const char *> Names) {
+  if (!Object.isObject())
+    return Object;
+  Json::Value Out(Json::objectValue);
+  for (const char *Name : Names)
+    if (Object.isMember(Name))
+      Out[Name] = Object[Name];
+  return Out;
+}
+
+std::optional<Error> readUpstreamLine(const Json::Value &Line,
+                                      HistoryInput &Out) {
+  Json::Value Kept =
+      keepFields(Line, {"wall_us", "upstream", "event", "task", "leaving"});
+  HistoryUpstreamRecord Record;
+  std::string Event;
+  ObjectReader Reader(Kept, "");
+  Reader.integer("wall_us", Record.WallUs, 0, INT64_MAX)
+      .string("upstream", Record.Upstream, MaxText)
+      .string("event", Event, MaxText)
+      .string("task", Record.Task, MaxText)
+      .boolean("leaving", Record.Leaving);
+  if (Event == "start")
+    Record.Event = HistoryUpstreamEvent::Start;
+  else if (Event == "finish")
+    Record.Event = HistoryUpstreamEvent::Finish;
+  else if (Event == "fail")
+    Record.Event = HistoryUpstreamEvent::Fail;
+  else if (Event == "refuse")
+    Record.Event = HistoryUpstreamEvent::Refuse;
+  else
+    Reader.fail("event", "start, finish, fail or refuse");
+  if (std::optional<Error> Problem = Reader.finish())
+    return Problem;
+  Out.Upstreams.push_back(std::move(Record));
+  return std::nullopt;
+}
+
+void readPayloads(ObjectReader &Reader, HistoryCallerRecord &Record) {
+  const Json::Value *Payloads = Reader.array("payloads", SIZE_MAX);
+  if (!Payloads)
+    return;
+  for (const Json::Value &Entry : *Payloads) {
+    if (!Entry.isString()) {
+      Reader.fail("payloads", "an array of strings");
+      return;
+    }
+    Record.Payloads.push_back(Entry.asString());
+  }
+}
+
+std::optional<Error> readCallerLine(const Json::Value &Line,
+                                    HistoryInput &Out) {
+  Json::Value Kept = keepFields(Line, {"wall_us", "caller", "event", "ticket"});
+  HistoryCallerRecord Record;
+  std::string Event;
+  ObjectReader Common(Kept, "");
+  Common.integer("wall_us", Record.WallUs, 0, INT64_MAX)
+      .string("caller", Record.Caller, MaxText)
+      .string("event", Event, MaxText)
+      .string("ticket", Record.Ticket, MaxText);
+  if (Event != "submit" && Event != "answer")
+    Common.fail("event", "submit or answer");
+  if (std::optional<Error> Problem = Common.finish())
+    return Problem;
+  Record.IsAnswer = Event == "answer";
+  Json::Value Own = Record.IsAnswer ? keepFields(Line, {"outcome"})
+                                    : keepFields(Line, {"payloads"});
+  ObjectReader Reader(Own, "");
+  if (Record.IsAnswer) {
+    Reader.string("outcome", Record.Outcome, MaxText);
+    Record.Answer = Line["answer"];
+  } else {
+    readPayloads(Reader, Record);
+  }
+  if (std::optional<Error> Problem = Reader.finish())
+    return Problem;
+  Out.Callers.push_back(std::move(Record));
+  return std::nullopt;
+}
+
+void addTimelineEvent(const SourcedEvent &Entry, HistoryInput &Out) {
+  if (Entry.Event.Kind != TimelineKind::ConfigurationApplied)
+    return;
+  int64_t SteadyUs = std::chrono::duration_cast<std::chrono::microseconds>(
+                         Entry.Event.Steady.time_since_epoch())
+                         .count();
+  Out.Configurations.push_back({Entry.Source, SteadyUs, Entry.Event.Detail});
+}
+
+std::optional<Error> readTimelineLine(const Json::Value &Line,
+                                      HistoryInput &Out) {
+  if (!Line.isObject() || !Line.isMember("events")) {
+    Result<SourcedEvent> Event = decodeTimelineEvent(Line);
+    if (failed(Event))
+      return errorOf(Event);
+    addTimelineEvent(valueOf(Event), Out);
+    return std::nullopt;
+  }
+  Result<TimelineAnswer> Answer = decodeTimeline(Line);
+  if (failed(Answer))
+    return errorOf(Answer);
+  // An event that can't be read may be the one that breaks a guarantee.
+  if (valueOf(Answer).Unreadable)
+    return Error{ErrorKind::InvalidField,
+                 std::to_string(valueOf(Answer).Unreadable) +
+                     " events can't be read",
+                 ""};
+  Out.DroppedTimelineEvents += valueOf(Answer).Dropped;
+  for (const SourcedEvent &Entry : valueOf(Answer).Events)
+    addTimelineEvent(Entry, Out);
+  return std::nullopt;
+}
+
+} // namespace
+
+std::optional<Error> readUpstreamHistory(std::istream &In,
+                                         const std::string &Name,
+                                         HistoryInput &Out) {
+  return readLines(In, Name, Out, [&](const Json::Value &Line) {
+    return readUpstreamLine(Line, Out);
+  });
+}
+
+std::optional<Error> readCallerHistory(std::istream &In,
+                                       const std::string &Name,
+                                       HistoryInput &Out) {
+  return readLines(In, Name, Out, [&](const Json::Value &Line) {
+    return readCallerLine(Line, Out);
+  });
+}
+
+std::optional<Error> readTimelineHistory(std::istream &In,
+                                         const std::string &Name,
+                                         HistoryInput &Out) {
+  return readLines(In, Name, Out, [&](const Json::Value &Line) {
+    return readTimelineLine(Line, Out);
+  });
+}
+
+} // namespace snipeshunt
--- a/src/tool/timeline_command.cpp
+++ b/src/tool/timeline_command.cpp
@@ -38,7 +38,7 @@
 
 /// The named instances and those that they list.
 std::vector<Address> findInstances(ApiClient &Client,
-                                   std::vector<Address> Named) {
+                                   const std::vector<Address> &Named) {
   std::vector<Address> All = Named;
   for (const HttpOutcome &Outcome : getAll(Client, Named, "/v1/instances")) {
     Result<Json::Value> Body = bodyOf(Outcome);
--- a/tests/process/tool_process_test.cpp
+++ b/tests/process/tool_process_test.cpp
@@ -28,7 +28,7 @@
 public:
   using Rule = std::function<HttpReply(const HttpRequest &)>;
 
-  explicit ScriptedInstance(Rule Answer) : Server(Loop, {}) {
+  explicit ScriptedInstance(const Rule &Answer) : Server(Loop, {}) {
     Server.RequestReceived.connect([this, Answer](const HttpRequest &Request) {
       {
         std::lock_guard<std::mutex> Lock(Mutex);
