--- a/src/core/json.cpp
+++ b/src/core/json.cpp
@@ -1,6 +1,7 @@
 /// \file Reading and writing JSON with typed errors.
 #include "core/json_func.h"
 
+#include <algorithm>
 #include <cstring>
 #include <memory>
 
@@ -38,6 +39,8 @@
   } catch (const Json::Exception &E) {
     Problem = E.what();
   }
+  // jsoncpp spreads its messages over lines.
+  std::replace(Problem.begin(), Problem.end(), '\n', ' ');
   if (!Parsed)
     return Error{ErrorKind::MalformedJson, "not valid JSON: " + Problem,
                  "send one JSON value, UTF-8, without duplicate keys"};
--- a/src/daemon/caller_gateway.cpp
+++ b/src/daemon/caller_gateway.cpp
@@ -205,7 +205,7 @@
   Call.Headers = {{ForwardedHeader, "1"}};
   Call.Timeout = ForwardTimeout;
   RequestId Id = Request.Request;
-  HomeClient.send(std::move(Call), [this, Id](HttpOutcome Outcome) {
+  HomeClient.send(std::move(Call), [this, Id](const HttpOutcome &Outcome) {
     ForwardEnded Ended{Id, std::nullopt};
     if (auto *Reply = std::get_if<HttpReply>(&Outcome))
       Ended.Answer =
--- a/src/daemon/log.h
+++ b/src/daemon/log.h
@@ -7,7 +7,7 @@
 #include <easylogging++.h>
 
 /// Logs one line of \p LEVEL for the part named \p PART.
-#define SNIPESHUNT_LOG(LEVEL, PART) LOG(LEVEL) << PART << ": "
+#define SNIPESHUNT_LOG(LEVEL, PART) LOG(LEVEL) << (PART) << ": "
 
 namespace snipeshunt {
 
--- a/src/daemon/peer_gateway.cpp
+++ b/src/daemon/peer_gateway.cpp
@@ -118,25 +118,26 @@
   Call.Path = "/rpc";
   Call.Body = encodeRpcRequest(Method, Message);
   Call.Timeout = RpcTimeout;
-  Client.send(std::move(Call), [Done = std::move(Done)](HttpOutcome Outcome) {
-    if (auto *Failure = std::get_if<HttpFailure>(&Outcome)) {
-      Done(std::nullopt, Failure->NothingSent);
-      return;
-    }
-    Result<Json::Value> Reply =
-        decodeRpcResponse(std::get<HttpReply>(Outcome).Body);
-    if (failed(Reply))
-      Done(std::nullopt, false);
-    else
-      Done(std::move(valueOf(Reply)), false);
-  });
+  Client.send(std::move(Call),
+              [Done = std::move(Done)](const HttpOutcome &Outcome) {
+                if (auto *Failure = std::get_if<HttpFailure>(&Outcome)) {
+                  Done(std::nullopt, Failure->NothingSent);
+                  return;
+                }
+                Result<Json::Value> Reply =
+                    decodeRpcResponse(std::get<HttpReply>(Outcome).Body);
+                if (failed(Reply))
+                  Done(std::nullopt, false);
+                else
+                  Done(std::move(valueOf(Reply)), false);
+              });
 }
 
 void PeerGateway::sendHandover(const SendHandover &E) {
   IncarnationId Receiver = E.Message.Receiver;
   HandoverSequence Sequence = E.Message.Sequence;
   call(E.Where, "task.hand_over", encodeHandover(E.Message),
-       [this, Receiver, Sequence](std::optional<Json::Value> Reply,
+       [this, Receiver, Sequence](const std::optional<Json::Value> &Reply,
                                   bool NothingSent) {
          Owner.dispatch(HandoverAnswered{
              Receiver, Sequence,
@@ -148,12 +149,12 @@
 void PeerGateway::sendReport(const SendReport &E) {
   IncarnationId Home = E.Message.Home;
   call(E.Where, "task.report", encodeReport(E.Message),
-       [this, Home](std::optional<Json::Value> Reply, bool) {
+       [this, Home](const std::optional<Json::Value> &Reply, bool) {
          ReportAnswered Event =
              decodeReply<ReportAnswered>(Reply, decodeReportReply)
                  .value_or(ReportAnswered{});
          Event.Home = Home;
-         Owner.dispatch(std::move(Event));
+         Owner.dispatch(Event);
        });
 }
 
@@ -161,7 +162,8 @@
   IncarnationId Receiver = E.Message.Receiver;
   HandoverSequence Sequence = E.Message.Sequence;
   call(E.Where, "task.revoke", encodeRevoke(E.Message),
-       [this, Receiver, Sequence](std::optional<Json::Value> Reply, bool) {
+       [this, Receiver, Sequence](const std::optional<Json::Value> &Reply,
+                                  bool) {
          Owner.dispatch(RevokeAnswered{
              Receiver, Sequence,
              decodeReply<RevokeReply>(Reply, decodeRevokeReply)});
@@ -171,7 +173,7 @@
 void PeerGateway::sendHeartbeat(const SendHeartbeat &E) {
   Address Where = E.Where;
   call(E.Where, "member.heartbeat", encodeHeartbeat(E.Message),
-       [this, Where](std::optional<Json::Value> Reply, bool) {
+       [this, Where](const std::optional<Json::Value> &Reply, bool) {
          Owner.dispatch(HeartbeatAnswered{
              Where, decodeReply<Heartbeat>(Reply, decodeHeartbeat)});
        });
@@ -179,7 +181,7 @@
 
 void PeerGateway::sendAnswers(const SendAnswers &E) {
   call(E.Where, "answer.keep", encodeAnswers(Owner.state().Incarnation, E),
-       [this](std::optional<Json::Value> Reply, bool) {
+       [this](const std::optional<Json::Value> &Reply, bool) {
          bool Accepted = Reply && (*Reply)["accepted"].isBool() &&
                          (*Reply)["accepted"].asBool();
          Owner.dispatch(AnswersAnswered{Accepted});
@@ -188,7 +190,7 @@
 
 void PeerGateway::fetchConfiguration(const FetchConfiguration &E) {
   call(E.Where, "configuration.fetch", Json::Value(Json::objectValue),
-       [this](std::optional<Json::Value> Reply, bool) {
+       [this](const std::optional<Json::Value> &Reply, bool) {
          std::optional<ConfigurationRead> Read =
              decodeReply<ConfigurationRead>(Reply, decodeConfiguration);
          if (Read && Read->Number.Value > 0)
--- a/src/daemon/peer_gateway.h
+++ b/src/daemon/peer_gateway.h
@@ -13,8 +13,8 @@
   explicit PeerGateway(Daemon &Owner);
 
 private:
-  using ReplyHandler =
-      std::function<void(std::optional<Json::Value> Reply, bool NothingSent)>;
+  using ReplyHandler = std::function<void(
+      const std::optional<Json::Value> &Reply, bool NothingSent)>;
 
   void bindMethods();
   void connectEffects();
--- a/src/daemon/platform_gateway.cpp
+++ b/src/daemon/platform_gateway.cpp
@@ -81,7 +81,7 @@
   Call.Target = *Owner.state().Settings.Platform;
   Call.Path = "/v1/instances";
   Call.Timeout = ListTimeout;
-  Client.send(std::move(Call), [this](HttpOutcome Outcome) {
+  Client.send(std::move(Call), [this](const HttpOutcome &Outcome) {
     // Without an answer the list that was read last stays in use.
     if (auto *Reply = std::get_if<HttpReply>(&Outcome);
         Reply && Reply->Status == 200) {
--- a/src/daemon/upstream_gateway.cpp
+++ b/src/daemon/upstream_gateway.cpp
@@ -91,7 +91,7 @@
   Call.Path = "/v1/tasks";
   Call.Body = writeJson(Body);
   Call.Timeout = E.Timeout;
-  TaskClient.send(std::move(Call), [this, Id](HttpOutcome Outcome) {
+  TaskClient.send(std::move(Call), [this, Id](const HttpOutcome &Outcome) {
     Owner.dispatch(AttemptEnded{Id, readTaskReply(Outcome)});
   });
 }
@@ -102,7 +102,7 @@
   Call.Path = "/v1/status";
   Call.Timeout = StatusTimeout;
   Address Where = E.Where;
-  StatusClient.send(std::move(Call), [this, Where](HttpOutcome Outcome) {
+  StatusClient.send(std::move(Call), [this, Where](const HttpOutcome &Outcome) {
     Owner.dispatch(StatusRead{Where, readStatusReply(Outcome)});
   });
 }
--- a/src/handover/give_cmd.cpp
+++ b/src/handover/give_cmd.cpp
@@ -264,7 +264,7 @@
         finishTask(State, Report.Key, Report.Result, Now, Out);
     }
   Reply.Load = currentLoad(State, Now);
-  Out.push_back(std::move(Reply));
+  Out.push_back(Reply);
 }
 
 void loseReceiver(InstanceState &State, IncarnationId Receiver, SteadyTime Now,
--- a/src/handover/receive_cmd.cpp
+++ b/src/handover/receive_cmd.cpp
@@ -136,7 +136,7 @@
   ReplyHandover Reply{Event.Request, {}};
   Reply.Reply.Verdict = takeBatch(State, Event.Message, Now, Out);
   Reply.Reply.Load = currentLoad(State, Now);
-  Out.push_back(std::move(Reply));
+  Out.push_back(Reply);
 }
 
 void applyRevoke(InstanceState &State, const RevokeReceived &Event,
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -71,9 +71,9 @@
       // evhttp has freed the request without calling back.
       Request = nullptr;
       Owner.failLater(
-          [this](HttpOutcome Outcome) {
+          [this](const HttpOutcome &Outcome) {
             if (Done)
-              complete(std::move(Outcome), /*Reusable=*/false);
+              complete(Outcome, /*Reusable=*/false);
           },
           {!BytesHandedOver, "can't open a connection to " + Name.Value});
     }
@@ -127,9 +127,9 @@
         /*Reusable=*/false);
   }
 
-  void complete(HttpOutcome Outcome, bool Reusable) {
+  void complete(const HttpOutcome &Outcome, bool Reusable) {
     Deadline.stop();
-    Owner.finish(this, std::move(Outcome), Reusable);
+    Owner.finish(this, Outcome, Reusable);
   }
 
   HttpClient &Owner;
@@ -188,7 +188,8 @@
   }
 }
 
-void HttpClient::finish(Connection *C, HttpOutcome Outcome, bool Reusable) {
+void HttpClient::finish(Connection *C, const HttpOutcome &Outcome,
+                        bool Reusable) {
   Callback Done = C->takeCallback();
   Address Name = C->name();
   Target &T = Targets[Name];
@@ -198,20 +199,11 @@
   T.Busy.erase(It);
   // Both kinds leave evhttp's callback first: evhttp still uses the
   // connection after it, so it can be neither freed nor given a new request.
-  if (Reusable) {
-    auto *Raw = Owned.release();
-    Deferred.push_back([this, Raw, Name] {
-      Raw->IdleSince = std::chrono::steady_clock::now();
-      Targets[Name].Idle.emplace_back(Raw);
-      dispatch(Name);
-    });
-  } else {
-    Retired.push_back(std::move(Owned));
-    Deferred.push_back([this, Name] { dispatch(Name); });
-  }
+  (Reusable ? Returning : Retired).push_back(std::move(Owned));
+  Deferred.push_back([this, Name] { dispatch(Name); });
   DeferredTimer.startOnce(Duration::zero());
   if (Done)
-    Done(std::move(Outcome));
+    Done(Outcome);
 }
 
 void HttpClient::failLater(Callback Done, HttpFailure Failure) {
@@ -223,6 +215,11 @@
 
 void HttpClient::runDeferred() {
   Retired.clear();
+  for (std::unique_ptr<Connection> &C : Returning) {
+    C->IdleSince = std::chrono::steady_clock::now();
+    Targets[C->name()].Idle.push_back(std::move(C));
+  }
+  Returning.clear();
   std::vector<std::function<void()>> Now = std::move(Deferred);
   Deferred.clear();
   for (std::function<void()> &Step : Now)
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -29,7 +29,7 @@
 /// Sends requests; never repeats one.
 class HttpClient {
 public:
-  using Callback = std::function<void(HttpOutcome)>;
+  using Callback = std::function<void(const HttpOutcome &)>;
 
   HttpClient(EventLoop &Loop, HttpClientOptions Options);
   HttpClient(const HttpClient &) = delete;
@@ -55,7 +55,7 @@
   };
 
   void dispatch(const Address &Name);
-  void finish(Connection *C, HttpOutcome Outcome, bool Reusable);
+  void finish(Connection *C, const HttpOutcome &Outcome, bool Reusable);
   void failLater(Callback Done, HttpFailure Failure);
   void runDeferred();
   void closeIdle();
@@ -65,6 +65,8 @@
   std::unordered_map<Address, Target> Targets;
   /// Connections can't be freed inside their own callbacks.
   std::vector<std::unique_ptr<Connection>> Retired;
+  /// Connections that become idle once their callbacks have ended.
+  std::vector<std::unique_ptr<Connection>> Returning;
   std::vector<std::function<void()>> Deferred;
   Timer DeferredTimer;
   Timer IdleTimer;
--- a/src/rpc/rpc_codec.cpp
+++ b/src/rpc/rpc_codec.cpp
@@ -178,7 +178,7 @@
   ObjectReader Reader(Value, "result");
   readEnum(Reader, "verdict", Reply.Verdict, HandoverVerdict::WrongIncarnation);
   readLoad(Reader, "load", Reply.Load);
-  return finishReading(Reader, std::move(Reply));
+  return finishReading(Reader, Reply);
 }
 
 Json::Value encodeReport(const ReportMessage &Message) {
@@ -215,7 +215,7 @@
   readLoad(Reader, "load", Load);
   Answer.Acknowledged = true;
   Answer.Load = Load;
-  return finishReading(Reader, std::move(Answer));
+  return finishReading(Reader, Answer);
 }
 
 Json::Value encodeRevoke(const RevokeMessage &Message) {
--- a/src/standins/relay_main.cpp
+++ b/src/standins/relay_main.cpp
@@ -162,9 +162,9 @@
       return Later.after(R.Delay, [this, Id] { Server.drop(Id); });
     case Action::DropReply:
       return Client.send(std::move(Call),
-                         [this, Id](HttpOutcome) { Server.drop(Id); });
+                         [this, Id](const HttpOutcome &) { Server.drop(Id); });
     case Action::Duplicate:
-      return duplicate(Id, std::move(Call));
+      return duplicate(Id, Call);
     case Action::Delay:
       return Later.after(
           R.Delay, [this, Id, Call = std::move(Call)] { forward(Id, Call); });
--- a/src/tool/api_client.cpp
+++ b/src/tool/api_client.cpp
@@ -38,8 +38,8 @@
   std::vector<HttpOutcome> Out(Calls.size());
   size_t Missing = Calls.size();
   for (size_t I = 0; I < Calls.size(); ++I) {
-    Client.send(std::move(Calls[I]), [&, I](HttpOutcome Outcome) {
-      Out[I] = std::move(Outcome);
+    Client.send(std::move(Calls[I]), [&, I](const HttpOutcome &Outcome) {
+      Out[I] = Outcome;
       if (--Missing == 0)
         Loop.stop();
     });
