standins: let the platform tests fail instead of crash

Cause: with lease expiry disabled on a scratch copy, the test read an event that did not exist and ended the program. Change: tests check sizes before they read elements. Conclusion: a broken store is reported test by test.

--- a/tests/standin_platform_test.cpp
+++ b/tests/standin_platform_test.cpp
@@ -32,6 +32,12 @@
   return failed(Out) ? KvResult{} : valueOf(Out);
 }
 
+/// Value of \p Key, or a text that no test stores.
+std::string valueAt(KvStore &Store, const std::string &Key) {
+  KvResult Out = runOk(Store, get(Key));
+  return Out.Found.empty() ? "missing" : Out.Found[0].Value;
+}
+
 bool swap(KvStore &Store, int64_t Expected, const std::string &Value) {
   Result<KvTxnResult> Out =
       Store.txn({{"k", Field::Mod, Relation::Equal, Expected, ""}},
@@ -61,11 +67,11 @@
   KvStore Store;
   EXPECT_TRUE(swap(Store, 0, "first"));
   EXPECT_FALSE(swap(Store, 0, "second"));
-  EXPECT_EQ(runOk(Store, get("k")).Found[0].Value, "first");
-  int64_t Seen = runOk(Store, get("k")).Found[0].ModRevision;
+  EXPECT_EQ(valueAt(Store, "k"), "first");
+  int64_t Seen = Store.revision();
   EXPECT_TRUE(swap(Store, Seen, "third"));
   EXPECT_FALSE(swap(Store, Seen, "fourth"));
-  EXPECT_EQ(runOk(Store, get("k")).Found[0].Value, "third");
+  EXPECT_EQ(valueAt(Store, "k"), "third");
 }
 
 // Guards against a loser that does not see the value that won.
@@ -78,6 +84,7 @@
   ASSERT_FALSE(failed(Out));
   EXPECT_FALSE(valueOf(Out).Succeeded);
   ASSERT_EQ(valueOf(Out).Results.size(), 1U);
+  ASSERT_EQ(valueOf(Out).Results[0].Found.size(), 1U);
   EXPECT_EQ(valueOf(Out).Results[0].Found[0].Value, "winner");
   EXPECT_EQ(Store.revision(), Before);
 }
@@ -139,7 +146,9 @@
   EXPECT_EQ(runOk(Store, remove("b")).Count, 0);
   EXPECT_EQ(Store.revision(), Before);
   runOk(Store, put("b", "again"));
-  EXPECT_EQ(runOk(Store, get("b")).Found[0].Version, 1);
+  KvResult Recreated = runOk(Store, get("b"));
+  ASSERT_EQ(Recreated.Found.size(), 1U);
+  EXPECT_EQ(Recreated.Found[0].Version, 1);
 }
 
 // Guards against a watch that misses a change made before it began, or that
@@ -187,7 +196,9 @@
   Store.expireLeases(Start + seconds(19));
   EXPECT_EQ(runOk(Store, get("held")).Count, 0);
   EXPECT_EQ(runOk(Store, get("released")).Count, 1);
-  EXPECT_TRUE(Store.changes({"held", ""}, Store.revision()).Events[0].Deleted);
+  KvChanges Last = Store.changes({"held", ""}, Store.revision());
+  ASSERT_EQ(Last.Events.size(), 1U);
+  EXPECT_TRUE(Last.Events[0].Deleted);
   EXPECT_EQ(Store.keepLeaseAlive(7, Start + seconds(19)), std::nullopt);
   EXPECT_FALSE(Store.revokeLease(7));
 }
