--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -63,7 +63,11 @@
       evhttp_add_header(Headers, Key.c_str(), Value.c_str());
     evbuffer_add(evhttp_request_get_output_buffer(Request), Call.Body.data(),
                  Call.Body.size());
-    evhttp_connection_set_timeout_tv(Http, nullptr);
+    // evhttp's own limit is 50 s; the deadline below must come first.
+    timeval Limit{};
+    Limit.tv_sec =
+        std::chrono::ceil<std::chrono::seconds>(Call.Timeout).count() + 1;
+    evhttp_connection_set_timeout_tv(Http, &Limit);
     Deadline.startOnce(Call.Timeout);
     ++Owner.CallsSent;
     if (evhttp_make_request(Http, Request, methodType(Call.Method),
