membership: answer waiting callers when a shutdown reaches its limit

Cause: after drain_limit_ms the process left with jobs still running, and their callers saw a cut connection. Tasks that a departing instance had not reported stayed unsettled at their homes until the job's deadline. Change: at the limit running jobs fail with kind draining and forwarded requests are answered unknown, then the answers go to the heir; a member that announces its departure counts as lost for batches still open.

--- a/src/jobs/forward_cmd.cpp
+++ b/src/jobs/forward_cmd.cpp
@@ -7,6 +7,8 @@
 #include "membership/member_cmd.h"
 #include "tickets/ticket_func.h"
 
+#include <functional>
+
 namespace snipeshunt {
 
 namespace {
@@ -80,6 +82,16 @@
   forward(State, Event, T, T.Home, T.Incarnation, Out);
 }
 
+void endForwardsIf(InstanceState &State, EffectList &Out,
+                   const std::function<bool(const ForwardedRequest &)> &Gone) {
+  std::vector<RequestId> Ended;
+  for (const auto &[Request, Forwarded] : State.Forwards)
+    if (Gone(Forwarded))
+      Ended.push_back(Request);
+  for (RequestId Request : Ended)
+    endForward(State, {Request, std::nullopt}, Out);
+}
+
 } // namespace
 
 void handleJobRequest(InstanceState &State, const JobRequested &Event,
@@ -124,12 +136,13 @@
 
 void endForwardsTo(InstanceState &State, IncarnationId Incarnation,
                    EffectList &Out) {
-  std::vector<RequestId> Gone;
-  for (const auto &[Request, Forwarded] : State.Forwards)
-    if (Forwarded.Incarnation == Incarnation)
-      Gone.push_back(Request);
-  for (RequestId Request : Gone)
-    endForward(State, {Request, std::nullopt}, Out);
+  endForwardsIf(State, Out, [&](const ForwardedRequest &Forwarded) {
+    return Forwarded.Incarnation == Incarnation;
+  });
+}
+
+void endAllForwards(InstanceState &State, EffectList &Out) {
+  endForwardsIf(State, Out, [](const ForwardedRequest &) { return true; });
 }
 
 } // namespace snipeshunt
--- a/src/jobs/forward_cmd.h
+++ b/src/jobs/forward_cmd.h
@@ -20,6 +20,9 @@
 void endForwardsTo(InstanceState &State, IncarnationId Incarnation,
                    EffectList &Out);
 
+/// Answers all callers whose requests were passed on.
+void endAllForwards(InstanceState &State, EffectList &Out);
+
 } // namespace snipeshunt
 
 #endif // SNIPESHUNT_JOBS_FORWARD_CMD_H
--- a/src/jobs/job_cmd.cpp
+++ b/src/jobs/job_cmd.cpp
@@ -333,4 +333,12 @@
   forgetExpiredAnswers(State, Now);
 }
 
+void failAllJobs(InstanceState &State, const Error &E, SteadyTime Now,
+                 EffectList &Out) {
+  while (!State.Jobs.Deadlines.empty()) {
+    TicketSequence Sequence = State.Jobs.Deadlines.begin()->second;
+    failJob(State, State.Jobs.Records[Sequence], E, Now, Out);
+  }
+}
+
 } // namespace snipeshunt
--- a/src/jobs/job_cmd.h
+++ b/src/jobs/job_cmd.h
@@ -30,6 +30,10 @@
 /// Fails jobs past their deadline and forgets expired tickets.
 void expireJobs(InstanceState &State, SteadyTime Now, EffectList &Out);
 
+/// Fails all running jobs because the instance can't wait for them any longer.
+void failAllJobs(InstanceState &State, const Error &E, SteadyTime Now,
+                 EffectList &Out);
+
 /// Retained answers for a departing instance's heir, from \p First on.
 std::vector<AnswersReceived::Entry> exportAnswers(const InstanceState &State,
                                                   size_t First, size_t MaxBytes,
--- a/src/membership/drain_cmd.cpp
+++ b/src/membership/drain_cmd.cpp
@@ -2,6 +2,7 @@
 #include "membership/drain_cmd.h"
 
 #include "handover/handover_cmd.h"
+#include "jobs/forward_cmd.h"
 #include "jobs/job_cmd.h"
 #include "membership/member_cmd.h"
 #include "upstreams/upstream_cmd.h"
@@ -14,6 +15,8 @@
 
 // Keeps one part well under the body limit of a request.
 constexpr size_t MaxPartBytes = 512 << 10;
+// After the limit for the work, time to hand the retained answers over.
+constexpr Duration TransferTime = std::chrono::seconds(5);
 // Time for the last heartbeat to reach the peers.
 constexpr Duration FarewellTime = std::chrono::milliseconds(300);
 
@@ -41,6 +44,17 @@
   return Best;
 }
 
+/// Answers every caller that still waits, since the process can't wait on.
+void endRemainingWork(InstanceState &State, SteadyTime Now, EffectList &Out) {
+  failAllJobs(State,
+              {ErrorKind::Draining,
+               "the instance shut down before the job had ended",
+               "check the tasks in state unknown, then submit the others with "
+               "a new ticket"},
+              Now, Out);
+  endAllForwards(State, Out);
+}
+
 void leave(InstanceState &State, SteadyTime Now, EffectList &Out) {
   State.Drain->LeftAt = Now;
   State.Members.OwnState = MemberState::Left;
@@ -88,9 +102,13 @@
       !workLeft(State) && Now - QuietSince >= State.Settings.Limits.DrainQuiet;
   if ((!Quiet && !Overdue) || Drain.SendPending)
     return;
+  if (Overdue)
+    endRemainingWork(State, Now, Out);
   const Member *Heir = chooseHeir(State);
   // Without a peer the answers can't be kept; their tickets answer unknown.
-  if (!Heir || Overdue) {
+  bool OutOfTime =
+      Now - Drain.Started >= State.Settings.Limits.DrainLimit + TransferTime;
+  if (!Heir || OutOfTime) {
     leave(State, Now, Out);
     return;
   }
--- a/src/membership/member_cmd.cpp
+++ b/src/membership/member_cmd.cpp
@@ -182,8 +182,11 @@
     addMember(State, Named);
   if (Message.State == MemberState::Left) {
     noteDeparture(State, Message, Now);
-    if (StateChanged)
+    if (StateChanged) {
       record(TimelineKind::MemberLeft, M, Out);
+      // It reported all it could before it left.
+      loseReceiver(State, M.Incarnation, Now, Out);
+    }
   }
   MemberHealth Before = M.Health;
   setHealth(State, M, MemberHealth::Alive, Now, Out);
