http: bound connections and test what counts as not sent

Cause: evhttp 2.1 neither counts nor bounds connections, and the promise that only a refused connection proves that nothing was sent had no test of its own. Change: accepting pauses while the process has too many open descriptors; the daemon raises its own limit to the allowed maximum.

--- a/src/daemon/daemon_main.cpp
+++ b/src/daemon/daemon_main.cpp
@@ -4,6 +4,7 @@
 #include "settings/settings_func.h"
 
 #include <getopt.h>
+#include <sys/resource.h>
 
 #include <iostream>
 
@@ -23,6 +24,15 @@
   bool CheckOnly = false;
 };
 
+/// Callers, peers and upstreams need more descriptors than the usual default.
+void raiseDescriptorLimit() {
+  rlimit Limit{};
+  if (getrlimit(RLIMIT_NOFILE, &Limit) != 0)
+    return;
+  Limit.rlim_cur = Limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &Limit);
+}
+
 } // namespace
 
 int main(int Argc, char **Argv) {
@@ -56,6 +66,7 @@
   if (Args.CheckOnly)
     return 0;
 
+  raiseDescriptorLimit();
   configureLog(valueOf(Settings).Level);
   EventLoop Loop;
   SystemClock Time;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -7,16 +7,24 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 
 #include <arpa/inet.h>
 #include <strings.h>
 
+#include <filesystem>
+#include <iterator>
+
 #include <algorithm>
 
 namespace snipeshunt {
 
 namespace {
 
+// A burst within this time may exceed the bound; the system's limit on
+// descriptors is above it.
+constexpr Duration BoundPeriod = std::chrono::milliseconds(250);
+
 const char *methodName(evhttp_cmd_type Type) {
   switch (Type) {
   case EVHTTP_REQ_GET:
@@ -65,7 +73,8 @@
 
 HttpServer::HttpServer(EventLoop &Loop, HttpServerLimits Limits)
     : Loop(Loop), Limits(Limits), Http(evhttp_new(Loop.base())),
-      DropTimer(Loop, [this] { closeDropped(); }) {
+      DropTimer(Loop, [this] { closeDropped(); }),
+      BoundTimer(Loop, [this] { boundConnections(); }) {
   evhttp_set_max_body_size(Http.get(), Limits.MaxBody);
   evhttp_set_max_headers_size(Http.get(), Limits.MaxHeaders);
   evhttp_set_timeout(Http.get(), static_cast<int>(Limits.Timeout.count()));
@@ -96,6 +105,7 @@
   if (!Socket)
     return Error{ErrorKind::Unavailable, "can't listen on " + Listen.Value,
                  "choose a free port and an address of this machine"};
+  BoundTimer.startPeriodic(BoundPeriod);
   sockaddr_in Bound{};
   socklen_t Size = sizeof(Bound);
   getsockname(evhttp_bound_socket_get_fd(Socket),
@@ -103,6 +113,23 @@
   return Address{Parts.Host + ":" + std::to_string(ntohs(Bound.sin_port))};
 }
 
+void HttpServer::boundConnections() {
+  if (!Socket)
+    return;
+  // evhttp 2.1 neither counts nor bounds its connections.
+  std::error_code Problem;
+  std::filesystem::directory_iterator Entries("/proc/self/fd", Problem);
+  if (Problem)
+    return;
+  size_t Count = static_cast<size_t>(
+      std::distance(begin(Entries), std::filesystem::directory_iterator()));
+  evconnlistener *Listener = evhttp_bound_socket_get_listener(Socket);
+  if (Count > Limits.MaxDescriptors)
+    evconnlistener_disable(Listener);
+  else
+    evconnlistener_enable(Listener);
+}
+
 void HttpServer::stopListening() {
   if (!Socket)
     return;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -24,6 +24,9 @@
   size_t MaxHeaders = 16 << 10;     ///< Bytes of request line and headers.
   std::chrono::seconds Timeout{60}; ///< Idle or stalled connection.
   size_t MaxOpenRequests = 20000;   ///< Requests without an answer yet.
+  /// Open descriptors of the process beyond which no connection is accepted;
+  /// further ones wait in the system's queue.
+  size_t MaxDescriptors = 30000;
 };
 
 /// Serves HTTP on one address.
@@ -63,6 +66,8 @@
 
   void handle(evhttp_request *Request);
   void closeDropped();
+  /// Pauses accepting while too many descriptors are open.
+  void boundConnections();
   static void handleClose(evhttp_connection *Connection, void *Arg);
 
   EventLoop &Loop;
@@ -73,6 +78,7 @@
   std::vector<evhttp_connection *> Dropped;
   Timer DropTimer;
   uint64_t NextId = 1;
+  Timer BoundTimer;
 };
 
 } // namespace snipeshunt
--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,90 @@
+/// \file HTTP server and client over loopback.
+#include "http/http_client.h"
+#include "http/http_server.h"
+
+#include <gtest/gtest.h>
+
+namespace snipeshunt {
+namespace {
+
+HttpOutcome callAndWait(EventLoop &Loop, HttpClient &Client, HttpCall Call) {
+  HttpOutcome Out = HttpFailure{};
+  Client.send(std::move(Call), [&](const HttpOutcome &Outcome) {
+    Out = Outcome;
+    Loop.stop();
+  });
+  Loop.run();
+  return Out;
+}
+
+// Guards against unbounded connections: above the bound nothing is accepted.
+TEST(HttpServerTest, PausesAcceptingAboveTheBound) {
+  EventLoop Loop;
+  HttpServerLimits Limits;
+  Limits.MaxDescriptors = 0;
+  HttpServer Closed(Loop, Limits);
+  Result<Address> Bound = Closed.listen(Address{"127.0.0.1:0"});
+  ASSERT_FALSE(failed(Bound));
+  Closed.RequestReceived.connect([&](const HttpRequest &R) {
+    Closed.reply(R.Id, {200, "x"});
+  });
+  HttpClient Client(Loop, {});
+  HttpCall Call;
+  Call.Target = valueOf(Bound);
+  Call.Timeout = std::chrono::seconds(2);
+  // The first round of the bound has to pass before it holds.
+  Timer Later(Loop, [&] { Loop.stop(); });
+  Later.startOnce(std::chrono::milliseconds(600));
+  Loop.run();
+  HttpOutcome Outcome = callAndWait(Loop, Client, Call);
+  EXPECT_TRUE(std::holds_alternative<HttpFailure>(Outcome));
+}
+
+// Guards against calling a refused connection a lost request: only the first
+// is proof that nothing was sent.
+TEST(HttpClientTest, TellsRefusedFromLost) {
+  EventLoop Loop;
+  HttpServer Server(Loop, {});
+  Result<Address> Bound = Server.listen(Address{"127.0.0.1:0"});
+  ASSERT_FALSE(failed(Bound));
+  Server.RequestReceived.connect(
+      [&](const HttpRequest &R) { Server.drop(R.Id); });
+  HttpClient Client(Loop, {});
+  HttpCall Call;
+  Call.Target = valueOf(Bound);
+  HttpOutcome Lost = callAndWait(Loop, Client, Call);
+  ASSERT_TRUE(std::holds_alternative<HttpFailure>(Lost));
+  EXPECT_FALSE(std::get<HttpFailure>(Lost).NothingSent);
+  Server.stopListening();
+  HttpOutcome Refused = callAndWait(Loop, Client, Call);
+  ASSERT_TRUE(std::holds_alternative<HttpFailure>(Refused));
+  EXPECT_TRUE(std::get<HttpFailure>(Refused).NothingSent);
+}
+
+// Guards against a second send on a kept-alive connection that the server
+// closes at the moment of reuse: the call fails and is not repeated.
+TEST(HttpClientTest, NeverRepeatsOnAClosedConnection) {
+  EventLoop Loop;
+  HttpServer Server(Loop, {});
+  Result<Address> Bound = Server.listen(Address{"127.0.0.1:0"});
+  ASSERT_FALSE(failed(Bound));
+  int Received = 0;
+  Server.RequestReceived.connect([&](const HttpRequest &R) {
+    if (++Received == 1)
+      Server.reply(R.Id, {200, "first"});
+    else
+      Server.drop(R.Id);
+  });
+  HttpClient Client(Loop, {});
+  HttpCall Call;
+  Call.Target = valueOf(Bound);
+  EXPECT_TRUE(
+      std::holds_alternative<HttpReply>(callAndWait(Loop, Client, Call)));
+  HttpOutcome Second = callAndWait(Loop, Client, Call);
+  ASSERT_TRUE(std::holds_alternative<HttpFailure>(Second));
+  EXPECT_FALSE(std::get<HttpFailure>(Second).NothingSent);
+  EXPECT_EQ(Received, 2);
+}
+
+} // namespace
+} // namespace snipeshunt
