handover: returned tasks do not use up the retry budget

Cause: tasks that a receiver returned as not started went through the retry budget. A home without upstreams has no starts of its own, so its budget is 10, and a sender that shut down with 40 waiting tasks made the job fail. Lost messages were ruled out: the report carries all 40 results. Change: only attempts at upstreams count; returned tasks wait again after a jittered pause.

--- a/src/upstreams/health_cmd.cpp
+++ b/src/upstreams/health_cmd.cpp
@@ -99,6 +99,17 @@
   }
 }
 
+bool requeueTask(InstanceState &State, const WaitingTask &Task, SteadyTime Now,
+                 uint64_t Seed) {
+  if (Now >= Task.StartBefore)
+    return false;
+  WaitingTask Again = Task;
+  Again.NotBefore = Now + withJitter(BusyPause, Seed) / 4;
+  setTaskState(State, Again.Key, TaskState::Waiting);
+  queueTask(State, std::move(Again), 1, Now);
+  return true;
+}
+
 bool retryTask(InstanceState &State, const WaitingTask &Task, SteadyTime Now,
                uint64_t Seed) {
   UpstreamTable &Table = State.Upstreams;
@@ -108,14 +119,10 @@
       retryShare(State) * static_cast<double>(Table.RecentStarts.size()) +
       static_cast<double>(retryBurst(State));
   if (static_cast<double>(Table.RecentRetries.size()) >= Budget ||
-      Now >= Task.StartBefore)
+      !requeueTask(State, Task, Now, Seed))
     return false;
   Table.RecentRetries.push_back(Now);
   ++State.Counts.Retries;
-  WaitingTask Again = Task;
-  Again.NotBefore = Now + withJitter(BusyPause, Seed) / 4;
-  setTaskState(State, Again.Key, TaskState::Waiting);
-  queueTask(State, std::move(Again), 1, Now);
   return true;
 }
 
--- a/src/upstreams/health_cmd.h
+++ b/src/upstreams/health_cmd.h
@@ -11,6 +11,11 @@
 void learnFromAttempt(InstanceState &State, const Attempt &A, AttemptEnd End,
                       SteadyTime Now, uint64_t Seed, EffectList &Out);
 
+/// Queues a task again that no upstream was asked to start. Gives false when
+/// its time is used up.
+bool requeueTask(InstanceState &State, const WaitingTask &Task, SteadyTime Now,
+                 uint64_t Seed);
+
 /// Queues a task again whose attempt has not started it. Gives false when the
 /// retry budget or the task's time is used up.
 bool retryTask(InstanceState &State, const WaitingTask &Task, SteadyTime Now,
