policy: measure scheduling decisions on a fake clock

Cause: the targets for response time, wasted messages, the crest and short work behind long work had no measure that runs in seconds.

--- /dev/null
+++ b/src/load/policy_run.h
@@ -0,0 +1,101 @@
+/// \file Runs the reducers of a fleet on a fake clock.
+#ifndef SNIPESHUNT_LOAD_POLICY_RUN_H
+#define SNIPESHUNT_LOAD_POLICY_RUN_H
+
+#include "load/policy_measure.h"
+#include "reducer/reducer.h"
+
+#include <deque>
+#include <functional>
+#include <queue>
+#include <random>
+#include <unordered_map>
+
+namespace snipeshunt {
+
+/// Nine instances, three data centres, fake upstreams and callers.
+class PolicyRun {
+public:
+  PolicyRun(const PolicyWorkload &W, const PolicyOptions &Options,
+            uint64_t Seed);
+  PolicyRun(const PolicyRun &) = delete;
+  PolicyRun &operator=(const PolicyRun &) = delete;
+
+  /// Runs until all jobs have ended, at most \p Seconds and a minute more.
+  PolicyRecord run(double Seconds);
+
+private:
+  /// An upstream that runs tasks for their base time divided by its speed.
+  struct FakeUpstream {
+    Address Where;
+    size_t Centre = 0;
+    double Speed = 1;
+    uint32_t Busy = 0;
+    bool Failing = false;
+    uint64_t Failures = 0;
+  };
+  struct Later {
+    Duration At;
+    uint64_t Order;
+    std::function<void()> Action;
+    friend bool operator<(const Later &L, const Later &R) {
+      return std::tie(R.At, R.Order) < std::tie(L.At, L.Order);
+    }
+  };
+
+  void addInstances(const PolicyOptions &Options);
+  void addUpstreams();
+  void scheduleWork();
+  void submit(size_t Job);
+  void cancel(size_t Job);
+  void tick(size_t Instance);
+
+  void after(Duration Delay, std::function<void()> Action);
+  void dispatch(size_t Instance, EventBody Body);
+  /// Delivers a call of instance \p From; its answer becomes an event there.
+  void call(size_t From, const Address &To, EventBody Request,
+            std::function<EventBody(const EffectList &)> ToAnswer);
+  Duration delayBetween(size_t From, size_t To) const;
+  double seconds() const;
+
+  // Effects of instance \p From; all others need nothing done here.
+  void apply(size_t From, const StartTask &E);
+  void apply(size_t From, const PollStatus &E);
+  void apply(size_t From, const SendHandover &E);
+  void apply(size_t From, const SendReport &E);
+  void apply(size_t From, const SendRevoke &E);
+  void apply(size_t From, const SendHeartbeat &E);
+  void apply(size_t From, const ReplyToCaller &E);
+  template <typename T> void apply(size_t, const T &) {}
+
+  void arrive(size_t From, const StartTask &E, FakeUpstream &U);
+  void reply(size_t From, AttemptId Attempt, AttemptEnd End);
+  void noteStart(const StartTask &E, const FakeUpstream &U, double RunTime);
+  void noteFailure(size_t Sender, FakeUpstream &U);
+  /// Time up to now during which some slot was held by long work.
+  double timeBehindLong() const;
+
+  const PolicyWorkload &W;
+  PolicyRecord Record;
+  std::mt19937_64 Random;
+  std::priority_queue<Later> Queue;
+  uint64_t NextOrder = 0;
+  Duration Elapsed{0};
+  bool InTick = false; ///< The event being handled is a tick.
+  std::deque<InstanceState> States;
+  std::unordered_map<Address, size_t> InstanceAt;
+  std::vector<FakeUpstream> Upstreams;
+  std::unordered_map<Address, size_t> UpstreamAt;
+  std::vector<std::pair<size_t, std::string>> Tickets; ///< Of each job.
+  std::unordered_map<RequestId, size_t> JobOfRequest;
+  std::vector<double> BehindLongAtArrival; ///< Of each job.
+  uint32_t LongRuns = 0;
+  double LongSince = 0;
+  double LongTotal = 0;
+  size_t Open = 0;        ///< Jobs without an answer.
+  EffectList LastEffects; ///< Of the last event, for the calling instance.
+};
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_LOAD_POLICY_RUN_H
