handover: report the results of one job together

Ruled out: waiting 1 ms before each report joins few, since the tasks of a job end tens of milliseconds apart. Change: the receiver keeps a job's results within a batch until the last task ends, one fails or 1 s has passed. The home cannot answer earlier anyway.

--- a/src/handover/handover_base.h
+++ b/src/handover/handover_base.h
@@ -32,12 +32,21 @@
 /// State of one received task.
 enum class ReceivedState { Held, Ended, Revoked };
 
+/// The tasks of one job in a received batch.
+struct ReceivedJob {
+  size_t Open = 0; ///< Tasks waiting or running here.
+  /// Results kept back until the last task of the job ends.
+  std::vector<TaskReport> Finished;
+  SteadyTime Since{}; ///< When the first of these ended.
+};
+
 /// A batch that this instance has received.
 struct IncomingBatch {
   bool Refused = false;
   /// A revoke came before the handover; these tasks must not be queued.
   std::set<TaskKey> Tombstones;
   std::unordered_map<TaskKey, ReceivedState> Tasks;
+  std::map<TicketSequence, ReceivedJob> Jobs;
 };
 
 /// All batches from one incarnation of a home.
--- a/src/handover/receive_cmd.cpp
+++ b/src/handover/receive_cmd.cpp
@@ -6,12 +6,16 @@
 #include "upstreams/upstream_cmd.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace snipeshunt {
 
 namespace {
 
 constexpr Duration ReportRepeat = std::chrono::milliseconds(200);
+// Bounds how much the home does not know when its job fails, or when this
+// instance dies.
+constexpr Duration MaxReportDelay = std::chrono::seconds(1);
 // Keeps one report well under the body limit of a request.
 constexpr size_t MaxReportBytes = 512 << 10;
 // A start deadline further away than any patience is not meant seriously and
@@ -44,6 +48,7 @@
     return;
   }
   Batch.Tasks[Key] = ReceivedState::Held;
+  ++Batch.Jobs[Key.Job].Open;
   State.Handovers.Held[Key] = Message.Sequence;
   WaitingTask Task;
   Task.Key = Key;
@@ -86,9 +91,23 @@
   return HandoverVerdict::Accepted;
 }
 
+void reportFinished(IncomingChannel &Channel, ReceivedJob &Job) {
+  std::move(Job.Finished.begin(), Job.Finished.end(),
+            std::back_inserter(Channel.Unreported));
+  Job.Finished.clear();
+}
+
+/// Reports what was kept back for too long.
+void reportDelayed(IncomingChannel &Channel, SteadyTime Now) {
+  for (auto &[Sequence, Batch] : Channel.Batches)
+    for (auto &[Number, Job] : Batch.Jobs)
+      if (!Job.Finished.empty() && Now - Job.Since > MaxReportDelay)
+        reportFinished(Channel, Job);
+}
+
 /// Takes a held task out of the queue, if it has not started.
-bool revokeHeld(InstanceState &State, IncomingBatch &Batch,
-                const TaskKey &Key) {
+bool revokeHeld(InstanceState &State, IncomingChannel &Channel,
+                IncomingBatch &Batch, const TaskKey &Key) {
   auto Known = Batch.Tasks.find(Key);
   if (Known == Batch.Tasks.end()) {
     Batch.Tombstones.insert(Key);
@@ -100,6 +119,9 @@
     return false;
   Known->second = ReceivedState::Revoked;
   State.Handovers.Held.erase(Key);
+  ReceivedJob &Job = Batch.Jobs[Key.Job];
+  if (--Job.Open == 0)
+    reportFinished(Channel, Job);
   return true;
 }
 
@@ -154,7 +176,7 @@
   if (!(Message.Sequence < Channel.Floor)) {
     IncomingBatch &Batch = Channel.Batches[Message.Sequence];
     for (const TaskKey &Key : Message.Tasks)
-      if (Key.Home == Message.Home && revokeHeld(State, Batch, Key))
+      if (Key.Home == Message.Home && revokeHeld(State, Channel, Batch, Key))
         Reply.Reply.Revoked.push_back(Key);
   }
   Out.push_back(std::move(Reply));
@@ -169,11 +191,23 @@
     return;
   HandoverSequence Sequence = Held->second;
   State.Handovers.Held.erase(Held);
-  Channel->second.Batches[Sequence].Tasks[Key] = ReceivedState::Ended;
-  Channel->second.Unreported.push_back({Sequence, Key, std::move(Result)});
+  IncomingBatch &Batch = Channel->second.Batches[Sequence];
+  Batch.Tasks[Key] = ReceivedState::Ended;
+  ReceivedJob &Job = Batch.Jobs[Key.Job];
+  --Job.Open;
+  if (Job.Finished.empty())
+    Job.Since = Now;
+  // The home answers only when it has every result, so the results of one job
+  // go together. A failure ends the job and is reported at once.
+  bool Report = Job.Open == 0 || Result.End != TaskEnd::Finished;
+  Job.Finished.push_back({Sequence, Key, std::move(Result)});
+  if (Report)
+    reportFinished(Channel->second, Job);
 }
 
 void expireHeldTasks(InstanceState &State, SteadyTime Now) {
+  for (auto &[Home, Channel] : State.Handovers.Incoming)
+    reportDelayed(Channel, Now);
   std::vector<TaskKey> Late = heldTasks(
       State, [&](const WaitingTask &Task) { return Task.StartBefore <= Now; });
   for (const TaskKey &Key : Late) {
