membership: announce free slots only to peers that know of none

Cause: an instance announced free slots every 5 ms to each peer with waiting tasks, also when an earlier message had told of them. Change: note the free slots that each member was told of last.

--- a/src/handover/give_cmd.cpp
+++ b/src/handover/give_cmd.cpp
@@ -2,6 +2,7 @@
 #include "handover/handover_cmd.h"
 
 #include "jobs/job_cmd.h"
+#include "membership/member_cmd.h"
 #include "scheduling/queue_cmd.h"
 #include "tickets/ticket_func.h"
 #include "upstreams/health_cmd.h"
@@ -55,6 +56,7 @@
           SteadyTime Now, EffectList &Out) {
   Batch.Message.SettledBelow = settledBelow(Channel);
   Batch.Message.Load = currentLoad(State, Now);
+  noteToldLoad(State, Channel.Where, Batch.Message.Load);
   Batch.InFlight = true;
   ++Batch.Sends;
   ++State.Counts.HandoverMessages;
@@ -266,6 +268,8 @@
         finishTask(State, Report.Key, Report.Result, Now, Out);
     }
   Reply.Load = currentLoad(State, Now);
+  if (const Member *M = memberWith(State, Message.Receiver))
+    noteToldLoad(State, M->Self.Where, Reply.Load);
   Out.push_back(Reply);
 }
 
--- a/src/handover/receive_cmd.cpp
+++ b/src/handover/receive_cmd.cpp
@@ -1,6 +1,7 @@
 /// \file Receiver side of handovers.
 #include "handover/handover_cmd.h"
 
+#include "membership/member_cmd.h"
 #include "scheduling/queue_cmd.h"
 #include "tickets/ticket_func.h"
 #include "upstreams/upstream_cmd.h"
@@ -158,6 +159,7 @@
   ReplyHandover Reply{Event.Request, {}};
   Reply.Reply.Verdict = takeBatch(State, Event.Message, Now, Out);
   Reply.Reply.Load = currentLoad(State, Now);
+  noteToldLoad(State, Event.Message.HomeAddress, Reply.Reply.Load);
   Out.push_back(Reply);
 }
 
@@ -242,6 +244,7 @@
     Message.Receiver = State.Incarnation;
     Message.Reports = nextReports(Channel);
     Message.Load = currentLoad(State, Now);
+    noteToldLoad(State, Channel.Where, Message.Load);
     Channel.ReportsInFlight = Message.Reports.size();
     ++State.Counts.ReportMessages;
     Out.push_back(SendReport{Channel.Where, std::move(Message)});
--- a/src/membership/member_base.h
+++ b/src/membership/member_base.h
@@ -20,6 +20,7 @@
   Revision ConfigurationRevision;
   bool HeartbeatPending = false; ///< A heartbeat to it is open.
   SteadyTime LastAnnounced{};    ///< Last heartbeat sent ahead of its time.
+  uint32_t ToldFree = 0;         ///< Free slots here that it was told of last.
 };
 
 /// Where the retained answers of a departed incarnation are.
--- a/src/membership/member_cmd.cpp
+++ b/src/membership/member_cmd.cpp
@@ -29,7 +29,9 @@
 void sendHeartbeat(InstanceState &State, Member &M, SteadyTime Now,
                    EffectList &Out) {
   M.HeartbeatPending = true;
-  Out.push_back(SendHeartbeat{M.Self.Where, ownHeartbeat(State, Now)});
+  Heartbeat Message = ownHeartbeat(State, Now);
+  M.ToldFree = Message.Load.FreeSlots;
+  Out.push_back(SendHeartbeat{M.Self.Where, std::move(Message)});
 }
 
 /// The process at this address is another one than before.
@@ -243,6 +245,13 @@
       sendHeartbeat(State, M, Now, Out);
 }
 
+void noteToldLoad(InstanceState &State, const Address &Where,
+                  const LoadReport &Load) {
+  auto It = State.Members.Members.find(Where);
+  if (It != State.Members.Members.end())
+    It->second.ToldFree = Load.FreeSlots;
+}
+
 void announceFreeSlots(InstanceState &State, SteadyTime Now, EffectList &Out) {
   if (State.Queue.size() > 0 || State.Drain)
     return;
@@ -252,8 +261,10 @@
   if (!AnyWaiting || currentLoad(State, Now).FreeSlots == 0)
     return;
   for (auto &[Where, M] : State.Members.Members) {
-    if (M.Load.WaitingTasks == 0 || M.Health != MemberHealth::Alive ||
-        M.HeartbeatPending || Now - M.LastAnnounced < AnnouncePause)
+    // A peer that knows of a free slot uses it without being told again.
+    if (M.Load.WaitingTasks == 0 || M.ToldFree > 0 ||
+        M.Health != MemberHealth::Alive || M.HeartbeatPending ||
+        Now - M.LastAnnounced < AnnouncePause)
       continue;
     M.LastAnnounced = Now;
     sendHeartbeat(State, M, Now, Out);
--- a/src/membership/member_cmd.h
+++ b/src/membership/member_cmd.h
@@ -19,6 +19,10 @@
 /// Detects silent members and sends heartbeats that are due.
 void tickMembership(InstanceState &State, SteadyTime Now, EffectList &Out);
 
+/// Notes what the member at \p Where is told of this instance's load.
+void noteToldLoad(InstanceState &State, const Address &Where,
+                  const LoadReport &Load);
+
 /// Tells peers with waiting tasks at once that slots are free here.
 void announceFreeSlots(InstanceState &State, SteadyTime Now, EffectList &Out);
 
--- a/src/reducer/reducer.cpp
+++ b/src/reducer/reducer.cpp
@@ -66,7 +66,9 @@
   }
   void operator()(const HeartbeatReceived &E) {
     applyHeartbeat(State, E.Message, Now, Out);
-    Out.push_back(ReplyHeartbeat{E.Request, ownHeartbeat(State, Now)});
+    Heartbeat Own = ownHeartbeat(State, Now);
+    noteToldLoad(State, E.Message.Self.Where, Own.Load);
+    Out.push_back(ReplyHeartbeat{E.Request, std::move(Own)});
   }
   void operator()(const HeartbeatAnswered &E) {
     applyHeartbeatAnswer(State, E, Now, Out);
