upstreams: do not let older successes clear a failure

Cause: when an upstream breaks, up to seven older tasks still end well on it, and each reset the count of consecutive failures. Ruled out: too many starts within one round trip; the rule of one task at a time after a failure holds only while the count is not reset. Change: only a task started after the last failure clears the count. The measure now counts jobs instead of tasks.

--- a/src/load/policy_measure.h
+++ b/src/load/policy_measure.h
@@ -41,8 +41,8 @@
   PolicyMessages Messages;
   uint64_t Starts = 0;
   uint64_t TaskFailures = 0; ///< Failures reported by failing upstreams.
-  /// Failures of each failing upstream before it got only probes.
-  std::vector<uint64_t> FailuresBeforeProbing;
+  /// Jobs lost to each failing upstream before it got only probes.
+  std::vector<uint64_t> LostBeforeProbing;
 };
 
 /// Name and value, in the order of printing.
--- a/src/load/policy_run.cpp
+++ b/src/load/policy_run.cpp
@@ -117,7 +117,7 @@
   }
   for (const FakeUpstream &U : Upstreams)
     if (U.Failing)
-      Record.FailuresBeforeProbing.push_back(U.Failures);
+      Record.LostBeforeProbing.push_back(U.Lost.size());
   return std::move(Record);
 }
 
@@ -287,7 +287,7 @@
     return;
   }
   if (U.Failing) {
-    noteFailure(From, U);
+    noteFailure(From, E, U);
     reply(From, E.Attempt, AttemptEnd::Failed);
     return;
   }
@@ -325,11 +325,12 @@
     LongSince = seconds();
 }
 
-void PolicyRun::noteFailure(size_t Sender, FakeUpstream &U) {
+void PolicyRun::noteFailure(size_t Sender, const StartTask &E,
+                            FakeUpstream &U) {
   ++Record.TaskFailures;
   const Upstream &Known = States[Sender].Upstreams.All.at(U.Where);
   if (!Known.Probing)
-    ++U.Failures;
+    U.Lost.insert(std::stoul(E.Spec->Payload));
 }
 
 double PolicyRun::timeBehindLong() const {
--- a/src/load/policy_run.h
+++ b/src/load/policy_run.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <queue>
 #include <random>
+#include <set>
 #include <unordered_map>
 
 namespace snipeshunt {
@@ -32,7 +33,7 @@
     double Speed = 1;
     uint32_t Busy = 0;
     bool Failing = false;
-    uint64_t Failures = 0;
+    std::set<size_t> Lost; ///< Jobs with a failed task, before probing.
   };
   struct Later {
     Duration At;
@@ -71,7 +72,7 @@
   void arrive(size_t From, const StartTask &E, FakeUpstream &U);
   void reply(size_t From, AttemptId Attempt, AttemptEnd End);
   void noteStart(const StartTask &E, const FakeUpstream &U, double RunTime);
-  void noteFailure(size_t Sender, FakeUpstream &U);
+  void noteFailure(size_t Sender, const StartTask &E, FakeUpstream &U);
   /// Time up to now during which some slot was held by long work.
   double timeBehindLong() const;
 
--- a/src/upstreams/health_cmd.cpp
+++ b/src/upstreams/health_cmd.cpp
@@ -48,6 +48,7 @@
 void noteFailure(InstanceState &State, Upstream &U, SteadyTime Now,
                  uint64_t Seed, EffectList &Out) {
   ++U.ConsecutiveFailures;
+  U.LastFailure = Now;
   if (U.ConsecutiveFailures < failuresBeforeProbing(State))
     return;
   if (!U.Probing)
@@ -59,7 +60,12 @@
   U.ProbeAfter = Now + withJitter(U.ProbePause, Seed);
 }
 
-void noteSuccess(Upstream &U) {
+/// A task that started before the last failure says nothing of the upstream's
+/// health since: it would hide the failures of an upstream that has just
+/// broken.
+void noteSuccess(Upstream &U, const Attempt &A) {
+  if (U.ConsecutiveFailures > 0 && A.Started <= U.LastFailure)
+    return;
   U.ConsecutiveFailures = 0;
   U.Probing = false;
 }
@@ -79,7 +85,7 @@
   Upstream &U = It->second;
   switch (End) {
   case AttemptEnd::Finished:
-    noteSuccess(U);
+    noteSuccess(U, A);
     learnSpeed(State, U, A, Now);
     break;
   case AttemptEnd::Failed:
--- a/src/upstreams/upstream_base.h
+++ b/src/upstreams/upstream_base.h
@@ -26,6 +26,7 @@
   double Speed = 1.0;                   ///< Learned; 2 halves run times.
   uint64_t SpeedSamples = 0;
   uint32_t ConsecutiveFailures = 0;
+  SteadyTime LastFailure{};  ///< End of the last attempt that failed.
   bool Probing = false;      ///< Gets one task at a time, with pauses.
   SteadyTime ProbeAfter{};   ///< Earliest start of the next probe.
   Duration ProbePause{0};    ///< Grows with each failed probe.
