configuration: watch the document and repair the roster

Cause: the gateway polled only the list, so no instance ever read the configuration. The roster kept departed and dead members for ever, passed departed ones on in heartbeats and sent them two heartbeats a second; a late message turned a departed member into a dead one; a heartbeat read after a pause of the own process counted as heard in the future; one peer that did not answer fetches kept all newer documents out. An upstream that the list had dropped got tasks again after its next status.

Change: ConfigurationWatch reads the key by range, holds a watch for 3 s from the next revision and reads again, with backoff and jitter after failures. It also observes whether the platform answers; heartbeats carry this, and only an instance that reaches the platform watches for its data centre, or any while none does. HttpCall can give the parts of a reply as they arrive, because a real watch reply has no end. A newly applied revision is announced to the data centre at once; a peer that was asked in vain is passed over for 3 s. Silent members get heartbeats every 5 s at the most and are forgotten after the ticket lifetime, unless the settings or the list name them.

--- /dev/null
+++ b/src/daemon/configuration_watch.cpp
@@ -0,0 +1,189 @@
+/// \file Reading and watching the configuration in the platform's service.
+#include "daemon/configuration_watch.h"
+
+#include "configuration/etcd_func.h"
+#include "daemon/log.h"
+
+#include <algorithm>
+
+namespace snipeshunt {
+
+namespace {
+
+// A watch whose connection is dead without being closed shows nothing, so it
+// is ended and the document read again after this time.
+constexpr Duration WatchTime = std::chrono::seconds(3);
+// A slow service still answers; another instance takes over meanwhile.
+constexpr Duration ReadTimeout = std::chrono::seconds(10);
+// Time without an answer after which the platform counts as unreachable.
+constexpr Duration DoubtTime = std::chrono::seconds(2);
+constexpr int64_t FirstPauseMs = 200;
+constexpr int64_t LongestPauseMs = 5000;
+constexpr int64_t ShortWatchPauseMs = 500;
+
+} // namespace
+
+ConfigurationWatch::ConfigurationWatch(Daemon &Owner, HttpClient &Client)
+    : Owner(Owner), Client(Client), Random(Owner.state().Incarnation.Value),
+      Retry(Owner.loop(), [this] { read(); }),
+      Doubt(Owner.loop(), [this] { observe(false); }) {}
+
+void ConfigurationWatch::enable(bool On) {
+  Enabled = On;
+  // After a failure the next attempt is already planned.
+  if (On && !Pending && Failures == 0)
+    Retry.startOnce(Duration::zero());
+}
+
+void ConfigurationWatch::verifyPlatform() {
+  if (!Pending && Failures == 0)
+    read();
+}
+
+void ConfigurationWatch::read() {
+  if (Pending)
+    return;
+  Pending = true;
+  if (Failures == 0)
+    Doubt.startOnce(DoubtTime);
+  EtcdRequest Request = rangeRequest(ConfigurationKey);
+  HttpCall Call;
+  Call.Target = *Owner.state().Settings.Platform;
+  Call.Method = "POST";
+  Call.Path = Request.Path;
+  Call.Body = std::move(Request.Body);
+  Call.Timeout = ReadTimeout;
+  Client.send(std::move(Call),
+              [this](const HttpOutcome &Outcome) { handleRead(Outcome); });
+}
+
+void ConfigurationWatch::handleRead(const HttpOutcome &Outcome) {
+  Pending = false;
+  const auto *Reply = std::get_if<HttpReply>(&Outcome);
+  if (!Reply)
+    return retryLater(std::get<HttpFailure>(Outcome).Message);
+  Result<EtcdRangeReply> Read = parseRangeReply(Reply->Body);
+  if (failed(Read))
+    return retryLater(errorOf(Read).Message);
+  EtcdRangeReply &Found = valueOf(Read);
+  Failures = 0;
+  observe(true);
+  Next = {Found.StoreRevision.Value + 1};
+  if (Found.Found)
+    adopt(Found.Found->ModRevision, std::move(Found.Found->Value));
+  else
+    reportDeleted();
+  if (Enabled)
+    watch();
+}
+
+void ConfigurationWatch::watch() {
+  Pending = true;
+  Unread.clear();
+  WatchEnded = false;
+  WatchedFrom = Next;
+  WatchStarted = Owner.clock().steadyNow();
+  EtcdRequest Request = watchRequest(ConfigurationKey, Next);
+  HttpCall Call;
+  Call.Target = *Owner.state().Settings.Platform;
+  Call.Method = "POST";
+  Call.Path = Request.Path;
+  Call.Body = std::move(Request.Body);
+  Call.Timeout = WatchTime;
+  Call.OnPart = [this](std::string_view Part) { handlePart(Part); };
+  Client.send(std::move(Call),
+              [this](const HttpOutcome &Outcome) { handleWatchEnd(Outcome); });
+}
+
+void ConfigurationWatch::handlePart(std::string_view Part) {
+  Unread += Part;
+  for (const std::string &Line : takeLines(Unread))
+    WatchEnded |= !adoptEvents(Line);
+}
+
+void ConfigurationWatch::handleWatchEnd(const HttpOutcome &Outcome) {
+  Pending = false;
+  // The last message may have no line end.
+  if (!Unread.empty())
+    WatchEnded |= !adoptEvents(Unread);
+  if (!Enabled)
+    return;
+  const auto *Reply = std::get_if<HttpReply>(&Outcome);
+  bool Progress = WatchedFrom < Next;
+  if (Reply && Reply->Status == 200 && !WatchEnded && Progress)
+    return watch();
+  // Otherwise the document is read again, which also shows whether the
+  // platform still answers. The pause bounds the calls when each watch ends
+  // at once.
+  bool Lasted = Owner.clock().steadyNow() - WatchStarted > WatchTime / 2;
+  Retry.startOnce(Progress || Lasted ? Duration::zero()
+                                     : jitter(ShortWatchPauseMs));
+}
+
+bool ConfigurationWatch::adoptEvents(std::string_view Line) {
+  Result<EtcdWatchReply> Message = parseWatchReply(Line);
+  if (failed(Message)) {
+    SNIPESHUNT_LOG(WARNING, "platform") << errorOf(Message).Message << ".";
+    return false;
+  }
+  for (EtcdEvent &Event : valueOf(Message).Events) {
+    Next = std::max(Next, Revision{Event.Now.ModRevision.Value + 1});
+    if (Event.Deleted)
+      reportDeleted();
+    else
+      adopt(Event.Now.ModRevision, std::move(Event.Now.Value));
+  }
+  return !valueOf(Message).Cancelled &&
+         valueOf(Message).CompactRevision.Value == 0;
+}
+
+void ConfigurationWatch::adopt(Revision Number, std::string Text) {
+  Deleted = false;
+  Revision InForce = Owner.state().Configuration.InForceRevision;
+  // The same old revision is read again after each watch.
+  if (Number < InForce && Number != ReportedOld) {
+    ReportedOld = Number;
+    SNIPESHUNT_LOG(ERROR, "platform")
+        << "the service has configuration revision " << Number.Value
+        << ", but revision " << InForce.Value
+        << " is in force and stays; restore the service's newer data.";
+  }
+  Owner.dispatch(ConfigurationRead{Number, std::move(Text)});
+}
+
+void ConfigurationWatch::reportDeleted() {
+  Revision InForce = Owner.state().Configuration.InForceRevision;
+  if (!Deleted && InForce.Value > 0)
+    SNIPESHUNT_LOG(ERROR, "platform")
+        << "the configuration was deleted; revision " << InForce.Value
+        << " stays in force; set a document by: snipeshunt config set.";
+  Deleted = true;
+}
+
+void ConfigurationWatch::retryLater(const std::string &Reason) {
+  if (Failures++ == 0)
+    SNIPESHUNT_LOG(WARNING, "platform")
+        << "the configuration can't be read and is retried: " << Reason << ".";
+  int64_t Longest =
+      std::min(FirstPauseMs << std::min(Failures, 5U), LongestPauseMs);
+  Retry.startOnce(jitter(Longest));
+}
+
+Duration ConfigurationWatch::jitter(int64_t LongestMs) {
+  // Jitter over half of the pause keeps instances from calling in step.
+  std::uniform_int_distribution<int64_t> Pause(LongestMs / 2, LongestMs);
+  return std::chrono::milliseconds(Pause(Random));
+}
+
+void ConfigurationWatch::observe(bool Reachable) {
+  Doubt.stop();
+  if (Owner.state().Members.PlatformReachable == Reachable)
+    return;
+  SNIPESHUNT_LOG(WARNING, "platform")
+      << (Reachable ? "the service answers again."
+                    : "the service does not answer; the configuration in "
+                      "force stays.");
+  Owner.dispatch(PlatformObserved{Reachable});
+}
+
+} // namespace snipeshunt
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -82,6 +82,15 @@
 }
 
 void Daemon::record(const RecordTimeline &Entry) {
+  if (Entry.Kind == TimelineKind::ConfigurationApplied)
+    SNIPESHUNT_LOG(INFO, "configuration")
+        << "in force since now: " << Entry.Detail << ".";
+  if (Entry.Kind == TimelineKind::ConfigurationRejected) {
+    const Error &Problem = *State.Configuration.LastRejected;
+    SNIPESHUNT_LOG(ERROR, "configuration")
+        << "rejected, the earlier document stays in force: " << Problem.Message
+        << "; " << Problem.Remedy << ".";
+  }
   TimelineEvent Event;
   Event.Wall = Time.wallNow();
   Event.Steady = Time.steadyNow();
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -65,6 +65,16 @@
           static_cast<double>(State.Jobs.Records.size()));
   measure("configuration_revision", "Revision of the configuration in force.",
           static_cast<double>(State.Configuration.InForceRevision.Value));
+  measure("configuration_rejected_revision",
+          "Newer revision that can't be read, 0 if there is none.",
+          State.Configuration.LastRejected
+              ? static_cast<double>(State.Configuration.RejectedRevision.Value)
+              : 0.0);
+  measure("configuration_watching",
+          "1 if this instance watches for its centre.",
+          State.Watching ? 1.0 : 0.0);
+  measure("platform_reachable", "1 if the platform's service answers.",
+          State.Members.PlatformReachable ? 1.0 : 0.0);
 }
 
 std::string Metrics::text() const {
--- a/src/daemon/platform_gateway.cpp
+++ b/src/daemon/platform_gateway.cpp
@@ -71,9 +71,12 @@
 PlatformGateway::PlatformGateway(Daemon &Owner)
     : Owner(Owner),
       Client(Owner.loop(), clientOptions(Owner.state().Settings, 4)),
-      ListTimer(Owner.loop(), [this] { pollList(); }) {
-  if (Owner.state().Settings.Platform)
-    ListTimer.startOnce(Duration::zero());
+      ListTimer(Owner.loop(), [this] { pollList(); }), Watch(Owner, Client) {
+  if (!Owner.state().Settings.Platform)
+    return;
+  ListTimer.startOnce(Duration::zero());
+  Owner.effects().on<WatchConfiguration>().connect(
+      [this](const WatchConfiguration &E) { Watch.enable(E.Enabled); });
 }
 
 void PlatformGateway::pollList() {
@@ -91,6 +94,8 @@
             << "list can't be read: " << errorOf(List).Message << ".";
       else
         Owner.dispatch(std::move(valueOf(List)));
+    } else {
+      Watch.verifyPlatform();
     }
     ListTimer.startOnce(ListPeriod);
   });
--- a/src/daemon/platform_gateway.h
+++ b/src/daemon/platform_gateway.h
@@ -2,6 +2,7 @@
 #ifndef SNIPESHUNT_DAEMON_PLATFORM_GATEWAY_H
 #define SNIPESHUNT_DAEMON_PLATFORM_GATEWAY_H
 
+#include "daemon/configuration_watch.h"
 #include "daemon/daemon.h"
 
 namespace snipeshunt {
@@ -18,6 +19,7 @@
   Daemon &Owner;
   HttpClient Client;
   Timer ListTimer;
+  ConfigurationWatch Watch;
 };
 
 /// Reads the reply of `GET /v1/instances` of the platform.
--- a/src/daemon/view.cpp
+++ b/src/daemon/view.cpp
@@ -97,6 +97,7 @@
       C.InForceRevision.Value == 0 ? 0 : toMilliseconds(Now - C.Since));
   V["text"] = C.InForceText;
   V["watching"] = State.Watching;
+  V["platform_reachable"] = State.Members.PlatformReachable;
   if (C.LastRejected) {
     V["rejected"]["revision"] = Json::UInt64(C.RejectedRevision.Value);
     V["rejected"]["message"] = C.LastRejected->Message;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -55,6 +55,9 @@
     BytesHandedOver = false;
     TimedOut = false;
     Request = evhttp_request_new(handleDone, this);
+    OnPart = std::move(Call.OnPart);
+    if (OnPart)
+      evhttp_request_set_chunked_cb(Request, handlePart);
     evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
     evhttp_add_header(Headers, "Host", Name.Value.c_str());
     if (!Call.Body.empty())
@@ -94,6 +97,16 @@
       static_cast<Connection *>(Arg)->BytesHandedOver = true;
   }
 
+  static void handlePart(evhttp_request *Request, void *Arg) {
+    // The body of an error reply is dropped; its status says enough.
+    if (evhttp_request_get_response_code(Request) != 200)
+      return;
+    evbuffer *Input = evhttp_request_get_input_buffer(Request);
+    std::string Part(evbuffer_get_length(Input), '\0');
+    evbuffer_remove(Input, Part.data(), Part.size());
+    static_cast<Connection *>(Arg)->OnPart(Part);
+  }
+
   static void handleDone(evhttp_request *Finished, void *Arg) {
     auto *Self = static_cast<Connection *>(Arg);
     Self->Request = nullptr;
@@ -142,6 +155,7 @@
   evhttp_request *Request = nullptr;
   evbuffer_cb_entry *OutputWatch = nullptr;
   Callback Done;
+  std::function<void(std::string_view)> OnPart;
   Timer Deadline;
   bool BytesHandedOver = false;
   bool TimedOut = false;
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -5,8 +5,10 @@
 #include "core/clock.h"
 #include "core/id_type.h"
 
+#include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -45,6 +47,9 @@
   std::string Body;
   HttpHeaders Headers;
   Duration Timeout = std::chrono::seconds(5);
+  /// Gets the parts of the reply's body as they arrive; they are then missing
+  /// from the reply. Used for replies that have no end, such as watches.
+  std::function<void(std::string_view)> OnPart;
 };
 
 /// A call without an answer.
--- a/src/membership/member_base.h
+++ b/src/membership/member_base.h
@@ -5,6 +5,7 @@
 #include "membership/member_type.h"
 
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace snipeshunt {
@@ -18,6 +19,10 @@
   SteadyTime LastHeard{};
   LoadReport Load; ///< Last reported, less what was sent since.
   Revision ConfigurationRevision;
+  bool PlatformReachable = true; ///< As it says itself.
+  SteadyTime LastFetch{}; ///< Last fetch from it since a revision was applied.
+  SteadyTime SilentSince{}; ///< When it was first found silent; 0 if it's not.
+  SteadyTime NextContact{}; ///< Earliest heartbeat to a silent member.
   bool HeartbeatPending = false; ///< A heartbeat to it is open.
   SteadyTime LastAnnounced{};    ///< Last heartbeat sent ahead of its time.
 };
@@ -31,12 +36,15 @@
 /// All other instances, by address.
 struct Roster {
   std::map<Address, Member> Members;
+  /// Instances that the platform's list named when it was last read.
+  std::set<Address> Listed;
   /// Graceful departures whose tickets may still be used.
   std::unordered_map<IncarnationId, Departure> Departed;
   /// Incarnations that were replaced; late messages of theirs are ignored.
   std::unordered_map<IncarnationId, SteadyTime> Former;
   SteadyTime LastTick{};
-  SteadyTime NextFetch{}; ///< Earliest next fetch of the configuration.
+  SteadyTime NextFetch{};        ///< Earliest next fetch of the configuration.
+  bool PlatformReachable = true; ///< Whether it answers this instance.
   MemberState OwnState = MemberState::Joining;
   SteadyTime NextHeartbeat{};
 };
--- a/src/membership/member_cmd.cpp
+++ b/src/membership/member_cmd.cpp
@@ -18,6 +18,12 @@
 // At least this long between two heartbeats sent ahead of their time.
 constexpr Duration AnnouncePause = std::chrono::milliseconds(5);
 constexpr Duration FetchPause = std::chrono::milliseconds(500);
+// A peer that did not give its document is passed over for this long, so that
+// one that can't be reached does not stand in the way of the others.
+constexpr Duration FetchRepeat = std::chrono::seconds(3);
+// Longest pause between heartbeats to a silent member; it bounds how long two
+// instances that hold each other for dead take to find each other again.
+constexpr Duration LongestContactPause = std::chrono::seconds(5);
 
 void record(TimelineKind Kind, const Member &M, EffectList &Out) {
   Out.push_back(
@@ -84,8 +90,9 @@
   SteadyTime Last = std::exchange(State.Members.LastTick, Now);
   if (Last == SteadyTime{} || Now - Last < State.Settings.Limits.Heartbeat)
     return;
+  // A heartbeat that was read after the pause must not count as heard later.
   for (auto &[Where, M] : State.Members.Members)
-    M.LastHeard += Now - Last;
+    M.LastHeard = std::min(Now, M.LastHeard + (Now - Last));
 }
 
 void detectSilence(InstanceState &State, SteadyTime Now, EffectList &Out) {
@@ -102,15 +109,24 @@
   }
 }
 
-/// Chooses the instance of the data centre that watches the configuration.
+/// Chooses the instance of the data centre that watches the configuration:
+/// one that reaches the platform, or any while none does.
 void updateWatcher(InstanceState &State, EffectList &Out) {
-  std::vector<Address> Candidates;
+  std::vector<Address> Present;
+  std::vector<Address> Reaching;
+  auto Add = [&](const Address &Where, bool Reachable) {
+    Present.push_back(Where);
+    if (Reachable)
+      Reaching.push_back(Where);
+  };
   if (!State.Drain)
-    Candidates.push_back(State.Settings.Advertise);
+    Add(State.Settings.Advertise, State.Members.PlatformReachable);
   for (const auto &[Where, M] : State.Members.Members)
     if (M.Self.Centre == State.Settings.Centre &&
         M.Health == MemberHealth::Alive && M.State == MemberState::Live)
-      Candidates.push_back(Where);
+      Add(Where, M.PlatformReachable);
+  const std::vector<Address> &Candidates =
+      Reaching.empty() ? Present : Reaching;
   bool Watch = rendezvousOwner("configuration-watch", Candidates) ==
                State.Settings.Advertise;
   if (Watch == State.Watching)
@@ -125,18 +141,63 @@
     return;
   Revision Known = std::max(State.Configuration.InForceRevision,
                             State.Configuration.RejectedRevision);
-  const Member *Newest = nullptr;
-  for (const auto &[Where, M] : State.Members.Members)
-    if (M.Health == MemberHealth::Alive && Known < M.ConfigurationRevision &&
+  Member *Newest = nullptr;
+  for (auto &[Where, M] : State.Members.Members)
+    if (M.Health == MemberHealth::Alive && M.State != MemberState::Left &&
+        Known < M.ConfigurationRevision &&
+        (M.LastFetch == SteadyTime{} || Now - M.LastFetch > FetchRepeat) &&
         (!Newest || Newest->ConfigurationRevision < M.ConfigurationRevision))
       Newest = &M;
   if (!Newest)
     return;
   State.Members.NextFetch = Now + FetchPause;
+  Newest->LastFetch = Now;
   Out.push_back(FetchConfiguration{Newest->Self.Where});
 }
 
+/// Whether no answer is expected of \p M.
+bool isSilent(const Member &M) {
+  return M.Health == MemberHealth::NeverHeard ||
+         M.Health == MemberHealth::Dead || M.State == MemberState::Left;
+}
+
+bool isNamed(const InstanceState &State, const Address &Where) {
+  return State.Members.Listed.count(Where) ||
+         std::any_of(State.Settings.Peers.begin(), State.Settings.Peers.end(),
+                     [&](const PeerSettings &P) { return P.At == Where; });
+}
+
+/// Drops members that have been silent for so long that no ticket of theirs is
+/// valid any more. Those that the settings or the platform's list name stay:
+/// they may be cut off, and quotas are divided by their number.
+void forgetSilentMembers(InstanceState &State, SteadyTime Now) {
+  auto &All = State.Members.Members;
+  for (auto It = All.begin(); It != All.end();) {
+    Member &M = It->second;
+    if (!isSilent(M))
+      M.SilentSince = {};
+    else if (M.SilentSince == SteadyTime{})
+      M.SilentSince = Now;
+    bool Expired = M.SilentSince != SteadyTime{} &&
+                   Now - M.SilentSince > State.Settings.Limits.TicketLifetime &&
+                   !M.HeartbeatPending && !isNamed(State, It->first);
+    It = Expired ? All.erase(It) : std::next(It);
+  }
+}
+
+/// Whether a heartbeat to \p M is due. The longer a member is silent, the
+/// rarer they are, so that old addresses cost little.
+bool contactIsDue(Member &M, Duration Period, SteadyTime Now) {
+  if (M.HeartbeatPending || (isSilent(M) && Now < M.NextContact))
+    return false;
+  Duration Silence =
+      M.SilentSince == SteadyTime{} ? Duration::zero() : Now - M.SilentSince;
+  M.NextContact = Now + std::min(LongestContactPause, Period + Silence / 4);
+  return true;
+}
+
 void forgetOld(InstanceState &State, SteadyTime Now) {
+  forgetSilentMembers(State, Now);
   auto &Former = State.Members.Former;
   for (auto It = Former.begin(); It != Former.end();)
     It = It->second < Now ? Former.erase(It) : std::next(It);
@@ -156,6 +217,15 @@
   State.Members.Members.emplace(Named.Where, std::move(M));
 }
 
+void applyInstanceList(InstanceState &State,
+                       const std::vector<MemberAddress> &List) {
+  State.Members.Listed.clear();
+  for (const MemberAddress &Named : List) {
+    State.Members.Listed.insert(Named.Where);
+    addMember(State, Named);
+  }
+}
+
 void applyHeartbeat(InstanceState &State, const Heartbeat &Message,
                     SteadyTime Now, EffectList &Out) {
   if (Message.Self.Where == State.Settings.Advertise ||
@@ -168,6 +238,11 @@
   Member &M = It->second;
   bool Replaced =
       M.Incarnation != IncarnationId{} && M.Incarnation != Message.Incarnation;
+  // A message that was overtaken by the farewell would make the member look
+  // dead instead of departed.
+  if (!Replaced && M.State == MemberState::Left &&
+      Message.State != MemberState::Left)
+    return;
   if (Replaced)
     replaceIncarnation(State, M, Now, Out);
   bool StateChanged = M.State != Message.State || Replaced;
@@ -176,6 +251,7 @@
   M.State = Message.State;
   M.Load = Message.Load;
   M.LastHeard = Now;
+  M.PlatformReachable = Message.PlatformReachable;
   if (M.ConfigurationRevision < Message.ConfigurationRevision || Replaced)
     M.ConfigurationRevision = Message.ConfigurationRevision;
   for (const MemberAddress &Named : Message.Known)
@@ -213,13 +289,26 @@
   Message.ConfigurationRevision = State.Configuration.InForceRevision;
   if (State.Drain && State.Members.OwnState == MemberState::Left)
     Message.Heir = State.Drain->Heir;
+  Message.PlatformReachable = State.Members.PlatformReachable;
   // Only members heard of lately are passed on, so that dead ones fade.
   for (const auto &[Where, M] : State.Members.Members)
-    if (M.Health == MemberHealth::Alive)
+    if (M.Health == MemberHealth::Alive && M.State != MemberState::Left)
       Message.Known.push_back(M.Self);
   return Message;
 }
 
+void announceConfiguration(InstanceState &State, SteadyTime Now,
+                           EffectList &Out) {
+  State.Members.NextFetch = Now;
+  for (auto &[Where, M] : State.Members.Members) {
+    M.LastFetch = {};
+    // The others got the document from this one or from a watcher of theirs.
+    if (State.Watching && M.Self.Centre == State.Settings.Centre &&
+        M.Health == MemberHealth::Alive)
+      sendHeartbeat(State, M, Now, Out);
+  }
+}
+
 void broadcastHeartbeat(InstanceState &State, SteadyTime Now, EffectList &Out) {
   for (auto &[Where, M] : State.Members.Members)
     sendHeartbeat(State, M, Now, Out);
@@ -239,7 +328,7 @@
     return;
   State.Members.NextHeartbeat = Now + State.Settings.Limits.Heartbeat;
   for (auto &[Where, M] : State.Members.Members)
-    if (!M.HeartbeatPending)
+    if (contactIsDue(M, State.Settings.Limits.Heartbeat, Now))
       sendHeartbeat(State, M, Now, Out);
 }
 
--- a/src/membership/member_cmd.h
+++ b/src/membership/member_cmd.h
@@ -10,6 +10,10 @@
 /// Adds an instance that settings, list or a heartbeat names.
 void addMember(InstanceState &State, const MemberAddress &Named);
 
+/// Adopts the instances that the platform's list names.
+void applyInstanceList(InstanceState &State,
+                       const std::vector<MemberAddress> &List);
+
 /// Adopts a heartbeat, received or as an answer.
 void applyHeartbeat(InstanceState &State, const Heartbeat &Message,
                     SteadyTime Now, EffectList &Out);
@@ -25,6 +29,10 @@
 /// What this instance says of itself.
 Heartbeat ownHeartbeat(const InstanceState &State, SteadyTime Now);
 
+/// Tells the data centre of a newly applied configuration at once.
+void announceConfiguration(InstanceState &State, SteadyTime Now,
+                           EffectList &Out);
+
 /// Sends a heartbeat to every member now.
 void broadcastHeartbeat(InstanceState &State, SteadyTime Now, EffectList &Out);
 
--- a/src/membership/member_type.h
+++ b/src/membership/member_type.h
@@ -30,6 +30,8 @@
   MemberState State = MemberState::Joining;
   LoadReport Load;
   Revision ConfigurationRevision;
+  /// Whether the platform's service answers the sender.
+  bool PlatformReachable = true;
   /// Receives the retained answers of a member that has left.
   std::optional<IncarnationId> Heir;
   std::vector<MemberAddress> Known;
--- a/src/reducer/event_type.h
+++ b/src/reducer/event_type.h
@@ -128,6 +128,11 @@
   std::string Text;
 };
 
+/// Whether the platform's service answers this instance has changed.
+struct PlatformObserved {
+  bool Reachable = true;
+};
+
 /// A peer asks for the document in force.
 struct ConfigurationAsked {
   RequestId Request;
@@ -155,13 +160,12 @@
 /// An operator or a signal asks for a graceful shutdown.
 struct DrainRequested {};
 
-using EventBody =
-    std::variant<Tick, TicketsRequested, JobRequested, CallerLeft, ForwardEnded,
-                 AttemptEnded, StatusRead, ListRead, HandoverReceived,
-                 HandoverAnswered, ReportReceived, ReportAnswered,
-                 RevokeReceived, RevokeAnswered, HeartbeatReceived,
-                 HeartbeatAnswered, ConfigurationRead, ConfigurationAsked,
-                 AnswersReceived, AnswersAnswered, DrainRequested>;
+using EventBody = std::variant<
+    Tick, TicketsRequested, JobRequested, CallerLeft, ForwardEnded,
+    AttemptEnded, StatusRead, ListRead, HandoverReceived, HandoverAnswered,
+    ReportReceived, ReportAnswered, RevokeReceived, RevokeAnswered,
+    HeartbeatReceived, HeartbeatAnswered, ConfigurationRead, PlatformObserved,
+    ConfigurationAsked, AnswersReceived, AnswersAnswered, DrainRequested>;
 
 /// An event with the time and the randomness that its handling may use.
 struct Event {
--- a/src/reducer/reducer.cpp
+++ b/src/reducer/reducer.cpp
@@ -46,8 +46,7 @@
   }
   void operator()(const StatusRead &E) { applyStatus(State, E, Now, Out); }
   void operator()(const ListRead &E) {
-    for (const MemberAddress &Named : E.Instances)
-      addMember(State, Named);
+    applyInstanceList(State, E.Instances);
     applyUpstreamList(State, E.Upstreams, Out);
   }
   void operator()(const HandoverReceived &E) {
@@ -77,11 +76,16 @@
                     State.Configuration.RejectedRevision == E.Number;
     if (!Applied && !Rejected)
       return;
+    if (Applied)
+      announceConfiguration(State, Now, Out);
     Out.push_back(RecordTimeline{Applied ? TimelineKind::ConfigurationApplied
                                          : TimelineKind::ConfigurationRejected,
                                  "", "",
                                  "revision=" + std::to_string(E.Number.Value)});
   }
+  void operator()(const PlatformObserved &E) {
+    State.Members.PlatformReachable = E.Reachable;
+  }
   void operator()(const ConfigurationAsked &E) {
     Out.push_back(ReplyConfiguration{E.Request,
                                      State.Configuration.InForceRevision,
--- a/src/rpc/rpc_codec.cpp
+++ b/src/rpc/rpc_codec.cpp
@@ -262,6 +262,7 @@
   if (Message.Heir)
     V["heir"] = Json::UInt64(Message.Heir->Value);
   V["known"] = encodeList(Message.Known, encodeMember);
+  V["platform_reachable"] = Message.PlatformReachable;
   return V;
 }
 
@@ -271,8 +272,8 @@
   Reader.string("address", Message.Self.Where.Value, MaxTextLength)
       .string("data_centre", Message.Self.Centre.Value, MaxTextLength)
       .unsignedId("incarnation", Message.Incarnation.Value)
-      .unsignedId("configuration_revision",
-                  Message.ConfigurationRevision.Value);
+      .unsignedId("configuration_revision", Message.ConfigurationRevision.Value)
+      .boolean("platform_reachable", Message.PlatformReachable);
   readEnum(Reader, "state", Message.State, MemberState::Left);
   readLoad(Reader, "load", Message.Load);
   if (Reader.has("heir")) {
--- a/src/upstreams/upstream_cmd.cpp
+++ b/src/upstreams/upstream_cmd.cpp
@@ -102,6 +102,8 @@
       ++It;
       continue;
     }
+    // Until it is listed again, its own status does not bring it back.
+    It->second.Listed.Leaving = true;
     setLeaving(It->second, true, Out);
     It = It->second.Busy == 0 ? State.Upstreams.All.erase(It) : std::next(It);
   }
