tool: add config

Cause: operators had no way to read or change the configuration.

Change: config get, set, diff, check, exceptions add and remove, history and status.

--- a/src/configuration/etcd_func.cpp
+++ b/src/configuration/etcd_func.cpp
@@ -143,7 +143,7 @@
 } // namespace
 
 std::string historyKey(const ChangeId &Id) {
-  return "snipeshunt/configuration-history/" + Id.Value;
+  return std::string(HistoryPrefix) + Id.Value;
 }
 
 std::string encodeBase64(std::string_view Bytes) {
@@ -187,6 +187,16 @@
   return {"/v3/kv/range", writeJson(Body)};
 }
 
+EtcdRequest prefixRequest(std::string_view Prefix) {
+  // The end is the first key behind all those with the prefix.
+  std::string End(Prefix);
+  ++End.back();
+  Json::Value Body;
+  Body["key"] = encodeBase64(Prefix);
+  Body["range_end"] = encodeBase64(End);
+  return {"/v3/kv/range", writeJson(Body)};
+}
+
 EtcdRequest watchRequest(std::string_view Key, Revision From) {
   Json::Value Body;
   Body["create_request"]["key"] = encodeBase64(Key);
@@ -228,6 +238,24 @@
   return Reply;
 }
 
+Result<std::vector<EtcdValue>> parseListReply(std::string_view Text) {
+  Result<Json::Value> Parsed = parseReply(Text);
+  if (failed(Parsed))
+    return errorOf(Parsed);
+  const Json::Value &List = valueOf(Parsed)["kvs"];
+  std::vector<EtcdValue> Out;
+  if (!isList(List))
+    return malformed("a wrong value in kvs");
+  for (const Json::Value &Item : List) {
+    std::string Key;
+    EtcdValue Found;
+    if (!readKeyValue(Item, Key, Found))
+      return malformed("a wrong value in kvs");
+    Out.push_back(std::move(Found));
+  }
+  return Out;
+}
+
 Result<EtcdSwapReply> parseSwapReply(std::string_view Text) {
   Result<Json::Value> Parsed = parseReply(Text);
   if (failed(Parsed))
--- a/src/configuration/etcd_func.h
+++ b/src/configuration/etcd_func.h
@@ -17,6 +17,8 @@
 
 /// Key of the configuration document.
 inline constexpr std::string_view ConfigurationKey = "snipeshunt/configuration";
+inline constexpr std::string_view HistoryPrefix =
+    "snipeshunt/configuration-history/";
 /// Key of the history entry of change \p Id.
 std::string historyKey(const ChangeId &Id);
 
@@ -24,6 +26,8 @@
 Result<std::string> decodeBase64(std::string_view Text);
 
 EtcdRequest rangeRequest(std::string_view Key);
+/// Reads all keys that start with \p Prefix.
+EtcdRequest prefixRequest(std::string_view Prefix);
 /// Watches \p Key from revision \p From, which is included.
 EtcdRequest watchRequest(std::string_view Key, Revision From);
 /// Replaces the document \p Old, read at \p OldRevision, by \p New and records
@@ -32,6 +36,8 @@
                         const Configuration &New);
 
 Result<EtcdRangeReply> parseRangeReply(std::string_view Text);
+/// Values of a reply to a range request for several keys.
+Result<std::vector<EtcdValue>> parseListReply(std::string_view Text);
 Result<EtcdSwapReply> parseSwapReply(std::string_view Text);
 /// Reads one message of a watch, which is one line of the response.
 Result<EtcdWatchReply> parseWatchReply(std::string_view Line);
--- a/src/tool/commands.h
+++ b/src/tool/commands.h
@@ -15,6 +15,10 @@
 ToolExit runInstances(const ToolArguments &Arguments);
 ToolExit runUpstreams(const ToolArguments &Arguments);
 ToolExit runDrain(const ToolArguments &Arguments);
+// config_command.cpp
+ToolExit runConfig(const ToolArguments &Arguments);
+// config_status_command.cpp
+ToolExit runConfigStatus(const ToolArguments &Arguments);
 // timeline_command.cpp
 ToolExit runTimeline(const ToolArguments &Arguments);
 
--- /dev/null
+++ b/src/tool/config_status_command.cpp
@@ -0,0 +1,62 @@
+/// \file Subcommand that compares the configuration of all instances.
+#include "core/json_func.h"
+#include "tool/api_client.h"
+#include "tool/commands.h"
+#include "tool_support/tool_config.h"
+
+#include <algorithm>
+#include <iostream>
+
+namespace snipeshunt {
+
+namespace {
+
+std::vector<HttpOutcome> getAll(ApiClient &Client,
+                                const std::vector<Address> &Instances,
+                                const char *Path) {
+  std::vector<HttpCall> Calls;
+  for (const Address &Instance : Instances) {
+    Calls.push_back(Client.request("GET", Path));
+    Calls.back().Target = Instance;
+  }
+  return Client.callAll(std::move(Calls));
+}
+
+/// The JSON object of a good reply, or null.
+Json::Value objectOf(const HttpOutcome &Outcome) {
+  const auto *Reply = std::get_if<HttpReply>(&Outcome);
+  if (!Reply || Reply->Status != 200)
+    return Json::Value();
+  Result<Json::Value> Body = parseJson(Reply->Body);
+  bool Usable = !failed(Body) && valueOf(Body).isObject();
+  return Usable ? valueOf(Body) : Json::Value();
+}
+
+} // namespace
+
+ToolExit runConfigStatus(const ToolArguments &Arguments) {
+  ApiClient Client(Arguments);
+  std::vector<Address> All = Arguments.Instances;
+  for (const HttpOutcome &Outcome :
+       getAll(Client, Arguments.Instances, "/v1/instances"))
+    for (Address &Listed : presentInstances(objectOf(Outcome)))
+      if (std::find(All.begin(), All.end(), Listed) == All.end())
+        All.push_back(std::move(Listed));
+  std::vector<HttpOutcome> Outcomes = getAll(Client, All, "/v1/configuration");
+  std::vector<ConfigurationStatus> Rows;
+  for (size_t I = 0; I < All.size(); ++I)
+    Rows.push_back(readConfigurationStatus(All[I], objectOf(Outcomes[I])));
+  std::cout << formatConfigurationStatus(Rows, Arguments.Json);
+  if (std::none_of(Rows.begin(), Rows.end(),
+                   [](const auto &Row) { return Row.Reachable; }))
+    return fail(ToolExit::Unreachable, "no instance answered",
+                "check that the instances run, or name others by --instance");
+  if (!agree(Rows))
+    return fail(ToolExit::Failed,
+                "the instances do not all have one revision in force",
+                "ask again; see the rejected document or the log of an "
+                "instance that stays behind");
+  return ToolExit::Success;
+}
+
+} // namespace snipeshunt
--- a/src/tool/tool_main.cpp
+++ b/src/tool/tool_main.cpp
@@ -27,14 +27,21 @@
     return runDrain(Arguments);
   case ToolCommand::Timeline:
     return runTimeline(Arguments);
+  case ToolCommand::Config:
+    return runConfig(Arguments);
   }
   return ToolExit::Usage;
 }
 
+std::string variable(const char *Name) {
+  const char *Value = getenv(Name);
+  return Value ? Value : "";
+}
+
 ToolExit runTool(const std::vector<std::string> &Words) {
-  const char *Variable = getenv("SNIPESHUNT_INSTANCES");
-  Result<ToolArguments> Parsed =
-      parseToolArguments(Words, Variable ? Variable : "");
+  Result<ToolArguments> Parsed = parseToolArguments(
+      Words, {variable("SNIPESHUNT_INSTANCES"), variable("SNIPESHUNT_PLATFORM"),
+              variable("USER")});
   if (failed(Parsed)) {
     const Error &Problem = errorOf(Parsed);
     std::cerr << formatError(Problem.Message, Problem.Remedy);
--- a/src/tool_support/tool_arguments.cpp
+++ b/src/tool_support/tool_arguments.cpp
@@ -1,6 +1,7 @@
 /// \file Command line of the tool.
 #include "tool_support/tool_arguments.h"
 
+#include "configuration/configuration_table.h"
 #include "http/http_address.h"
 #include "tool_support/tool_table.h"
 
@@ -24,6 +25,25 @@
   AttemptsOption,
   TraceOption,
   JobOption,
+  PlatformOption,
+  AuthorOption,
+  ScopeOption,
+  NameOption,
+  SettingOption,
+  ValueOption,
+  ReasonOption,
+  IdOption,
+};
+
+const option ConfigOptions[] = {
+    {"platform", required_argument, nullptr, PlatformOption},
+    {"author", required_argument, nullptr, AuthorOption},
+    {"scope", required_argument, nullptr, ScopeOption},
+    {"name", required_argument, nullptr, NameOption},
+    {"setting", required_argument, nullptr, SettingOption},
+    {"value", required_argument, nullptr, ValueOption},
+    {"reason", required_argument, nullptr, ReasonOption},
+    {"id", required_argument, nullptr, IdOption},
 };
 
 const option GlobalOptions[] = {
@@ -44,6 +64,8 @@
     Out.push_back({"trace", required_argument, nullptr, TraceOption});
     Out.push_back({"job", required_argument, nullptr, JobOption});
   }
+  if (Command == ToolCommand::Config)
+    Out.insert(Out.end(), std::begin(ConfigOptions), std::end(ConfigOptions));
   Out.push_back({nullptr, 0, nullptr, 0});
   return Out;
 }
@@ -72,8 +94,10 @@
 /// Parses one command line; a member per step keeps the steps short.
 class ArgumentParser {
 public:
-  Result<ToolArguments> parse(const std::vector<std::string> &Words,
-                              const std::string &InstancesVariable);
+  explicit ArgumentParser(ToolEnvironment Environment)
+      : Environment(std::move(Environment)) {}
+
+  Result<ToolArguments> parse(const std::vector<std::string> &Words);
 
 private:
   /// Reads options of \p Words and gives the words that are none. In front of
@@ -82,14 +106,25 @@
   void apply(int Code, const char *Value);
   void readPositionals(const std::vector<std::string> &Words);
   void addInstances(const std::string &List);
-  void checkInstances(const std::string &InstancesVariable);
+  void checkInstances();
+  void applyConfig(int Code, const std::string &Value);
+  void readConfigVerb(std::vector<std::string> &Words);
+  void checkConfig();
+  /// Stores the row of \p Table called \p Name, or fails with the names.
+  template <typename Row, size_t N>
+  const Row *findRow(const char *Option, const std::string &Name,
+                     const Row (&Table)[N]);
   int readNumber(const char *Option, const char *Text, int Max);
   void fail(std::string Message) {
     if (!Problem)
       Problem = usageError(std::move(Message), Out.Command);
   }
 
+  ToolEnvironment Environment;
   ToolArguments Out;
+  std::string Scope;
+  std::string Setting;
+  std::string Value;
   std::optional<Error> Problem;
 };
 
@@ -156,7 +191,106 @@
   case JobOption:
     Out.Job = Value;
     break;
+  default:
+    applyConfig(Code, Value);
+  }
+}
+
+void ArgumentParser::applyConfig(int Code, const std::string &Text) {
+  switch (Code) {
+  case PlatformOption:
+    Out.Platform = Address{Text};
+    break;
+  case AuthorOption:
+    Out.Author = Text;
+    break;
+  case ScopeOption:
+    Scope = Text;
+    break;
+  case NameOption:
+    Out.Exception.Name = Text;
+    break;
+  case SettingOption:
+    Setting = Text;
+    break;
+  case ValueOption:
+    Value = Text;
+    break;
+  case ReasonOption:
+    Out.Exception.Reason = Text;
+    break;
+  case IdOption:
+    Out.Exception.Id.Value = Text;
+    break;
+  }
+}
+
+void ArgumentParser::readConfigVerb(std::vector<std::string> &Words) {
+  std::string Verb = Words.empty() ? "" : Words.front();
+  size_t Used = Words.empty() ? 0 : 1;
+  if (Verb == "exceptions" && Words.size() > 1) {
+    Verb += " " + Words[1];
+    Used = 2;
+  }
+  Words.erase(Words.begin(), Words.begin() + static_cast<std::ptrdiff_t>(Used));
+  for (const ConfigVerbEntry &Entry : ConfigVerbTable) {
+    if (Entry.Words != Verb)
+      continue;
+    Out.Verb = Entry.Verb;
+    if (Entry.TakesArgument && Words.empty())
+      return fail("config " + Verb + " needs an argument");
+    if (!Entry.TakesArgument)
+      return;
+    Out.File = Words.front();
+    if (Entry.Verb == ConfigVerb::RemoveException)
+      Out.Exception.Id.Value = Words.front();
+    Words.erase(Words.begin());
+    return;
   }
+  fail("'config " + Verb + "' is not a subcommand");
+}
+
+template <typename Row, size_t N>
+const Row *ArgumentParser::findRow(const char *Option, const std::string &Name,
+                                   const Row (&Table)[N]) {
+  std::string Allowed;
+  for (const Row &R : Table) {
+    if (Name == R.Name)
+      return &R;
+    Allowed += (Allowed.empty() ? "" : ", ") + std::string(R.Name);
+  }
+  fail(std::string(Option) + " must be one of " + Allowed);
+  return nullptr;
+}
+
+void ArgumentParser::checkConfig() {
+  if (!Out.Platform && !Environment.Platform.empty())
+    Out.Platform = Address{Environment.Platform};
+  bool NeedsPlatform =
+      Out.Verb != ConfigVerb::Check && Out.Verb != ConfigVerb::Status;
+  if (NeedsPlatform && !Out.Platform)
+    fail("the platform's service is not named; add --platform IP:port or set "
+         "SNIPESHUNT_PLATFORM");
+  if (Out.Platform && failed(parseAddress(*Out.Platform)))
+    fail("'" + Out.Platform->Value + "' is not an IPv4 address and port");
+  if (Out.Author.empty())
+    Out.Author = Environment.User;
+  for (const ConfigVerbEntry &Entry : ConfigVerbTable)
+    if (Entry.Verb == Out.Verb && Entry.Changes && Out.Author.empty())
+      fail("the author is not known; add --author NAME or set USER");
+  if (Out.Verb != ConfigVerb::AddException)
+    return;
+  PolicyException &E = Out.Exception;
+  if (const ScopeRow *Row = findRow("--scope", Scope, ScopeTable))
+    E.Scope = Row->Scope;
+  if (const SettingRow *Row = findRow("--setting", Setting, SettingTable))
+    E.Setting = Row->Setting;
+  char *End = nullptr;
+  E.Value = strtod(Value.c_str(), &End);
+  if (Value.empty() || *End != '\0')
+    fail("--value must be a number");
+  if (E.Id.Value.empty())
+    E.Id.Value = Scope + "/" + E.Name + "/" + Setting;
 }
 
 int ArgumentParser::readNumber(const char *Option, const char *Text, int Max) {
@@ -201,7 +335,10 @@
     Out.File = Words[0];
 }
 
-void ArgumentParser::checkInstances(const std::string &InstancesVariable) {
+void ArgumentParser::checkInstances() {
+  // The other verbs of config talk to the platform alone.
+  if (Out.Command == ToolCommand::Config && Out.Verb != ConfigVerb::Status)
+    return;
   // An instance is drained only when named on the command line, so that a
   // list left in the environment can't shut anything down.
   if (Out.Command == ToolCommand::Drain) {
@@ -210,15 +347,14 @@
     return;
   }
   if (Out.Instances.empty())
-    addInstances(InstancesVariable);
+    addInstances(Environment.Instances);
   if (Out.Instances.empty())
     fail("no instance is named; add --instance IP:port or set "
          "SNIPESHUNT_INSTANCES");
 }
 
 Result<ToolArguments>
-ArgumentParser::parse(const std::vector<std::string> &Words,
-                      const std::string &InstancesVariable) {
+ArgumentParser::parse(const std::vector<std::string> &Words) {
   std::vector<std::string> Rest = readOptions(Words);
   if (!Problem && (Out.Help || Out.Version))
     return Out;
@@ -234,8 +370,12 @@
   Rest = readOptions({Rest.begin() + 1, Rest.end()});
   if (!Problem && (Out.Help || Out.Version))
     return Out;
+  if (Out.Command == ToolCommand::Config)
+    readConfigVerb(Rest);
   readPositionals(Rest);
-  checkInstances(InstancesVariable);
+  if (Out.Command == ToolCommand::Config)
+    checkConfig();
+  checkInstances();
   if (Problem)
     return *Problem;
   return Out;
@@ -244,8 +384,8 @@
 } // namespace
 
 Result<ToolArguments> parseToolArguments(const std::vector<std::string> &Words,
-                                         const std::string &InstancesVariable) {
-  return ArgumentParser().parse(Words, InstancesVariable);
+                                         const ToolEnvironment &Environment) {
+  return ArgumentParser(Environment).parse(Words);
 }
 
 std::string toolHelp(std::optional<ToolCommand> Command) {
--- a/src/tool_support/tool_arguments.h
+++ b/src/tool_support/tool_arguments.h
@@ -11,10 +11,16 @@
 
 namespace snipeshunt {
 
-/// Reads the arguments after the program's name. \p InstancesVariable is the
-/// value of SNIPESHUNT_INSTANCES, used when no --instance is given.
+/// Environment variables, used when the options that they replace are absent.
+struct ToolEnvironment {
+  std::string Instances; ///< SNIPESHUNT_INSTANCES
+  std::string Platform;  ///< SNIPESHUNT_PLATFORM
+  std::string User;      ///< USER
+};
+
+/// Reads the arguments after the program's name.
 Result<ToolArguments> parseToolArguments(const std::vector<std::string> &Words,
-                                         const std::string &InstancesVariable);
+                                         const ToolEnvironment &Environment);
 
 /// Help of the tool or of one subcommand.
 std::string toolHelp(std::optional<ToolCommand> Command);
--- a/src/tool_support/tool_table.h
+++ b/src/tool_support/tool_table.h
@@ -37,6 +37,46 @@
      "  --trace FILE      write trace-event JSON to FILE, or - for standard "
      "output\n"
      "  --job JOB         only events of this job id or ticket\n"},
+    {ToolCommand::Config, "config",
+     "get | set FILE | diff FILE | check FILE | exceptions add OPTIONS |\n"
+     "         exceptions remove ID | history | status",
+     "read and change the configuration",
+     "  get               print the document in the platform's service\n"
+     "  set FILE          replace it by FILE, which must be an edited copy of\n"
+     "                    the present one; - reads standard input\n"
+     "  diff FILE         print what set would change\n"
+     "  check FILE        check FILE without any service\n"
+     "  exceptions add    add one exception, given by --scope, --name,\n"
+     "                    --setting, --value, --reason and optionally --id\n"
+     "  exceptions remove ID\n"
+     "                    remove the exception called ID\n"
+     "  history           print the changes, oldest first\n"
+     "  status            print the revision in force on each instance; fails\n"
+     "                    unless all have the same and none rejects a newer "
+     "one\n"
+     "  --platform IP:port\n"
+     "                    the platform's service (default:\n"
+     "                    SNIPESHUNT_PLATFORM)\n"
+     "  --author NAME     who makes the change (default: USER)\n"},
+};
+
+/// One verb of `config`, as its words on the command line.
+struct ConfigVerbEntry {
+  ConfigVerb Verb;
+  std::string_view Words; ///< One or two words.
+  bool TakesArgument;     ///< A file or an id follows.
+  bool Changes;           ///< Needs an author.
+};
+
+inline constexpr ConfigVerbEntry ConfigVerbTable[] = {
+    {ConfigVerb::Get, "get", false, false},
+    {ConfigVerb::Set, "set", true, true},
+    {ConfigVerb::Diff, "diff", true, false},
+    {ConfigVerb::Check, "check", true, false},
+    {ConfigVerb::AddException, "exceptions add", false, true},
+    {ConfigVerb::RemoveException, "exceptions remove", true, true},
+    {ConfigVerb::History, "history", false, false},
+    {ConfigVerb::Status, "status", false, false},
 };
 
 inline constexpr std::string_view ToolGlobalOptions =
--- a/src/tool_support/tool_type.h
+++ b/src/tool_support/tool_type.h
@@ -2,6 +2,7 @@
 #ifndef SNIPESHUNT_TOOL_SUPPORT_TOOL_TYPE_H
 #define SNIPESHUNT_TOOL_SUPPORT_TOOL_TYPE_H
 
+#include "configuration/configuration_type.h"
 #include "core/clock.h"
 #include "core/id_type.h"
 
@@ -20,8 +21,7 @@
   Unknown = 4,     ///< The request may have taken effect.
 };
 
-/// What the tool is asked to do. A `config` subcommand gets its entry here, a
-/// row in `tool_table.h` and a case in `tool_main.cpp`.
+/// What the tool is asked to do.
 enum class ToolCommand {
   Submit,
   Status,
@@ -30,6 +30,19 @@
   Upstreams,
   Drain,
   Timeline,
+  Config,
+};
+
+/// What is done with the configuration.
+enum class ConfigVerb {
+  Get,
+  Set,
+  Diff,
+  Check,
+  AddException,
+  RemoveException,
+  History,
+  Status,
 };
 
 /// The command line, checked.
@@ -46,6 +59,10 @@
   std::string Ticket;                 ///< status, cancel.
   std::string TraceFile;              ///< timeline: where to write a trace.
   std::string Job;                    ///< timeline: only this job's events.
+  ConfigVerb Verb = ConfigVerb::Get;  ///< config: what to do.
+  std::optional<Address> Platform;    ///< config: the platform's service.
+  std::string Author;                 ///< config: who makes the change.
+  PolicyException Exception;          ///< config exceptions: to add or remove.
 };
 
 } // namespace snipeshunt
--- a/tests/tool_test.cpp
+++ b/tests/tool_test.cpp
@@ -14,14 +14,14 @@
     "v1.dc1.127.0.0.1_7070.00000000000000a1.7.1700000000000.0123abcd";
 
 ToolArguments parseGood(const std::vector<std::string> &Words) {
-  Result<ToolArguments> Parsed = parseToolArguments(Words, OneInstance);
+  Result<ToolArguments> Parsed = parseToolArguments(Words, {OneInstance});
   EXPECT_FALSE(failed(Parsed)) << errorOf(Parsed).Message;
   return failed(Parsed) ? ToolArguments() : valueOf(Parsed);
 }
 
 std::string problemOf(const std::vector<std::string> &Words,
                       const std::string &Variable = OneInstance) {
-  Result<ToolArguments> Parsed = parseToolArguments(Words, Variable);
+  Result<ToolArguments> Parsed = parseToolArguments(Words, {Variable});
   return failed(Parsed) ? errorOf(Parsed).Message : "";
 }
 
@@ -50,7 +50,7 @@
 // Guards against changed defaults and an ignored environment variable.
 TEST(ToolArgumentsTest, HasDefaults) {
   Result<ToolArguments> Parsed =
-      parseToolArguments({"submit"}, "10.0.0.1:1,10.0.0.2:2,10.0.0.1:1");
+      parseToolArguments({"submit"}, {"10.0.0.1:1,10.0.0.2:2,10.0.0.1:1"});
   ASSERT_FALSE(failed(Parsed));
   const ToolArguments &A = valueOf(Parsed);
   EXPECT_EQ(A.File, "-");
@@ -89,6 +89,39 @@
             "SNIPESHUNT_INSTANCES");
 }
 
+// Guards against a change without an author or service, and against verbs or
+// exceptions that were typed wrong.
+TEST(ToolArgumentsTest, ReadsConfigVerbs) {
+  const ToolEnvironment Full{"", "10.0.0.1:2379", "ana"};
+  auto Problem = [](const std::vector<std::string> &Words,
+                    const ToolEnvironment &Environment) {
+    Result<ToolArguments> Parsed = parseToolArguments(Words, Environment);
+    return failed(Parsed) ? errorOf(Parsed).Message : "";
+  };
+  Result<ToolArguments> Added = parseToolArguments(
+      {"config", "exceptions", "add", "--scope", "team", "--name", "t",
+       "--setting=team_weight", "--value", "2.5", "--reason", "a good reason"},
+      Full);
+  ASSERT_FALSE(failed(Added)) << errorOf(Added).Message;
+  const ToolArguments &A = valueOf(Added);
+  EXPECT_EQ(A.Verb, ConfigVerb::AddException);
+  EXPECT_EQ(A.Exception.Id.Value, "team/t/team_weight");
+  EXPECT_EQ(A.Exception.Setting, ExceptionSetting::TeamWeight);
+  EXPECT_EQ(A.Exception.Value, 2.5);
+  EXPECT_EQ(A.Author, "ana");
+  EXPECT_EQ(A.Platform->Value, "10.0.0.1:2379");
+  EXPECT_EQ(Problem({"config", "check", "f"}, {}), "");
+  EXPECT_EQ(Problem({"config", "status"}, {OneInstance}), "");
+  EXPECT_NE(Problem({"config", "status"}, {}), "");
+  EXPECT_NE(Problem({"config", "get"}, {}), "");
+  EXPECT_NE(Problem({"config", "set"}, Full), "");
+  EXPECT_NE(Problem({"config", "set", "f"}, {"", "10.0.0.1:2379", ""}), "");
+  EXPECT_NE(Problem({"config", "exceptions", "add"}, Full), "");
+  EXPECT_EQ(Problem({"config", "exceptions"}, Full),
+            "'config exceptions' is not a subcommand");
+  EXPECT_EQ(Problem({"config", "get", "x"}, Full), "unexpected argument 'x'");
+}
+
 // Guards against draining instances listed in the environment.
 TEST(ToolArgumentsTest, DrainNeedsOneNamedInstance) {
   std::string Expected = "drain needs exactly one --instance";
@@ -105,7 +138,7 @@
   EXPECT_TRUE(parseGood({"--version"}).Version);
   for (const ToolCommandEntry &Entry : ToolCommandTable) {
     std::string Name(Entry.Name);
-    Result<ToolArguments> Parsed = parseToolArguments({Name, "--help"}, "");
+    Result<ToolArguments> Parsed = parseToolArguments({Name, "--help"}, {});
     ASSERT_FALSE(failed(Parsed)) << Name;
     EXPECT_TRUE(valueOf(Parsed).Help && valueOf(Parsed).Command);
     EXPECT_NE(toolHelp(Entry.Command).find("snipeshunt " + Name),
