--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -18,7 +18,7 @@
 
 constexpr uint16_t PublicPort = 7070;
 constexpr uint16_t BehindRelayPort = 7071;
-constexpr size_t RoleCount = 4;
+constexpr size_t RoleCount = 5;
 // Generous, so that a loaded machine does not decide a test.
 constexpr Duration StartTimeout = std::chrono::seconds(60);
 
@@ -29,6 +29,8 @@
   switch (Role) {
   case FleetRole::Platform:
     return 1;
+  case FleetRole::PlatformRelay:
+    return 2;
   case FleetRole::Upstream:
     return 10;
   case FleetRole::Instance:
@@ -48,6 +50,8 @@
     return "instance";
   case FleetRole::Relay:
     return "relay";
+  case FleetRole::PlatformRelay:
+    return "platform-relay";
   }
   return "";
 }
@@ -71,6 +75,14 @@
   return std::move(Reply.Body);
 }
 
+Result<Ok> setRules(const Address &Relay, const std::string &RulesJson) {
+  Result<std::string> Reply =
+      postText(Relay, "/relay/rules", "{\"rules\":" + RulesJson + "}");
+  if (failed(Reply))
+    return errorOf(Reply);
+  return Ok{};
+}
+
 } // namespace
 
 HttpOutcome callOnce(HttpCall Call) {
@@ -112,8 +124,9 @@
       (std::filesystem::temp_directory_path() / "snipeshunt-XXXXXX").string();
   WorkDir = mkdtemp(Template.data());
   Processes.resize(RoleCount);
-  for (FleetRole Role : {FleetRole::Platform, FleetRole::Upstream,
-                         FleetRole::Instance, FleetRole::Relay})
+  for (FleetRole Role :
+       {FleetRole::Platform, FleetRole::Upstream, FleetRole::Instance,
+        FleetRole::Relay, FleetRole::PlatformRelay})
     Processes[static_cast<size_t>(Role)].resize(count(Role));
 }
 
@@ -133,6 +146,8 @@
     return size_t{Options.Centres} * Options.InstancesPerCentre;
   case FleetRole::Relay:
     return Options.Relays ? count(FleetRole::Instance) : 0;
+  case FleetRole::PlatformRelay:
+    return Options.PlatformRelay ? 1 : 0;
   }
   return 0;
 }
@@ -158,6 +173,11 @@
   return join(ip(FleetRole::Platform, 0), PublicPort);
 }
 Address Fleet::relay(size_t I) const { return instance(I); }
+Address Fleet::platformRelay() const {
+  return Options.PlatformRelay
+             ? join(ip(FleetRole::PlatformRelay, 0), PublicPort)
+             : platform();
+}
 std::string Fleet::instanceIp(size_t I) const {
   return ip(FleetRole::Instance, I);
 }
@@ -224,6 +244,14 @@
             directInstance(I).Value,
             "--seed",
             Seed};
+  case FleetRole::PlatformRelay:
+    return {Options.BinaryDir + "/standin-relay",
+            "--listen",
+            platformRelay().Value,
+            "--target",
+            platform().Value,
+            "--seed",
+            Seed};
   }
   return {};
 }
@@ -234,7 +262,7 @@
   V["advertise"] = instance(I).Value;
   V["data_centre"] = centreOf(FleetRole::Instance, I);
   V["fleet_key"] = "test fleet key, not a secret";
-  V["platform"] = platform().Value;
+  V["platform"] = platformRelay().Value;
   for (size_t Peer = 0; Peer < instances(); ++Peer) {
     if (Peer == I)
       continue;
@@ -267,8 +295,9 @@
 Result<Ok> Fleet::start() {
   for (size_t I = 0; I < instances(); ++I)
     writeSettings(I);
-  for (FleetRole Role : {FleetRole::Platform, FleetRole::Upstream,
-                         FleetRole::Relay, FleetRole::Instance})
+  for (FleetRole Role :
+       {FleetRole::Platform, FleetRole::PlatformRelay, FleetRole::Upstream,
+        FleetRole::Relay, FleetRole::Instance})
     for (size_t I = 0; I < count(Role); ++I) {
       Result<Ok> Started = startOne(Role, I);
       if (failed(Started))
@@ -307,11 +336,11 @@
 }
 
 Result<Ok> Fleet::setRelayRules(size_t I, const std::string &RulesJson) {
-  Result<std::string> Reply =
-      postText(relay(I), "/relay/rules", "{\"rules\":" + RulesJson + "}");
-  if (failed(Reply))
-    return errorOf(Reply);
-  return Ok{};
+  return setRules(relay(I), RulesJson);
+}
+
+Result<Ok> Fleet::setPlatformRules(const std::string &RulesJson) {
+  return setRules(platformRelay(), RulesJson);
 }
 
 Result<Ok> Fleet::publishList(const std::vector<std::string> &UpstreamStates) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -23,14 +23,15 @@
   uint32_t SlotsPerUpstream = 8;
   /// Speed of upstream N of a data centre; all 1 when empty.
   std::function<double(uint32_t)> Speed;
-  bool Relays = false; ///< A relay in front of each instance.
+  bool Relays = false;        ///< A relay in front of each instance.
+  bool PlatformRelay = false; ///< One between the instances and the platform.
   uint64_t Seed = 1;
   std::string ExtraSettings; ///< Members added to each settings file, for
                              ///< instance `"limits":{...}`.
 };
 
 /// Kinds of processes in a fleet.
-enum class FleetRole { Platform, Upstream, Instance, Relay };
+enum class FleetRole { Platform, Upstream, Instance, Relay, PlatformRelay };
 
 /// Starts, faults and stops the processes.
 ///
@@ -55,6 +56,8 @@
   Address upstream(size_t I) const;
   Address platform() const;
   Address relay(size_t I) const;
+  /// The platform as the instances reach it.
+  Address platformRelay() const;
   /// IP number from which instance \p I connects to others.
   std::string instanceIp(size_t I) const;
   std::string centreOf(FleetRole Role, size_t I) const;
@@ -64,6 +67,8 @@
   Result<Ok> restart(FleetRole Role, size_t I = 0);
   /// Replaces all rules of relay \p I; see `standin-relay`.
   Result<Ok> setRelayRules(size_t I, const std::string &RulesJson);
+  /// Replaces all rules between the instances and the platform.
+  Result<Ok> setPlatformRules(const std::string &RulesJson);
   /// Replaces the platform's list; states are by upstream, "live" when absent.
   Result<Ok> publishList(const std::vector<std::string> &UpstreamStates = {});
 
