daemon: count the bytes between instances

The control cost of a node is limited to 19 KB a second, and no metric showed what instances send to each other. The client pool now counts the bytes of requests and replies, headers included, and /metrics shows rpc_requests_total, rpc_bytes_sent_total and rpc_bytes_received_total. Every message between instances is a request of one of the two, so the sum over all instances is the whole traffic without TCP and IP headers.

--- a/src/daemon/caller_gateway.cpp
+++ b/src/daemon/caller_gateway.cpp
@@ -148,7 +148,7 @@
     send(Request.Id,
          {Ready ? 200 : 503, Ready ? "{\"ready\":true}" : "{\"ready\":false}"});
   } else if (Request.Path == "/metrics") {
-    Measured.update(State, Owner.timeline());
+    Measured.update(State, Owner.timeline(), Owner.peerTraffic());
     send(Request.Id, {200, Measured.text(), "text/plain; version=0.0.4"});
   } else if (Request.Path == "/v1/instances") {
     send(Request.Id,
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -92,6 +92,8 @@
   Timeline.record(std::move(Event));
 }
 
+PeerTraffic Daemon::peerTraffic() const { return Peers->traffic(); }
+
 TimelineSource Daemon::timelineSource() const {
   return {State.Settings.Advertise, State.Incarnation, State.Settings.Centre};
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -3,6 +3,7 @@
 #ifndef SNIPESHUNT_DAEMON_DAEMON_H
 #define SNIPESHUNT_DAEMON_DAEMON_H
 
+#include "daemon/metrics.h"
 #include "daemon/signal_table.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -38,6 +39,7 @@
   const InstanceState &state() const { return State; }
   const TimelineRing &timeline() const { return Timeline; }
   TimelineSource timelineSource() const;
+  PeerTraffic peerTraffic() const;
   HttpServer &server() { return Server; }
   SignalTable<Effect> &effects() { return Effects; }
   const Clock &clock() const { return Time; }
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -31,7 +31,8 @@
   Entry->Set(Value);
 }
 
-void Metrics::update(const InstanceState &State, const TimelineRing &Timeline) {
+void Metrics::update(const InstanceState &State, const TimelineRing &Timeline,
+                     const PeerTraffic &Traffic) {
   const struct Counters &C = State.Counts;
   count("jobs_submitted_total", "Jobs admitted by this home.", C.JobsSubmitted);
   count("jobs_refused_total", "Submissions refused as not run.", C.JobsRefused);
@@ -51,6 +52,12 @@
         C.HandoverMessages);
   count("report_messages_total", "Report messages sent.", C.ReportMessages);
   count("retries_total", "Tasks queued again after an attempt.", C.Retries);
+  count("rpc_requests_total", "Requests sent to other instances.",
+        Traffic.Requests);
+  count("rpc_bytes_sent_total", "Bytes of requests to other instances.",
+        Traffic.BytesSent);
+  count("rpc_bytes_received_total", "Bytes of replies of other instances.",
+        Traffic.BytesReceived);
   count("timeline_dropped_total", "Timeline events overwritten.",
         Timeline.dropped());
   measure("jobs_running", "Jobs without an answer.",
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -14,11 +14,19 @@
 
 namespace snipeshunt {
 
+/// Messages to other instances.
+struct PeerTraffic {
+  uint64_t Requests = 0;      ///< Requests sent.
+  uint64_t BytesSent = 0;     ///< Of these requests, headers included.
+  uint64_t BytesReceived = 0; ///< Of their replies.
+};
+
 /// Copies the reducer's counts into a registry when they are asked for.
 class Metrics {
 public:
   Metrics();
-  void update(const InstanceState &State, const TimelineRing &Timeline);
+  void update(const InstanceState &State, const TimelineRing &Timeline,
+              const PeerTraffic &Traffic);
   std::string text() const;
 
 private:
--- a/src/daemon/peer_gateway.h
+++ b/src/daemon/peer_gateway.h
@@ -12,6 +12,10 @@
 public:
   explicit PeerGateway(Daemon &Owner);
 
+  PeerTraffic traffic() const {
+    return {Client.callsSent(), Client.bytesSent(), Client.bytesReceived()};
+  }
+
 private:
   using ReplyHandler = std::function<void(
       const std::optional<Json::Value> &Reply, bool NothingSent)>;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -41,9 +41,9 @@
         Http, static_cast<ev_ssize_t>(Owner.Options.MaxReplyBody));
     if (!Owner.Options.LocalIp.empty())
       evhttp_connection_set_local_address(Http, Owner.Options.LocalIp.c_str());
-    evbuffer *Output =
-        bufferevent_get_output(evhttp_connection_get_bufferevent(Http));
-    OutputWatch = evbuffer_add_cb(Output, handleOutput, this);
+    bufferevent *Buffers = evhttp_connection_get_bufferevent(Http);
+    evbuffer_add_cb(bufferevent_get_output(Buffers), handleOutput, this);
+    evbuffer_add_cb(bufferevent_get_input(Buffers), handleInput, this);
   }
 
   Connection(const Connection &) = delete;
@@ -90,8 +90,14 @@
 private:
   static void handleOutput(evbuffer *, const evbuffer_cb_info *Info,
                            void *Arg) {
+    auto *Self = static_cast<Connection *>(Arg);
     if (Info->n_added > 0)
-      static_cast<Connection *>(Arg)->BytesHandedOver = true;
+      Self->BytesHandedOver = true;
+    Self->Owner.BytesSent += Info->n_added;
+  }
+
+  static void handleInput(evbuffer *, const evbuffer_cb_info *Info, void *Arg) {
+    static_cast<Connection *>(Arg)->Owner.BytesReceived += Info->n_added;
   }
 
   static void handleDone(evhttp_request *Finished, void *Arg) {
@@ -140,7 +146,6 @@
   Address Name;
   evhttp_connection *Http;
   evhttp_request *Request = nullptr;
-  evbuffer_cb_entry *OutputWatch = nullptr;
   Callback Done;
   Timer Deadline;
   bool BytesHandedOver = false;
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -38,8 +38,11 @@
 
   /// Sends \p Call and hands its outcome to \p Done, always later.
   void send(HttpCall Call, Callback Done);
-  /// Requests and replies since the start, for the message counts.
+  /// Requests since the start, for the message counts.
   uint64_t callsSent() const { return CallsSent; }
+  /// Bytes of requests and of replies since the start, headers included.
+  uint64_t bytesSent() const { return BytesSent; }
+  uint64_t bytesReceived() const { return BytesReceived; }
 
 private:
   class Connection;
@@ -71,6 +74,8 @@
   Timer DeferredTimer;
   Timer IdleTimer;
   uint64_t CallsSent = 0;
+  uint64_t BytesSent = 0;
+  uint64_t BytesReceived = 0;
 };
 
 } // namespace snipeshunt
