configuration: apply slots, expected times and patience

Cause: the exceptions slots and expected_ms and the defaults of patience were accepted in documents but nothing read them. Change: the sender takes the operators' slots over the upstream's own report, the queue takes their run time until enough is learned, submissions take their patience.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -74,6 +74,9 @@
 JobBodyLimits bodyLimits(const InstanceState &State) {
   JobBodyLimits Limits;
   Limits.MaxTasks = static_cast<size_t>(State.Settings.Limits.MaxTasksPerJob);
+  const PolicyDefaults &Defaults = State.Configuration.InForce.Defaults;
+  Limits.DefaultPatience = Defaults.DefaultPatience;
+  Limits.MaxPatience = Defaults.MaxPatience;
   return Limits;
 }
 
--- a/src/scheduling/estimate.cpp
+++ b/src/scheduling/estimate.cpp
@@ -24,11 +24,14 @@
 } // namespace
 
 Duration estimateRuntime(const RuntimeEstimates &Estimates,
-                         const TaskSpec &Spec) {
+                         const TaskSpec &Spec,
+                         std::optional<std::chrono::milliseconds> Assumed) {
   auto It = Estimates.Kinds.find(Spec.Kind);
   if (It != Estimates.Kinds.end() && It->second.Samples >= MinSamples)
     return std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(It->second.MeanSeconds));
+  if (Assumed)
+    return *Assumed;
   if (Spec.ExpectedTime.count() > 0)
     return Spec.ExpectedTime;
   return DefaultRuntime;
--- a/src/scheduling/estimate_func.h
+++ b/src/scheduling/estimate_func.h
@@ -4,12 +4,15 @@
 
 #include "scheduling/queue_base.h"
 
+#include <optional>
+
 namespace snipeshunt {
 
-/// Expected run time of \p Spec at speed 1: learned, else declared, else a
-/// default.
+/// Expected run time of \p Spec at speed 1: learned, else what the operators
+/// assume for its kind, else declared, else a default.
 Duration estimateRuntime(const RuntimeEstimates &Estimates,
-                         const TaskSpec &Spec);
+                         const TaskSpec &Spec,
+                         std::optional<std::chrono::milliseconds> Assumed);
 
 /// Learns from a run of \p Observed on an upstream of \p Speed.
 void learnRuntime(RuntimeEstimates &Estimates, const TaskKind &Kind,
--- a/src/upstreams/upstream_cmd.cpp
+++ b/src/upstreams/upstream_cmd.cpp
@@ -2,6 +2,7 @@
 #include "upstreams/upstream_cmd.h"
 
 #include "admission/admission_func.h"
+#include "configuration/configuration_func.h"
 #include "handover/handover_cmd.h"
 #include "jobs/job_cmd.h"
 #include "reducer/policy_func.h"
@@ -150,7 +151,9 @@
   if (!Event.Status)
     return;
   U.StatusRead = Now;
-  U.Listed.Slots = Event.Status->Slots;
+  std::optional<int64_t> Set =
+      upstreamSlots(State.Configuration.InForce, Event.Where);
+  U.Listed.Slots = Set ? static_cast<uint32_t>(*Set) : Event.Status->Slots;
   U.Listed.Accelerators = Event.Status->Accelerators;
   setLeaving(U, Event.Status->Leaving || U.Listed.Leaving, Out);
 }
--- /dev/null
+++ b/tests/exception_test.cpp
@@ -0,0 +1,64 @@
+/// \file Operators' exceptions in the reducer.
+#include "configuration/configuration_func.h"
+#include "jobs/job_type.h"
+#include "reducer/policy_func.h"
+#include "reducer/reducer.h"
+#include "scheduling/queue_cmd.h"
+
+#include <gtest/gtest.h>
+
+namespace snipeshunt {
+namespace {
+
+PolicyException exceptionFor(ExceptionScope Scope, const std::string &Name,
+                             ExceptionSetting Setting, double Value) {
+  return {ExceptionId{"e-" + Name},
+          Scope,
+          Name,
+          Setting,
+          Value,
+          "needed by the test",
+          "tester",
+          "2026-12-04T00:00:00Z"};
+}
+
+// Guards against an exception that is accepted but has no effect.
+TEST(ExceptionTest, EachSettingTakesEffect) {
+  DaemonSettings Settings;
+  Settings.Listen = Settings.Advertise = Address{"10.0.0.1:1"};
+  Settings.Centre = DataCentre{"dc1"};
+  Settings.FleetKey = "a key of sixteen bytes or more";
+  Address Where{"10.0.0.9:1"};
+  Settings.Upstreams.push_back({Where, Settings.Centre, 8, 0});
+  InstanceState State = initialState(Settings, IncarnationId{1});
+  State.Configuration.InForce.Exceptions = {
+      exceptionFor(ExceptionScope::TaskKind, "render",
+                   ExceptionSetting::ExpectedMs, 5000),
+      exceptionFor(ExceptionScope::TaskKind, "slow",
+                   ExceptionSetting::TaskTimeoutMs, 90000),
+      exceptionFor(ExceptionScope::Upstream, Where.Value,
+                   ExceptionSetting::Slots, 3),
+      exceptionFor(ExceptionScope::Team, "rawahel",
+                   ExceptionSetting::TeamQuotaTasks, 10)};
+  SteadyTime Now{std::chrono::hours(1)};
+  auto Send = [&](EventBody Body) {
+    return reduce(State, {Now, 1, std::move(Body)});
+  };
+  Send(Tick{});
+  Send(StatusRead{Where, UpstreamStatus{8, 0, false}});
+  EXPECT_EQ(State.Upstreams.All[Where].Listed.Slots, 3U);
+
+  auto Spec = std::make_shared<TaskSpec>();
+  Spec->Kind.Value = "render";
+  WaitingTask Task;
+  Task.Spec = Spec;
+  Task.StartBefore = Now + std::chrono::hours(1);
+  queueTask(State, Task, 1, Now);
+  EXPECT_EQ(State.Queue.work(), std::chrono::seconds(5));
+
+  EXPECT_EQ(taskTimeoutOf(State, TaskKind{"slow"}), std::chrono::seconds(90));
+  EXPECT_EQ(teamQuotaHere(State, Team{"rawahel"}), 10U);
+}
+
+} // namespace
+} // namespace snipeshunt
