reducer: fix stranded batches, zombie tasks and lost results

Cause, each shown by a test in tests/reducer_fault_test.cpp that failed before (the last three items of the handover list were found by the property tests, the rest by reading the code): - handover: forgetting a batch below the floor dropped the entry of a task that was held again in a later batch, so its result was never reported; waiting tasks of forgotten batches stayed queued. - handover: a BelowFloor answer, a receiver that left before reporting, and a receiver that forgot the home during a pause left batches that were repeated or kept for ever. - handover: results for a dead home that is never replaced were kept and repeated for ever. - handover: once the records of a replaced home had expired, a copy of its handover would start the tasks again. - upstreams: a busy reply queued the task of an ended or revoked job again; at the home it could stay queued for ever and block a drain. - membership: the own pause was added to heartbeats that came before the first tick, which hid a dead peer for that long; a late heartbeat brought a departed instance back. - drain: an instance without a peer took jobs after it had left; refused submissions held up the transfer until drain_limit_ms; the byte limit shifted the positions of a running transfer. - tickets: times are cut to milliseconds, so a refused ticket could run in the last millisecond after its record was forgotten.

Change: handovers are accepted only from the incarnation that its address was last heard as; floors of silent homes are raised and kept while a member has that incarnation; batches are asked for again after a pause longer than the detection time and after a partial revoke.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -87,7 +87,9 @@
 
 std::optional<Error> testAdmission(const InstanceState &State,
                                    const JobRequest &Request, SteadyTime Now) {
-  if (State.Drain && State.Drain->Heir)
+  // From here on nothing that is taken would be finished.
+  if (State.Drain &&
+      (State.Drain->Heir || State.Members.OwnState == MemberState::Left))
     return Error{ErrorKind::Draining, "the instance is shutting down",
                  "take a new ticket from another instance"};
   size_t Limit = static_cast<size_t>(State.Settings.Limits.QueueLimitTasks);
--- a/src/handover/give_cmd.cpp
+++ b/src/handover/give_cmd.cpp
@@ -124,6 +124,20 @@
       takeBack(State, Message, Key, Reason, Now, Seed++, Out);
 }
 
+/// Settles every task of a batch of which the receiver will not report.
+void loseBatch(InstanceState &State, IncarnationId Receiver,
+               HandoverSequence Sequence, SteadyTime Now, EffectList &Out) {
+  OutgoingChannel &Channel = State.Handovers.Outgoing[Receiver];
+  std::set<TaskKey> Keys = Channel.Batches[Sequence].Unsettled;
+  for (const TaskKey &Key : Keys)
+    settle(State, Channel, Sequence, Key);
+  for (const TaskKey &Key : Keys)
+    finishTask(State, Key,
+               {TaskEnd::Unknown, "instance " + Channel.Where.Value +
+                                      " no longer knows of the task"},
+               Now, Out);
+}
+
 Member *memberWith(InstanceState &State, IncarnationId Incarnation) {
   for (auto &[Where, M] : State.Members.Members)
     if (M.Incarnation == Incarnation)
@@ -212,7 +226,9 @@
                   "the receiver's queue is full", Now, Seed, Out);
     break;
   case HandoverVerdict::BelowFloor:
-    // The floor passes a batch only once it is settled here.
+    // The floor passes a batch only once it is settled here, so the receiver
+    // believes that this home is gone and won't report what has started.
+    loseBatch(State, Event.Receiver, Event.Sequence, Now, Out);
     break;
   case HandoverVerdict::WrongIncarnation:
     loseReceiver(State, Event.Receiver, Now, Out);
@@ -233,8 +249,10 @@
     loseReceiver(State, Event.Receiver, Now, Out);
     return;
   }
-  // What could not be revoked has started; its report settles it.
+  // What could not be revoked has started; its report settles it. A repeat of
+  // the handover tells whether the receiver still knows of the batch.
   Batch->Revoking.clear();
+  Batch->Acknowledged = false;
   OutgoingChannel &Channel = State.Handovers.Outgoing[Event.Receiver];
   for (const TaskKey &Key : Event.Reply->Revoked) {
     if (!settle(State, Channel, Event.Sequence, Key))
@@ -293,6 +311,14 @@
                  Now, Out);
 }
 
+void recheckHandovers(InstanceState &State, SteadyTime Now) {
+  for (auto &[Receiver, Channel] : State.Handovers.Outgoing)
+    for (auto &[Sequence, Batch] : Channel.Batches) {
+      Batch.Acknowledged = false;
+      Batch.RepeatAt = Now;
+    }
+}
+
 void repeatHandovers(InstanceState &State, SteadyTime Now, EffectList &Out) {
   for (auto &[Receiver, Channel] : State.Handovers.Outgoing)
     for (auto &[Sequence, Batch] : Channel.Batches) {
--- a/src/handover/handover_cmd.h
+++ b/src/handover/handover_cmd.h
@@ -25,6 +25,9 @@
 /// Gives up on an incarnation: its unsettled tasks may have started.
 void loseReceiver(InstanceState &State, IncarnationId Receiver, SteadyTime Now,
                   EffectList &Out);
+/// Asks the receivers again after a pause of this process, in which they may
+/// have given it up.
+void recheckHandovers(InstanceState &State, SteadyTime Now);
 /// Repeats handovers and revokes that are due.
 void repeatHandovers(InstanceState &State, SteadyTime Now, EffectList &Out);
 
@@ -37,6 +40,8 @@
 /// Records the end of a held task; the report follows with `sendReports`.
 void finishHeldTask(InstanceState &State, const TaskKey &Key, TaskResult Result,
                     SteadyTime Now);
+/// Whether a held task may be tried again: its home has not asked it back.
+bool heldTaskWanted(const InstanceState &State, const TaskKey &Key);
 /// Returns held tasks whose time to start has passed.
 void expireHeldTasks(InstanceState &State, SteadyTime Now);
 /// Returns held tasks that have not started: those of \p Home, or all.
@@ -49,6 +54,9 @@
                        SteadyTime Now);
 /// Closes the channel of a home that has been replaced.
 void dropIncoming(InstanceState &State, IncarnationId Home, SteadyTime Now);
+/// Forgets the batches and results of homes that have been gone for a ticket's
+/// lifetime; their jobs have ended long before.
+void forgetSilentHomes(InstanceState &State, SteadyTime Now);
 /// Forgets closed channels once no ticket of the home can be valid.
 void forgetClosedHomes(InstanceState &State, SteadyTime Now);
 
--- a/src/handover/receive_cmd.cpp
+++ b/src/handover/receive_cmd.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
+#include <utility>
 
 namespace snipeshunt {
 
@@ -34,8 +36,16 @@
   Channel.Floor = Floor;
   while (!Channel.Batches.empty() &&
          Channel.Batches.begin()->first < Channel.Floor) {
-    for (const auto &[Key, TaskIs] : Channel.Batches.begin()->second.Tasks)
-      State.Handovers.Held.erase(Key);
+    const auto &[Sequence, Batch] = *Channel.Batches.begin();
+    for (const auto &[Key, TaskIs] : Batch.Tasks) {
+      // A task that came back unstarted may be held again in a later batch.
+      auto Held = State.Handovers.Held.find(Key);
+      if (Held == State.Handovers.Held.end() || Held->second != Sequence)
+        continue;
+      // The home has given it up; starting it would serve nobody.
+      State.Queue.erase(Key);
+      State.Handovers.Held.erase(Held);
+    }
     Channel.Batches.erase(Channel.Batches.begin());
   }
 }
@@ -63,6 +73,15 @@
                                "from=" + Message.HomeAddress.Value});
 }
 
+/// Whether \p Home is the process that its address was last heard as. Records
+/// of other homes are forgotten in time, and a copy of their handovers that
+/// arrives even later must not run.
+bool homePresent(const InstanceState &State, IncarnationId Home) {
+  const Member *M = findMember(State, Home);
+  return M && (M->Health == MemberHealth::Alive ||
+               M->Health == MemberHealth::Suspect);
+}
+
 HandoverVerdict takeBatch(InstanceState &State, const HandoverMessage &Message,
                           SteadyTime Now, EffectList &Out) {
   if (Message.Receiver != State.Incarnation)
@@ -82,7 +101,8 @@
   if (!Batch.Tasks.empty())
     return HandoverVerdict::Accepted;
   size_t Limit = static_cast<size_t>(State.Settings.Limits.QueueLimitTasks);
-  if (State.Drain || State.Queue.size() + Message.Tasks.size() > Limit) {
+  if (State.Drain || !homePresent(State, Message.Home) ||
+      State.Queue.size() + Message.Tasks.size() > Limit) {
     // Remembered, so that a late copy of the message is refused as well.
     Batch.Refused = true;
     return HandoverVerdict::Refused;
@@ -116,8 +136,13 @@
   }
   if (Known->second == ReceivedState::Revoked)
     return true;
-  if (Known->second == ReceivedState::Ended || !State.Queue.erase(Key))
+  if (Known->second == ReceivedState::Ended)
+    return false;
+  if (!State.Queue.erase(Key)) {
+    // Its attempt is open; if that proves not to have started, none follows.
+    Batch.Tombstones.insert(Key);
     return false;
+  }
   Known->second = ReceivedState::Revoked;
   State.Handovers.Held.erase(Key);
   ReceivedJob &Job = Batch.Jobs[Key.Job];
@@ -207,6 +232,17 @@
     reportFinished(Channel->second, Job);
 }
 
+bool heldTaskWanted(const InstanceState &State, const TaskKey &Key) {
+  auto Held = State.Handovers.Held.find(Key);
+  auto Channel = State.Handovers.Incoming.find(Key.Home);
+  if (Held == State.Handovers.Held.end() ||
+      Channel == State.Handovers.Incoming.end())
+    return false;
+  auto Batch = Channel->second.Batches.find(Held->second);
+  return Batch != Channel->second.Batches.end() &&
+         !Batch->second.Tombstones.count(Key);
+}
+
 void expireHeldTasks(InstanceState &State, SteadyTime Now) {
   for (auto &[Home, Channel] : State.Handovers.Incoming)
     reportDelayed(Channel, Now);
@@ -292,6 +328,29 @@
   State.Handovers.Incoming.erase(It);
 }
 
+void forgetSilentHomes(InstanceState &State, SteadyTime Now) {
+  auto &Incoming = State.Handovers.Incoming;
+  std::set<IncarnationId> Holding;
+  for (const auto &[Key, Sequence] : State.Handovers.Held)
+    Holding.insert(Key.Home);
+  for (auto It = Incoming.begin(); It != Incoming.end();) {
+    auto &[Home, Channel] = *It;
+    bool Old = Channel.LastMessage + State.Settings.Limits.TicketLifetime < Now;
+    // An open report names its results by their places.
+    if (!Old || homePresent(State, Home) || Holding.count(Home) ||
+        Channel.ReportsInFlight > 0) {
+      ++It;
+      continue;
+    }
+    // A home that was only paused or cut off may come back, and with it late
+    // copies of its handovers. The floor stays to refuse them.
+    if (!Channel.Batches.empty())
+      raiseFloor(State, Channel, {Channel.Batches.rbegin()->first.Value + 1});
+    Channel.Unreported.clear();
+    It = findMember(State, Home) ? std::next(It) : Incoming.erase(It);
+  }
+}
+
 void forgetClosedHomes(InstanceState &State, SteadyTime Now) {
   auto &Closed = State.Handovers.ClosedHomes;
   for (auto It = Closed.begin(); It != Closed.end();)
--- a/src/jobs/job_cmd.cpp
+++ b/src/jobs/job_cmd.cpp
@@ -86,6 +86,7 @@
   }
   State.Jobs.TeamTasks[J->Owner] += J->Tasks.size();
   State.Jobs.Deadlines.insert({J->Deadline, T.Sequence});
+  State.Jobs.LastActivity = Now;
   ++State.Jobs.Running;
   ++State.Counts.JobsSubmitted;
   record(State, TimelineKind::JobSubmitted, T.Sequence,
@@ -156,7 +157,6 @@
 void handleSubmission(InstanceState &State, const Ticket &T,
                       const JobRequested &Event, SteadyTime Now,
                       EffectList &Out) {
-  State.Jobs.LastActivity = Now;
   Result<JobRequest> Request = parseJobRequest(Event.Body, bodyLimits(State));
   if (failed(Request)) {
     refuseSubmission(State, T, Event, errorOf(Request), Now, Out);
@@ -207,7 +207,9 @@
 
 bool ticketExpired(const InstanceState &State, const Ticket &T,
                    SteadyTime Now) {
-  return sinceStart(Now) - T.Issued > State.Settings.Limits.TicketLifetime;
+  // Both times are cut to milliseconds. The limit itself counts as expired, so
+  // that no record is forgotten while its ticket still passes.
+  return sinceStart(Now) - T.Issued >= State.Settings.Limits.TicketLifetime;
 }
 
 } // namespace
@@ -259,6 +261,11 @@
         plainAnswer(Outcome::Unknown, Event.TicketText, NotSubmitted), Out);
 }
 
+bool taskWanted(const InstanceState &State, const TaskKey &Key) {
+  auto It = State.Jobs.Records.find(Key.Job);
+  return It != State.Jobs.Records.end() && It->second.Running;
+}
+
 void setTaskState(InstanceState &State, const TaskKey &Key, TaskState To) {
   if (Job *J = runningJob(State, Key))
     J->Tasks[Key.Index.Value].State = To;
--- a/src/jobs/job_cmd.h
+++ b/src/jobs/job_cmd.h
@@ -21,6 +21,9 @@
 void finishTask(InstanceState &State, const TaskKey &Key, TaskResult Result,
                 SteadyTime Now, EffectList &Out);
 
+/// Whether the job of a task of this home still runs.
+bool taskWanted(const InstanceState &State, const TaskKey &Key);
+
 /// Marks where a task of a running job is now.
 void setTaskState(InstanceState &State, const TaskKey &Key, TaskState To);
 
--- a/src/jobs/retention_cmd.cpp
+++ b/src/jobs/retention_cmd.cpp
@@ -17,6 +17,9 @@
 /// Keeps the outcome of the oldest answers but not their outputs while all
 /// together exceed the limit.
 void enforceByteLimit(InstanceState &State) {
+  // The transfer counts positions; only refusals, which are small, join now.
+  if (State.Drain && State.Drain->Heir)
+    return;
   size_t Limit = static_cast<size_t>(State.Settings.Limits.KeptAnswerBytes);
   while (State.Jobs.RetainedBytes > Limit && !State.Jobs.Retained.empty()) {
     TicketSequence Oldest = State.Jobs.Retained.front();
--- a/src/membership/member_cmd.cpp
+++ b/src/membership/member_cmd.cpp
@@ -92,6 +92,8 @@
   SteadyTime Last = std::exchange(State.Members.LastTick, Now);
   if (Last == SteadyTime{} || Now - Last < State.Settings.Limits.Heartbeat)
     return;
+  if (Now - Last > State.Settings.Limits.Dead)
+    recheckHandovers(State, Now);
   // A heartbeat that was read after the pause must not count as heard later.
   for (auto &[Where, M] : State.Members.Members)
     M.LastHeard = std::min(Now, M.LastHeard + (Now - Last));
@@ -101,7 +103,8 @@
   for (auto &[Where, M] : State.Members.Members) {
     bool Watched =
         M.Health == MemberHealth::Alive || M.Health == MemberHealth::Suspect;
-    if (!Watched || M.State == MemberState::Left)
+    // One that has left falls silent too; what it still had is then lost.
+    if (!Watched)
       continue;
     Duration Silence = Now - M.LastHeard;
     if (Silence > State.Settings.Limits.Dead)
@@ -247,10 +250,14 @@
     return;
   if (Replaced)
     replaceIncarnation(State, M, Now, Out);
-  bool StateChanged = M.State != Message.State || Replaced;
+  // Heartbeats can overtake each other; a process never returns to an earlier
+  // state.
+  MemberState Latest =
+      Replaced ? Message.State : std::max(M.State, Message.State);
+  bool StateChanged = M.State != Latest || Replaced;
   M.Self = Message.Self;
   M.Incarnation = Message.Incarnation;
-  M.State = Message.State;
+  M.State = Latest;
   M.Load = Message.Load;
   M.LastHeard = Now;
   M.PlatformReachable = Message.PlatformReachable;
--- a/src/reducer/reducer.cpp
+++ b/src/reducer/reducer.cpp
@@ -25,6 +25,7 @@
     expireJobs(State, Now, Out);
     expireHeldTasks(State, Now);
     forgetClosedHomes(State, Now);
+    forgetSilentHomes(State, Now);
     tickMembership(State, Now, Out);
     pollStatuses(State, Now, Out);
     repeatHandovers(State, Now, Out);
--- a/src/upstreams/upstream_cmd.cpp
+++ b/src/upstreams/upstream_cmd.cpp
@@ -217,9 +217,13 @@
       timelineKind(Event.Result.End), jobText(A.Task.Key.Home, A.Task.Key.Job),
       taskText(A.Task.Key), "upstream=" + A.Where.Value});
   TaskResult Result = toTaskResult(Event.Result);
-  if (Result.End == TaskEnd::NotStarted && retryTask(State, A.Task, Now, Seed))
+  bool Own = A.Task.Key.Home == State.Incarnation;
+  bool Wanted =
+      Own ? taskWanted(State, A.Task.Key) : heldTaskWanted(State, A.Task.Key);
+  if (Result.End == TaskEnd::NotStarted && Wanted &&
+      retryTask(State, A.Task, Now, Seed))
     return;
-  if (A.Task.Key.Home == State.Incarnation)
+  if (Own)
     finishTask(State, A.Task.Key, std::move(Result), Now, Out);
   else
     finishHeldTask(State, A.Task.Key, std::move(Result), Now);
--- /dev/null
+++ b/tests/reducer_fault_test.cpp
@@ -0,0 +1,232 @@
+/// \file Faults that were found in the reducer, one test each.
+#include "support/session.h"
+
+#include <gtest/gtest.h>
+
+namespace snipeshunt {
+namespace {
+
+using std::chrono::milliseconds;
+
+Outcome outcomeOf(const EffectList &Effects) {
+  const ReplyToCaller *Reply = find<ReplyToCaller>(Effects);
+  return Reply ? Reply->Answer->Result : Outcome::Running;
+}
+
+void live(Session &S) {
+  S.tick(milliseconds(10));
+  S.status();
+  S.heartbeat(PeerId, 0);
+}
+
+// Guards against a task of an ended job that a busy upstream sends back into
+// the queue, where it starts for nobody or waits for ever.
+TEST(ReducerFault, TaskOfAnEndedJobIsNotRetried) {
+  Session S;
+  live(S);
+  S.submit(1, "xy");
+  S.attemptEnded(1, AttemptEnd::Failed, "no");
+  S.attemptEnded(2, AttemptEnd::Busy, "busy");
+  EXPECT_EQ(S.State.Queue.size(), 0u);
+}
+
+// The same at the receiver, for a task that its home has asked back.
+TEST(ReducerFault, RevokedTaskIsNotRetried) {
+  Session S;
+  live(S);
+  HandoverMessage M = Session::handoverOf(PeerId, 1, 1);
+  S.feed("handover", HandoverReceived{S.nextRequest(), M});
+  RevokeMessage Revoke{PeerId, SelfId, {1}, {{PeerId, {7}, {0}}}};
+  S.feed("revoke", RevokeReceived{S.nextRequest(), Revoke});
+  EffectList Out = S.attemptEnded(1, AttemptEnd::Busy, "busy");
+  EXPECT_EQ(S.State.Queue.size(), 0u);
+  ASSERT_NE(find<SendReport>(Out), nullptr);
+  EXPECT_EQ(find<SendReport>(Out)->Message.Reports[0].Result.End,
+            TaskEnd::NotStarted);
+}
+
+// Guards against a result that is lost when the batch in which its task came
+// before is forgotten.
+TEST(ReducerFault, FloorKeepsTasksThatCameAgainInALaterBatch) {
+  Session S;
+  live(S);
+  HandoverMessage First = Session::handoverOf(PeerId, 1, 2);
+  S.feed("handover", HandoverReceived{S.nextRequest(), First});
+  // The first task comes back unstarted and is handed over again.
+  S.tick(milliseconds(10));
+  for (size_t I = 0; I < 100; ++I)
+    S.State.Upstreams.RecentRetries.push_back(S.Time.steadyNow());
+  S.attemptEnded(1, AttemptEnd::Busy, "busy");
+  HandoverMessage Second = Session::handoverOf(PeerId, 2, 1);
+  S.feed("handover", HandoverReceived{S.nextRequest(), Second});
+  S.attemptEnded(2, AttemptEnd::Finished, "echo:1");
+  HandoverMessage Third = Session::handoverOf(PeerId, 3, 1);
+  Third.SettledBelow = {2};
+  Third.Tasks[0].Index = {5};
+  S.feed("handover", HandoverReceived{S.nextRequest(), Third});
+  EXPECT_EQ(S.State.Handovers.Held.count({PeerId, {7}, {0}}), 1u);
+}
+
+// Guards against tasks that start although their home has given them up and
+// has answered its caller.
+TEST(ReducerFault, FloorTakesGivenUpTasksOutOfTheQueue) {
+  Session S;
+  live(S);
+  HandoverMessage First = Session::handoverOf(PeerId, 1, 4);
+  S.feed("handover", HandoverReceived{S.nextRequest(), First});
+  ASSERT_EQ(S.State.Queue.size(), 2u);
+  HandoverMessage Next = Session::handoverOf(PeerId, 2, 1);
+  Next.SettledBelow = {2};
+  Next.Tasks[0].Job = {8};
+  S.feed("handover", HandoverReceived{S.nextRequest(), Next});
+  EXPECT_EQ(S.State.Queue.size(), 1u);
+}
+
+// Guards against a batch that is handed over for ever when the receiver
+// believes that its home has been replaced.
+TEST(ReducerFault, BatchBelowTheFloorIsSettledAsUnknown) {
+  Session S(false);
+  S.tick(milliseconds(10));
+  S.heartbeat(PeerId, 2);
+  S.submit(1, "x");
+  EffectList Out =
+      S.handoverAnswered(HandoverReply{HandoverVerdict::BelowFloor, {}});
+  EXPECT_EQ(outcomeOf(Out), Outcome::Failed);
+  EXPECT_TRUE(S.State.Handovers.Given.empty());
+}
+
+// Guards against batches that stay for ever with a receiver that has left
+// before it had reported all results.
+TEST(ReducerFault, ReceiverThatLeftIsLostAfterItsSilence) {
+  Session S(false);
+  S.tick(milliseconds(10));
+  S.heartbeat(PeerId, 2);
+  S.submit(1, "x", 60000);
+  S.handoverAnswered(HandoverReply{});
+  S.heartbeat(PeerId, 0, MemberState::Left);
+  for (int I = 0; I < 10; ++I)
+    S.tick(milliseconds(400));
+  EXPECT_TRUE(S.State.Handovers.Given.empty());
+}
+
+// Guards against results that are reported for ever to a home that is gone.
+TEST(ReducerFault, ResultsOfAHomeThatIsGoneAreForgotten) {
+  Session S;
+  live(S);
+  HandoverMessage M = Session::handoverOf(PeerId, 1, 1);
+  S.feed("handover", HandoverReceived{S.nextRequest(), M});
+  S.attemptEnded(1, AttemptEnd::Finished, "echo:0");
+  S.feed("report lost", ReportAnswered{PeerId, false, false, {}});
+  for (int I = 0; I < 1600; ++I)
+    if (find<SendReport>(S.tick(milliseconds(400))))
+      S.feed("report lost", ReportAnswered{PeerId, false, false, {}});
+  EXPECT_TRUE(S.State.Handovers.Incoming[PeerId].Unreported.empty());
+  EXPECT_TRUE(S.State.Handovers.Incoming[PeerId].Batches.empty());
+}
+
+// Guards against a batch that stays for ever with a receiver that gave this
+// home up while its process was paused.
+TEST(ReducerFault, BatchesAreAskedForAgainAfterAPause) {
+  Session S(false);
+  S.tick(milliseconds(10));
+  S.heartbeat(PeerId, 2);
+  S.submit(1, "x", 60000);
+  S.handoverAnswered(HandoverReply{});
+  EXPECT_EQ(find<SendHandover>(S.tick(milliseconds(400))), nullptr);
+  EXPECT_NE(find<SendHandover>(S.tick(milliseconds(4000))), nullptr);
+}
+
+// Guards against a late copy of a handover that starts its tasks again when
+// the records of its home have been forgotten.
+TEST(ReducerFault, HandoverOfAHomeThatIsNotPresentIsRefused) {
+  Session S;
+  S.tick(milliseconds(10));
+  S.status();
+  HandoverMessage M = Session::handoverOf(PeerId, 1, 1);
+  EffectList Out = S.feed("handover", HandoverReceived{S.nextRequest(), M});
+  ASSERT_NE(find<ReplyHandover>(Out), nullptr);
+  EXPECT_EQ(find<ReplyHandover>(Out)->Reply.Verdict, HandoverVerdict::Refused);
+  EXPECT_EQ(find<StartTask>(Out), nullptr);
+}
+
+// Guards against a peer whose silence is overlooked for as long as this
+// process was paused, because its heartbeat came before the first tick.
+TEST(ReducerFault, OwnPauseIsNotAddedToAFreshHeartbeat) {
+  Session S;
+  live(S);
+  S.Time.advance(std::chrono::minutes(1));
+  S.heartbeat(PeerId, 0);
+  for (int I = 0; I < 10; ++I)
+    S.tick(milliseconds(400));
+  EXPECT_EQ(S.State.Members.Members[PeerAt].Health, MemberHealth::Dead);
+}
+
+// Guards against a late heartbeat that brings a departed instance back.
+TEST(ReducerFault, LateHeartbeatDoesNotReviveADepartedInstance) {
+  Session S;
+  live(S);
+  S.heartbeat(PeerId, 0, MemberState::Left);
+  S.heartbeat(PeerId, 4);
+  EXPECT_EQ(S.State.Members.Members[PeerAt].State, MemberState::Left);
+}
+
+// Guards against a job that an instance without a peer takes after it has
+// left, and cuts off when it ends.
+TEST(ReducerFault, NoSubmissionIsTakenAfterLeaving) {
+  Session S;
+  S.tick(milliseconds(10));
+  S.status();
+  S.feed("drain", DrainRequested{});
+  S.tick(milliseconds(1200));
+  ASSERT_EQ(S.State.Members.OwnState, MemberState::Left);
+  EXPECT_EQ(outcomeOf(S.submit(1, "x")), Outcome::NotRun);
+}
+
+// Guards against a refused ticket that runs in the last millisecond of its
+// life, when its record is forgotten already.
+TEST(ReducerFault, TicketExpiresBeforeItsRecordIsForgotten) {
+  Session S;
+  S.Time.advance(std::chrono::microseconds(900));
+  EXPECT_EQ(outcomeOf(S.cancel(1)), Outcome::NotRun);
+  S.Time.advance(S.State.Settings.Limits.TicketLifetime);
+  S.Time.advance(std::chrono::microseconds(50));
+  S.feed("tick", Tick{});
+  ASSERT_TRUE(S.State.Jobs.Records.empty());
+  EXPECT_EQ(outcomeOf(S.submit(1, "x")), Outcome::Unknown);
+}
+
+// Guards against a drain that refused submissions hold up until its limit, so
+// that the process leaves without handing its answers over.
+TEST(ReducerFault, RefusedSubmissionsDoNotHoldUpADrain) {
+  Session S;
+  live(S);
+  S.feed("drain", DrainRequested{});
+  S.tick(milliseconds(900));
+  S.heartbeat(PeerId, 0);
+  ASSERT_NE(find<SendAnswers>(S.tick(milliseconds(300))), nullptr);
+  S.submit(1, "x");
+  S.feed("not kept", AnswersAnswered{false});
+  EXPECT_NE(find<SendAnswers>(S.tick(milliseconds(10))), nullptr);
+}
+
+// Guards against answers that the heir never gets because older ones were
+// dropped in the middle of the transfer.
+TEST(ReducerFault, TransferKeepsItsPlaceWhenAnswersAreDropped) {
+  Session S;
+  live(S);
+  S.cancel(1);
+  S.feed("drain", DrainRequested{});
+  S.tick(milliseconds(900));
+  S.heartbeat(PeerId, 0);
+  EffectList Out = S.tick(milliseconds(300));
+  ASSERT_NE(find<SendAnswers>(Out), nullptr);
+  S.State.Settings.Limits.KeptAnswerBytes = 1;
+  S.submit(2, "x");
+  S.submit(3, "x");
+  Out = S.feed("kept", AnswersAnswered{true});
+  ASSERT_NE(find<SendAnswers>(Out), nullptr);
+  EXPECT_EQ(find<SendAnswers>(Out)->Entries.size(), 2u);
+}
+
+} // namespace
+} // namespace snipeshunt
--- /dev/null
+++ b/tests/support/history_rules.cpp
@@ -0,0 +1,64 @@
+/// \file The promises that are checked against everything that happens.
+#include "history_rules.h"
+
+#include "core/json_func.h"
+#include "tickets/ticket_func.h"
+
+namespace snipeshunt {
+
+const char *const TestFleetKey = "a-fleet-key-for-tests-only-0123456789";
+
+void HistoryRules::fail(const std::string &Text) {
+  if (Fault.empty())
+    Fault = Text;
+}
+
+void HistoryRules::noteStart(const TaskKey &Key) {
+  if (++Starts[Key] > 1)
+    fail("started twice: " + taskText(Key));
+  if (NotRun.count({Key.Home, Key.Job}))
+    fail("started after not_run: " + taskText(Key));
+  Started.insert({Key.Home, Key.Job});
+}
+
+void HistoryRules::noteEnd(const TaskKey &Key, bool Proved) {
+  if (Proved)
+    --Starts[Key];
+}
+
+void HistoryRules::noteAnswer(const std::string &TicketText,
+                              const std::string &Body,
+                              const StoredAnswer &Answer) {
+  if (Answer.Result == Outcome::Unknown || Answer.Result == Outcome::Running)
+    return;
+  auto [Final, First] = FinalAnswers.emplace(TicketText, Answer.Body);
+  if (!First && Final->second != Answer.Body)
+    fail("two answers to one ticket: " + Final->second + " and " + Answer.Body);
+  if (Answer.Result == Outcome::Complete)
+    checkComplete(Body, Answer);
+  if (Answer.Result != Outcome::NotRun)
+    return;
+  Result<Ticket> T = decodeTicket(TicketText, TestFleetKey);
+  JobId Job{valueOf(T).Incarnation, valueOf(T).Sequence};
+  NotRun.insert(Job);
+  if (Started.count(Job))
+    fail("not_run after a start: " + jobText(Job.first, Job.second));
+}
+
+void HistoryRules::checkComplete(const std::string &Body,
+                                 const StoredAnswer &Answer) {
+  if (Body.empty())
+    return;
+  Json::Value Asked = valueOf(parseJson(Body))["tasks"];
+  Json::Value Given = valueOf(parseJson(Answer.Body))["results"];
+  bool Whole = Asked.size() == Given.size();
+  for (Json::ArrayIndex I = 0; Whole && I < Asked.size(); ++I)
+    Whole = Given[I]["index"].asUInt() == I &&
+            Given[I]["output"].asString() ==
+                "echo:" + Asked[I]["payload"].asString();
+  if (!Whole)
+    fail("not the whole answer to its request: " + Body + " got " +
+         Answer.Body);
+}
+
+} // namespace snipeshunt
--- /dev/null
+++ b/tests/support/session.h
@@ -0,0 +1,66 @@
+/// \file One instance that is fed with events, and what it did.
+#ifndef SNIPESHUNT_TESTS_SUPPORT_SESSION_H
+#define SNIPESHUNT_TESTS_SUPPORT_SESSION_H
+
+#include "reducer/reducer.h"
+
+#include <sstream>
+#include <string>
+
+namespace snipeshunt {
+
+inline const Address Self{"127.0.0.1:7100"};
+inline const Address PeerAt{"127.0.0.2:7100"};
+inline const Address UpstreamAt{"127.0.1.1:8100"};
+inline constexpr IncarnationId SelfId{0xa1};
+inline constexpr IncarnationId PeerId{0xb1};
+
+/// Feeds events to one instance and writes down what it does.
+class Session {
+public:
+  /// Without an upstream of its own the instance hands every task over.
+  explicit Session(bool OwnUpstream = true);
+
+  EffectList feed(const std::string &Name, EventBody Body);
+  EffectList tick(std::chrono::milliseconds After);
+  EffectList status();
+  EffectList heartbeat(IncarnationId Id, uint32_t FreeSlots,
+                       MemberState As = MemberState::Live);
+  /// One task per character of \p Payloads.
+  EffectList submit(uint64_t Sequence, const std::string &Payloads,
+                    int PatienceMs = 5000);
+  EffectList cancel(uint64_t Sequence);
+  EffectList attemptEnded(uint64_t Attempt, AttemptEnd End,
+                          const std::string &Output);
+  EffectList handoverAnswered(std::optional<HandoverReply> Reply,
+                              uint64_t Sequence = 1);
+  EffectList report(uint64_t Sequence, uint32_t Index,
+                    const std::string &Output);
+  /// A handover of \p Tasks tasks of the job 7 of \p Home to this instance.
+  static HandoverMessage handoverOf(IncarnationId Home, uint64_t Sequence,
+                                    uint32_t Tasks);
+
+  RequestId nextRequest() { return RequestId{NextRequest++}; }
+  std::string text() const { return Text.str(); }
+
+  InstanceState State;
+  FakeClock Time;
+
+private:
+  static JobRequested request(uint64_t Sequence);
+
+  uint64_t NextRequest = 1;
+  std::ostringstream Text;
+};
+
+/// The first effect of type \p T, or null.
+template <typename T> const T *find(const EffectList &Effects) {
+  for (const Effect &E : Effects)
+    if (const T *Found = std::get_if<T>(&E))
+      return Found;
+  return nullptr;
+}
+
+} // namespace snipeshunt
+
+#endif // SNIPESHUNT_TESTS_SUPPORT_SESSION_H
