handover: revoke nothing for a home whose records were dropped

Cause: a revoke from a replaced home found no batch and left a tombstone, so the receiver answered "revoked" for a task that it had started. Change: such a revoke is answered with no task; the home then repeats the handover and settles the batch as unknown.

--- a/src/handover/receive_cmd.cpp
+++ b/src/handover/receive_cmd.cpp
@@ -197,6 +197,15 @@
     Out.push_back(std::move(Reply));
     return;
   }
+  // Records of a home that is gone were dropped, so nothing can be said of what
+  // its tasks did.
+  bool Forgotten = State.Handovers.ClosedHomes.count(Message.Home) ||
+                   (!State.Handovers.Incoming.count(Message.Home) &&
+                    !homePresent(State, Message.Home));
+  if (Forgotten) {
+    Out.push_back(std::move(Reply));
+    return;
+  }
   IncomingChannel &Channel = State.Handovers.Incoming[Message.Home];
   Channel.LastMessage = Now;
   // Below the floor everything is settled; there is nothing to take back.
--- a/tests/reducer_fault_test.cpp
+++ b/tests/reducer_fault_test.cpp
@@ -82,6 +82,20 @@
   EXPECT_EQ(S.State.Queue.size(), 1u);
 }
 
+// Guards against a task that is said never to have started, by a receiver that
+// has started it and has dropped its record since.
+TEST(ReducerFault, NothingIsRevokedForAReplacedHome) {
+  Session S;
+  live(S);
+  HandoverMessage M = Session::handoverOf(PeerId, 1, 1);
+  S.feed("handover", HandoverReceived{S.nextRequest(), M});
+  S.heartbeat(IncarnationId{0xb2}, 0);
+  RevokeMessage Revoke{PeerId, SelfId, {1}, {{PeerId, {7}, {0}}}};
+  EffectList Out = S.feed("revoke", RevokeReceived{S.nextRequest(), Revoke});
+  ASSERT_NE(find<ReplyRevoke>(Out), nullptr);
+  EXPECT_TRUE(find<ReplyRevoke>(Out)->Reply.Revoked.empty());
+}
+
 // Guards against a batch that is handed over for ever when the receiver
 // believes that its home has been replaced.
 TEST(ReducerFault, BatchBelowTheFloorIsSettledAsUnknown) {
--- a/tests/support/history_rules.cpp
+++ b/tests/support/history_rules.cpp
@@ -16,6 +16,8 @@
 void HistoryRules::noteStart(const TaskKey &Key) {
   if (++Starts[Key] > 1)
     fail("started twice: " + taskText(Key));
+  if (Revoked.count(Key))
+    fail("started after it was revoked: " + taskText(Key));
   if (NotRun.count({Key.Home, Key.Job}))
     fail("started after not_run: " + taskText(Key));
   Started.insert({Key.Home, Key.Job});
@@ -26,6 +28,12 @@
     --Starts[Key];
 }
 
+void HistoryRules::noteRevoked(const TaskKey &Key) {
+  Revoked.insert(Key);
+  if (Starts[Key] > 0)
+    fail("revoked after its start: " + taskText(Key));
+}
+
 void HistoryRules::noteAnswer(const std::string &TicketText,
                               const std::string &Body,
                               const StoredAnswer &Answer) {
--- a/tests/support/history_rules.h
+++ b/tests/support/history_rules.h
@@ -19,6 +19,8 @@
   void noteStart(const TaskKey &Key);
   /// \p Proved tells that the attempt has certainly not started the task.
   void noteEnd(const TaskKey &Key, bool Proved);
+  /// A receiver says that the task has not started and never will.
+  void noteRevoked(const TaskKey &Key);
   /// \p Body is what the caller sent; empty for queries and cancellations.
   void noteAnswer(const std::string &TicketText, const std::string &Body,
                   const StoredAnswer &Answer);
@@ -29,6 +31,7 @@
   void checkComplete(const std::string &Body, const StoredAnswer &Answer);
 
   std::map<TaskKey, int> Starts; ///< Less those proved not to have started.
+  std::set<TaskKey> Revoked;
   std::set<JobId> Started;
   std::set<JobId> NotRun;
   std::map<std::string, std::string> FinalAnswers; ///< By ticket.
