--- /dev/null
+++ b/tests/golden_session_test.cpp
@@ -0,0 +1,142 @@
+/// \file Whole sessions of one instance, compared with recorded effects.
+///
+/// With the environment variable UPDATE_GOLDEN=1 the files under tests/golden
+/// are rewritten; read the difference before committing them.
+#include "support/session.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+
+namespace snipeshunt {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Compares a session with its file, or rewrites the file.
+void compare(const Session &S, const std::string &Name) {
+  std::string Path = SOURCE_DIR "/tests/golden/" + Name + ".txt";
+  if (const char *Update = std::getenv("UPDATE_GOLDEN");
+      Update && std::string(Update) == "1") {
+    std::ofstream(Path) << S.text();
+    return;
+  }
+  std::ifstream File(Path);
+  std::string Expected((std::istreambuf_iterator<char>(File)), {});
+  EXPECT_EQ(S.text(), Expected);
+}
+
+// Guards against a changed path of a job: admission, start, answer, and the
+// retained answer of a resubmission.
+TEST(GoldenSession, ThinPath) {
+  Session S;
+  S.feed("tickets", TicketsRequested{S.nextRequest(), 2});
+  S.tick(milliseconds(10));
+  S.status();
+  S.submit(1, "xyz");
+  S.attemptEnded(2, AttemptEnd::Finished, "echo:y");
+  S.attemptEnded(1, AttemptEnd::Busy, "the upstream is busy");
+  S.tick(milliseconds(50));
+  S.attemptEnded(3, AttemptEnd::Finished, "echo:z");
+  S.attemptEnded(4, AttemptEnd::Finished, "echo:x");
+  S.submit(1, "xyz");
+  S.submit(1, "other");
+  compare(S, "thin_path");
+}
+
+// Guards against a lost reply that strands a batch, or a repeat under a new
+// number, which the receiver would run again.
+TEST(GoldenSession, HandoverWithLostReply) {
+  Session S(false);
+  S.tick(milliseconds(10));
+  S.heartbeat(PeerId, 2);
+  S.submit(1, "xy");
+  S.handoverAnswered(std::nullopt);
+  S.tick(milliseconds(100));
+  S.tick(milliseconds(400));
+  S.report(1, 1, "echo:y");
+  S.handoverAnswered(HandoverReply{});
+  S.report(1, 1, "echo:y");
+  S.report(1, 0, "echo:x");
+  compare(S, "handover_lost_reply");
+}
+
+// Guards against a late handover of a replaced home that runs again, and
+// against its waiting tasks being started.
+TEST(GoldenSession, HomeReplaced) {
+  Session S;
+  S.tick(milliseconds(10));
+  S.status();
+  S.heartbeat(PeerId, 0);
+  HandoverMessage M = S.handoverOf(PeerId, 1, 3);
+  S.feed("handover", HandoverReceived{S.nextRequest(), M});
+  S.attemptEnded(1, AttemptEnd::Finished, "echo:0");
+  S.heartbeat(IncarnationId{0xb2}, 0);
+  S.attemptEnded(2, AttemptEnd::Busy, "the upstream is busy");
+  S.feed("late copy of the handover", HandoverReceived{S.nextRequest(), M});
+  S.tick(milliseconds(100));
+  compare(S, "home_replaced");
+}
+
+// Guards against a shutdown that ends before its jobs, or that loses the
+// retained answers.
+TEST(GoldenSession, DrainWithHeir) {
+  Session S;
+  S.tick(milliseconds(10));
+  S.status();
+  S.heartbeat(PeerId, 0);
+  S.submit(1, "x");
+  S.feed("drain", DrainRequested{});
+  S.tick(milliseconds(100));
+  S.attemptEnded(1, AttemptEnd::Finished, "echo:x");
+  S.tick(milliseconds(400));
+  S.heartbeat(PeerId, 0);
+  S.tick(milliseconds(700));
+  S.submit(2, "y");
+  S.feed("answers not kept", AnswersAnswered{false});
+  S.tick(milliseconds(10));
+  S.feed("answers kept", AnswersAnswered{true});
+  S.tick(milliseconds(400));
+  compare(S, "drain_with_heir");
+}
+
+// Guards against an upstream that fails every task and still gets its share.
+TEST(GoldenSession, FailingUpstreamGoesToProbes) {
+  Session S;
+  S.tick(milliseconds(10));
+  S.status();
+  for (uint64_t Job = 1; Job <= 3; ++Job) {
+    S.submit(Job, "x");
+    S.attemptEnded(Job, AttemptEnd::Failed, "no toner");
+  }
+  S.submit(4, "yz");
+  S.tick(milliseconds(1900));
+  S.status();
+  S.attemptEnded(4, AttemptEnd::Finished, "echo:y");
+  compare(S, "failing_upstream");
+}
+
+// Guards against a job without an end, and against handed-over tasks that are
+// not asked back.
+TEST(GoldenSession, PatienceRunsOut) {
+  Session S(false);
+  S.tick(milliseconds(10));
+  S.heartbeat(PeerId, 1);
+  S.submit(1, "xy", 300);
+  S.handoverAnswered(HandoverReply{});
+  S.tick(milliseconds(299));
+  S.tick(milliseconds(1));
+  S.feed("revoke without reply",
+         RevokeAnswered{PeerId, HandoverSequence{1}, std::nullopt});
+  S.tick(milliseconds(1000));
+  RevokeReply Reply;
+  Reply.Revoked.push_back({SelfId, TicketSequence{1}, TaskIndex{0}});
+  S.feed("revoke answered", RevokeAnswered{PeerId, HandoverSequence{1}, Reply});
+  S.tick(milliseconds(100));
+  compare(S, "patience_runs_out");
+}
+
+} // namespace
+} // namespace snipeshunt
