tests: guard handover numbers and remembered refusals

Cause: with these mechanisms off the property tests still passed. Change: one direct test each; smaller queues in the property tests, so that receivers refuse more often.

--- a/tests/reducer_fault_test.cpp
+++ b/tests/reducer_fault_test.cpp
@@ -1,4 +1,4 @@
-/// \file Faults that were found in the reducer, one test each.
+/// \file Single faults of the reducer, one test each.
 #include "support/session.h"
 
 #include <gtest/gtest.h>
@@ -123,6 +123,23 @@
   EXPECT_TRUE(S.State.Handovers.Given.empty());
 }
 
+// Guards against a number used twice: the receiver would take the second batch
+// for a copy of the first and never run its tasks.
+TEST(ReducerFault, NumbersGoOnWhenALostReceiverComesBack) {
+  Session S(false);
+  S.tick(milliseconds(10));
+  S.heartbeat(PeerId, 2);
+  S.submit(1, "x");
+  S.handoverAnswered(HandoverReply{});
+  for (int I = 0; I < 10; ++I)
+    S.tick(milliseconds(400));
+  ASSERT_TRUE(S.State.Handovers.Given.empty());
+  S.heartbeat(PeerId, 2);
+  EffectList Out = S.submit(2, "y");
+  ASSERT_NE(find<SendHandover>(Out), nullptr);
+  EXPECT_EQ(find<SendHandover>(Out)->Message.Sequence, HandoverSequence{2});
+}
+
 // Guards against results that are reported for ever to a home that is gone.
 TEST(ReducerFault, ResultsOfAHomeThatIsGoneAreForgotten) {
   Session S;
@@ -163,6 +180,21 @@
   EXPECT_EQ(find<StartTask>(Out), nullptr);
 }
 
+// Guards against a late copy of a refused handover that starts tasks which
+// their home has taken back and given to another instance.
+TEST(ReducerFault, RefusedHandoverStaysRefused) {
+  Session S;
+  S.tick(milliseconds(10));
+  S.status();
+  HandoverMessage M = Session::handoverOf(PeerId, 1, 1);
+  S.feed("handover", HandoverReceived{S.nextRequest(), M});
+  S.heartbeat(PeerId, 0);
+  EffectList Out = S.feed("copy", HandoverReceived{S.nextRequest(), M});
+  ASSERT_NE(find<ReplyHandover>(Out), nullptr);
+  EXPECT_EQ(find<ReplyHandover>(Out)->Reply.Verdict, HandoverVerdict::Refused);
+  EXPECT_EQ(find<StartTask>(Out), nullptr);
+}
+
 // Guards against a peer whose silence is overlooked for as long as this
 // process was paused, because its heartbeat came before the first tick.
 TEST(ReducerFault, OwnPauseIsNotAddedToAFreshHeartbeat) {
--- a/tests/support/session.cpp
+++ b/tests/support/session.cpp
@@ -11,15 +11,22 @@
 
 using std::chrono::milliseconds;
 
-Session::Session(bool OwnUpstream) {
+namespace {
+
+DaemonSettings settingsWith(bool OwnUpstream) {
   DaemonSettings S;
   S.Listen = S.Advertise = Self;
   S.Centre = {"a"};
   S.FleetKey = TestFleetKey;
   S.Upstreams.push_back({UpstreamAt, {OwnUpstream ? "a" : "b"}, 2, 0});
-  State = initialState(std::move(S), SelfId);
+  return S;
 }
 
+} // namespace
+
+Session::Session(bool OwnUpstream)
+    : State(initialState(settingsWith(OwnUpstream), SelfId)) {}
+
 EffectList Session::feed(const std::string &Name, EventBody Body) {
   auto Since = Time.steadyNow() - SteadyTime(std::chrono::hours(1));
   Text << "+" << toMilliseconds(Since) << "ms " << Name << "\n";
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -40,7 +40,7 @@
       S.Peers.push_back({addressOf(I), centreOf(I)});
     S.Upstreams.push_back({upstreamOf(I), centreOf(I), SlotsPerUpstream, 0});
   }
-  S.Limits.QueueLimitTasks = 6;
+  S.Limits.QueueLimitTasks = 3;
   S.Limits.TicketLifetime = Lifetime;
   // Longer than a tick, or every tick would count as a pause of the process.
   S.Limits.Heartbeat = milliseconds(260);
@@ -129,8 +129,9 @@
 
 void World::start(size_t Place) {
   IncarnationId Id{0x1000 + ++Counter};
-  Nodes[Place].State = std::make_unique<InstanceState>(
-      initialState(settingsOf(Place, Nodes.size()), Id));
+  // Built in place; the state is never moved.
+  Nodes[Place].State.reset(
+      new InstanceState(initialState(settingsOf(Place, Nodes.size()), Id)));
   Nodes[Place].Paused = Nodes[Place].Exiting = false;
   feed(Place, Tick{});
 }
