load: add the soak of real processes under faults

Cause: no run showed the promises on real processes under faults. Change: snipeshunt-soak starts a fleet with relays, runs seeded callers and a schedule of 26 kinds of faults that follows from the seed, heals everything, resubmits the last tickets and runs the checker.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -133,7 +133,8 @@
 Fleet::~Fleet() {
   Processes.clear();
   std::error_code Ignored;
-  std::filesystem::remove_all(WorkDir, Ignored);
+  if (!Options.KeepWorkDir)
+    std::filesystem::remove_all(WorkDir, Ignored);
 }
 
 size_t Fleet::count(FleetRole Role) const {
@@ -221,17 +222,20 @@
   case FleetRole::Upstream: {
     uint32_t Position = static_cast<uint32_t>(I % Options.UpstreamsPerCentre);
     double Speed = Options.Speed ? Options.Speed(Position) : 1.0;
-    return {Options.BinaryDir + "/standin-upstream",
-            "--listen",
-            upstream(I).Value,
-            "--slots",
-            std::to_string(Options.SlotsPerUpstream),
-            "--speed",
-            std::to_string(Speed),
-            "--seed",
-            Seed,
-            "--history",
-            historyFile(I)};
+    std::vector<std::string> Words = {Options.BinaryDir + "/standin-upstream",
+                                      "--listen",
+                                      upstream(I).Value,
+                                      "--slots",
+                                      std::to_string(Options.SlotsPerUpstream),
+                                      "--speed",
+                                      std::to_string(Speed),
+                                      "--seed",
+                                      Seed,
+                                      "--history",
+                                      historyFile(I)};
+    Words.insert(Words.end(), Options.UpstreamArguments.begin(),
+                 Options.UpstreamArguments.end());
+    return Words;
   }
   case FleetRole::Instance:
     return {Options.BinaryDir + "/snipeshuntd", "--settings",
@@ -311,8 +315,7 @@
   return Ok{};
 }
 
-bool Fleet::settled() const {
-  size_t Usable = 0;
+bool Fleet::rosterComplete() const {
   for (size_t I = 0; I < instances(); ++I) {
     Result<std::string> Text = getText(directInstance(I), "/v1/instances");
     if (failed(Text))
@@ -323,10 +326,19 @@
       Live += Entry["state"].asString() == "live" ? 1 : 0;
     if (Live != instances())
       return false;
-    Text = getText(directInstance(I), "/v1/upstreams");
+  }
+  return true;
+}
+
+bool Fleet::settled() const {
+  if (!rosterComplete())
+    return false;
+  size_t Usable = 0;
+  for (size_t I = 0; I < instances(); ++I) {
+    Result<std::string> Text = getText(directInstance(I), "/v1/upstreams");
     if (failed(Text))
       return false;
-    Parsed = parseJson(valueOf(Text));
+    Result<Json::Value> Parsed = parseJson(valueOf(Text));
     for (const Json::Value &Entry : valueOf(Parsed)["upstreams"])
       if (Entry["sender"].asString() == instance(I).Value &&
           Entry["state"].asString() == "usable")
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -28,6 +28,9 @@
   uint64_t Seed = 1;
   std::string ExtraSettings; ///< Members added to each settings file, for
                              ///< instance `"limits":{...}`.
+  /// Further arguments of each stand-in upstream.
+  std::vector<std::string> UpstreamArguments;
+  bool KeepWorkDir = false; ///< Leave histories and logs for a later look.
 };
 
 /// Kinds of processes in a fleet.
@@ -46,6 +49,8 @@
   /// Starts all processes and waits until every instance knows all others and
   /// every upstream has a sender that has read its status.
   Result<Ok> start();
+  /// Whether every instance counts all others as live.
+  bool rosterComplete() const;
 
   size_t instances() const;
   size_t upstreams() const;
--- /dev/null
+++ b/src/load/soak_schedule.cpp
@@ -0,0 +1,156 @@
+/// \file The schedule of faults, a function of the seed alone.
+#include "load/soak_schedule.h"
+
+#include "load/soak_table.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+namespace snipeshunt {
+
+namespace {
+
+/// Faults of the same kind of object exclude each other on one object.
+enum class Subject { Instance, Relay, Upstream, Platform, Link };
+
+Subject subjectOf(SoakAction Action) {
+  switch (Action) {
+  case SoakAction::KillInstance:
+  case SoakAction::PauseInstance:
+  case SoakAction::DrainInstance:
+    return Subject::Instance;
+  case SoakAction::CutCentres:
+  case SoakAction::CutInstances:
+  case SoakAction::CutOneWay:
+    return Subject::Link;
+  case SoakAction::DisturbRelay:
+    return Subject::Relay;
+  case SoakAction::UpstreamMode:
+  case SoakAction::UpstreamLeaves:
+  case SoakAction::KillUpstream:
+    return Subject::Upstream;
+  case SoakAction::Platform:
+    return Subject::Platform;
+  }
+  return Subject::Platform;
+}
+
+class Scheduler {
+public:
+  Scheduler(const SoakSizes &Sizes, uint64_t Seed)
+      : Sizes(Sizes), Random(Seed) {}
+
+  /// One step at \p At; nothing when no target is free.
+  std::optional<SoakStep> draw(Duration At) {
+    SoakStep Step{};
+    Step.At = At;
+    Step.Fault = drawFault();
+    const SoakFault &Fault = SoakFaults[Step.Fault];
+    Step.Length = std::chrono::milliseconds(below(Fault.MaxMs - Fault.MinMs) +
+                                            Fault.MinMs);
+    Step.Probability = 0.1 * static_cast<double>(2 + below(9));
+    Step.DelayMs = static_cast<uint32_t>(50 + below(2500));
+    Subject What = subjectOf(Fault.Action);
+    size_t Count = countOf(What, Fault.Action);
+    Step.Target = below(Count);
+    if (What == Subject::Link) {
+      if (Count < 2)
+        return std::nullopt;
+      Step.Other = (Step.Target + 1 + below(Count - 1)) % Count;
+      return Step;
+    }
+    if (!reserve(What, Step))
+      return std::nullopt;
+    if (Fault.Action == SoakAction::UpstreamLeaves)
+      return leave(Step);
+    return Step;
+  }
+
+  uint64_t below(uint64_t Bound) { return Bound ? Random() % Bound : 0; }
+
+private:
+  size_t drawFault() {
+    uint64_t Total = 0;
+    for (const SoakFault &Fault : SoakFaults)
+      Total += Fault.Weight;
+    uint64_t Draw = below(Total);
+    size_t Row = 0;
+    while (Draw >= SoakFaults[Row].Weight)
+      Draw -= SoakFaults[Row++].Weight;
+    return Row;
+  }
+
+  size_t countOf(Subject What, SoakAction Action) const {
+    if (Action == SoakAction::CutCentres)
+      return Sizes.Centres;
+    if (What == Subject::Upstream)
+      return Sizes.Upstreams;
+    return What == Subject::Platform ? 1 : Sizes.Instances;
+  }
+
+  bool reserve(Subject What, const SoakStep &Step) {
+    // At most a third of the instances and half of the upstreams at once.
+    size_t Limit = What == Subject::Instance   ? (Sizes.Instances + 2) / 3
+                   : What == Subject::Upstream ? Sizes.Upstreams / 2
+                                               : Sizes.Instances;
+    std::map<size_t, Duration> &Until = BusyUntil[What];
+    auto Busy = static_cast<size_t>(
+        std::count_if(Until.begin(), Until.end(), [&](const auto &Entry) {
+          return Entry.second > Step.At;
+        }));
+    auto It = Until.find(Step.Target);
+    bool Free = It == Until.end() || It->second <= Step.At;
+    if (!Free || Busy >= Limit)
+      return false;
+    // A drained or restarted process needs a moment before its next fault.
+    Until[Step.Target] = Step.At + Step.Length + std::chrono::seconds(2);
+    return true;
+  }
+
+  /// A leaving upstream stays so, since a start after its return would count
+  /// as a start on a leaving one.
+  std::optional<SoakStep> leave(const SoakStep &Step) {
+    if (++Leaving > Sizes.Upstreams / 4)
+      return std::nullopt;
+    BusyUntil[Subject::Upstream][Step.Target] = Duration::max();
+    return Step;
+  }
+
+  SoakSizes Sizes;
+  std::mt19937_64 Random;
+  std::map<Subject, std::map<size_t, Duration>> BusyUntil;
+  size_t Leaving = 0;
+};
+
+} // namespace
+
+std::vector<SoakStep> soakSchedule(const SoakSizes &Sizes, uint64_t Seed,
+                                   double Rate, Duration Length) {
+  Scheduler Drawing(Sizes, Seed);
+  std::vector<SoakStep> Steps;
+  auto MeanUs = static_cast<uint64_t>(1e6 / Rate);
+  Duration At{};
+  while (true) {
+    At += std::chrono::microseconds(1 + Drawing.below(2 * MeanUs));
+    if (At >= Length)
+      return Steps;
+    if (std::optional<SoakStep> Step = Drawing.draw(At))
+      Steps.push_back(*Step);
+  }
+}
+
+std::string formatSchedule(const std::vector<SoakStep> &Steps) {
+  std::string Out;
+  for (const SoakStep &Step : Steps)
+    Out += std::to_string(toMilliseconds(Step.At)) + " ms " +
+           SoakFaults[Step.Fault].Name +
+           " target=" + std::to_string(Step.Target) +
+           " other=" + std::to_string(Step.Other) + " for " +
+           std::to_string(toMilliseconds(Step.Length)) +
+           " ms delay=" + std::to_string(Step.DelayMs) +
+           " probability=" + std::to_string(Step.Probability) + "\n";
+  return Out;
+}
+
+} // namespace snipeshunt
--- /dev/null
+++ b/tests/process/resubmission_process_test.cpp
@@ -0,0 +1,113 @@
+/// \file Resubmissions while the home runs, is away or has gone, and waves.
+#include "faulted_fleet.h"
+
+namespace snipeshunt {
+namespace {
+
+using Fault = std::function<void(FaultedFleet &)>;
+
+struct HomeCase {
+  const char *Name;
+  Fault Break;
+  Fault Heal;
+  std::set<std::string> During; ///< Outcomes allowed while it is broken.
+  std::set<std::string> After;  ///< Outcomes allowed when it is healed.
+};
+
+void signalHome(FaultedFleet &Fleet, int Signal) {
+  Fleet.F.process(FleetRole::Instance, 0).signal(Signal);
+}
+
+void restartHome(FaultedFleet &Fleet) {
+  EXPECT_FALSE(failed(Fleet.F.restart(FleetRole::Instance, 0)));
+}
+
+const HomeCase HomeCases[] = {
+    {"runs",
+     [](FaultedFleet &) {},
+     [](FaultedFleet &) {},
+     {"complete"},
+     {"complete"}},
+    {"cut off",
+     [](FaultedFleet &Fleet) {
+       EXPECT_FALSE(failed(Fleet.F.setRelayRules(0, R"([{"action":"cut"}])")));
+     },
+     [](FaultedFleet &Fleet) {
+       EXPECT_FALSE(failed(Fleet.F.setRelayRules(0, "[]")));
+     },
+     {"unknown"},
+     {"complete", "failed"}},
+    {"frozen",
+     [](FaultedFleet &Fleet) { signalHome(Fleet, SIGSTOP); },
+     [](FaultedFleet &Fleet) { signalHome(Fleet, SIGCONT); },
+     {"unknown"},
+     {"complete", "failed"}},
+    {"killed",
+     [](FaultedFleet &Fleet) { signalHome(Fleet, SIGKILL); },
+     restartHome,
+     {"unknown"},
+     {"unknown"}},
+    {"replaced",
+     [](FaultedFleet &Fleet) {
+       restartHome(Fleet);
+       EXPECT_TRUE(Fleet.waitForRoster());
+     },
+     [](FaultedFleet &) {},
+     {"unknown"},
+     {"unknown"}},
+};
+
+// Guards against a second run of a job that its caller believes lost, by
+// another instance or by the successor of its home.
+TEST(ResubmissionTest, AnyStateOfTheHomeRunsTheJobOnce) {
+  FaultedFleet Fleet(fleetOptions(2, 2, 2));
+  ASSERT_TRUE(Fleet.Running);
+  for (const HomeCase &Case : HomeCases) {
+    SCOPED_TRACE(Case.Name);
+    ASSERT_TRUE(Fleet.waitForRoster());
+    std::string Ticket = Fleet.ticket(0);
+    RecordedJob Job = Fleet.Caller.makeJob(24, "run_ms=250");
+    std::future<CallerAnswer> First = Fleet.submitLater(0, Ticket, Job);
+    ASSERT_TRUE(Fleet.waitForStart(Ticket));
+    Case.Break(Fleet);
+    std::vector<std::future<CallerAnswer>> During;
+    for (size_t Via = 1; Via < Fleet.F.instances(); ++Via)
+      During.push_back(Fleet.submitLater(Via, Ticket, Job));
+    for (std::future<CallerAnswer> &Answer : During) {
+      CallerAnswer Got = Answer.get();
+      EXPECT_TRUE(Case.During.count(Got.Outcome)) << Got.Outcome << Got.Failure;
+    }
+    Case.Heal(Fleet);
+    ASSERT_TRUE(Fleet.waitForRoster());
+    First.get();
+    for (size_t Via = 0; Via < Fleet.F.instances(); ++Via) {
+      CallerAnswer Got = Fleet.submit(Via, Ticket, Job);
+      EXPECT_TRUE(Case.After.count(Got.Outcome))
+          << Got.Outcome << " from instance " << Via;
+    }
+    EXPECT_LE(Fleet.starts(Ticket), Job.Payloads.size());
+  }
+}
+
+// Guards against copies that arrive at the same moment starting the job twice
+// or getting different answers.
+TEST(ResubmissionTest, WaveOfCopiesGetsOneAnswer) {
+  FaultedFleet Fleet(fleetOptions(3, 3, 2));
+  ASSERT_TRUE(Fleet.Running);
+  for (size_t Home : {0, 4, 8}) {
+    std::string Ticket = Fleet.ticket(Home);
+    RecordedJob Job = Fleet.Caller.makeJob(40, "run_ms=20");
+    std::vector<std::future<CallerAnswer>> Wave;
+    for (size_t Copy = 0; Copy < 3 * Fleet.F.instances(); ++Copy)
+      Wave.push_back(
+          Fleet.submitLater(Copy % Fleet.F.instances(), Ticket, Job));
+    CallerAnswer First = Wave.front().get();
+    EXPECT_EQ(First.Outcome, "complete") << First.Failure;
+    for (size_t Copy = 1; Copy < Wave.size(); ++Copy)
+      EXPECT_EQ(Wave[Copy].get().Body, First.Body);
+    EXPECT_EQ(Fleet.starts(Ticket), Job.Payloads.size());
+  }
+}
+
+} // namespace
+} // namespace snipeshunt
