upstreams: lengthen probe pauses by probes only, wait for the retry budget

Cause: when a connection with eight tasks is lost, each of the eight failures doubled the pause between probes, so that one fault kept the upstream out for 30 s. When upstreams change their sender, the new one meets slots that the former one still uses; 10 busy replies used up the retry budget, and each further one failed a job. Ruled out: lost messages (no relay was used) and a wrong 'not_run'. Change: only a task started since the last pause lengthens it. A retry beyond the budget waits until an earlier one leaves the window, and the task is given up only when its own time ends before. Conclusion: the budget still bounds retries; it no longer fails jobs that have time.

--- a/src/handover/give_cmd.cpp
+++ b/src/handover/give_cmd.cpp
@@ -106,7 +106,7 @@
     Task.StartBefore = J.Deadline;
     // No upstream was asked, so the retry budget does not apply: a sender that
     // shuts down returns all of its waiting tasks at once.
-    if (!requeueTask(State, Task, Now, Seed))
+    if (!requeueTask(State, Task, Now, Now, Seed))
       finishTask(State, Key, {TaskEnd::NotStarted, Reason}, Now, Out);
     return;
   }
--- a/src/upstreams/health_cmd.cpp
+++ b/src/upstreams/health_cmd.cpp
@@ -45,18 +45,23 @@
   learnRuntime(State.Estimates, A.Task.Spec->Kind, Observed, U.Speed);
 }
 
-void noteFailure(InstanceState &State, Upstream &U, SteadyTime Now,
-                 uint64_t Seed, EffectList &Out) {
+void noteFailure(InstanceState &State, Upstream &U, const Attempt &A,
+                 SteadyTime Now, uint64_t Seed, EffectList &Out) {
   ++U.ConsecutiveFailures;
   U.LastFailure = Now;
   if (U.ConsecutiveFailures < failuresBeforeProbing(State))
     return;
+  // Tasks that ran side by side fail together; they are one failure, and only
+  // a failed probe lengthens the pause.
+  if (U.Probing && A.Started <= U.ProbingSince)
+    return;
   if (!U.Probing)
     Out.push_back(RecordTimeline{TimelineKind::UpstreamProbing, "", "",
                                  "upstream=" + U.Listed.Where.Value});
   U.ProbePause = U.Probing ? std::min(U.ProbePause * 2, maxProbePause(State))
                            : firstProbePause(State);
   U.Probing = true;
+  U.ProbingSince = Now;
   U.ProbeAfter = Now + withJitter(U.ProbePause, Seed);
 }
 
@@ -90,10 +95,10 @@
     break;
   case AttemptEnd::Failed:
   case AttemptEnd::Unknown:
-    noteFailure(State, U, Now, Seed, Out);
+    noteFailure(State, U, A, Now, Seed, Out);
     break;
   case AttemptEnd::NothingSent:
-    noteFailure(State, U, Now, Seed, Out);
+    noteFailure(State, U, A, Now, Seed, Out);
     U.BlockedUntil = Now + withJitter(RefusedPause, Seed);
     break;
   case AttemptEnd::Busy:
@@ -105,12 +110,12 @@
   }
 }
 
-bool requeueTask(InstanceState &State, const WaitingTask &Task, SteadyTime Now,
-                 uint64_t Seed) {
-  if (Now >= Task.StartBefore)
+bool requeueTask(InstanceState &State, const WaitingTask &Task, SteadyTime From,
+                 SteadyTime Now, uint64_t Seed) {
+  if (From >= Task.StartBefore)
     return false;
   WaitingTask Again = Task;
-  Again.NotBefore = Now + withJitter(BusyPause, Seed) / 4;
+  Again.NotBefore = From + withJitter(BusyPause, Seed) / 4;
   setTaskState(State, Again.Key, TaskState::Waiting);
   queueTask(State, std::move(Again), 1, Now);
   return true;
@@ -124,10 +129,19 @@
   double Budget =
       retryShare(State) * static_cast<double>(Table.RecentStarts.size()) +
       static_cast<double>(retryBurst(State));
-  if (static_cast<double>(Table.RecentRetries.size()) >= Budget ||
-      !requeueTask(State, Task, Now, Seed))
+  // Beyond the budget a retry takes the place of an earlier one that leaves
+  // the window. Failing the job instead would fail many when upstreams change
+  // their sender and are still busy with the former sender's tasks.
+  auto Allowed = static_cast<size_t>(Budget);
+  size_t Used = Table.RecentRetries.size();
+  SteadyTime From = Now;
+  if (Used >= Allowed && Allowed == 0)
+    return false;
+  if (Used >= Allowed)
+    From = std::max(Now, Table.RecentRetries[Used - Allowed] + BudgetWindow);
+  if (!requeueTask(State, Task, From, Now, Seed))
     return false;
-  Table.RecentRetries.push_back(Now);
+  Table.RecentRetries.push_back(From);
   ++State.Counts.Retries;
   return true;
 }
--- a/src/upstreams/health_cmd.h
+++ b/src/upstreams/health_cmd.h
@@ -12,12 +12,12 @@
                       SteadyTime Now, uint64_t Seed, EffectList &Out);
 
 /// Queues a task again that no upstream was asked to start. Gives false when
-/// its time is used up.
-bool requeueTask(InstanceState &State, const WaitingTask &Task, SteadyTime Now,
-                 uint64_t Seed);
+/// its time is used up before \p From.
+bool requeueTask(InstanceState &State, const WaitingTask &Task, SteadyTime From,
+                 SteadyTime Now, uint64_t Seed);
 
-/// Queues a task again whose attempt has not started it. Gives false when the
-/// retry budget or the task's time is used up.
+/// Queues a task again whose attempt has not started it, for the time at which
+/// the retry budget allows it. Gives false when the task's time ends before.
 bool retryTask(InstanceState &State, const WaitingTask &Task, SteadyTime Now,
                uint64_t Seed);
 
--- a/src/upstreams/upstream_base.h
+++ b/src/upstreams/upstream_base.h
@@ -28,6 +28,7 @@
   uint32_t ConsecutiveFailures = 0;
   SteadyTime LastFailure{};  ///< End of the last attempt that failed.
   bool Probing = false;      ///< Gets one task at a time, with pauses.
+  SteadyTime ProbingSince{}; ///< Start of the last pause between probes.
   SteadyTime ProbeAfter{};   ///< Earliest start of the next probe.
   Duration ProbePause{0};    ///< Grows with each failed probe.
   SteadyTime BlockedUntil{}; ///< After a busy reply or a refused connection.
--- /dev/null
+++ b/tests/probe_test.cpp
@@ -0,0 +1,64 @@
+/// \file Pauses between probes of a failing upstream and between retries.
+#include "reducer/reducer.h"
+#include "upstreams/health_cmd.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace snipeshunt {
+namespace {
+
+// Guards against the loss of one connection with many tasks on it counting as
+// many failed probes, which kept the upstream out for half a minute.
+TEST(ProbeTest, OnlyFailedProbesLengthenThePause) {
+  const Address Where{"10.0.0.9:1"};
+  DaemonSettings Settings;
+  Settings.Upstreams.push_back({Where, DataCentre{"dc1"}, 8, 0});
+  InstanceState State = initialState(Settings, IncarnationId{7});
+  EffectList Effects;
+  FakeClock Time;
+  Attempt Running{WaitingTask{}, Where, Time.steadyNow()};
+  Time.advance(std::chrono::milliseconds(50));
+  for (int I = 0; I < 8; ++I)
+    learnFromAttempt(State, Running, AttemptEnd::Unknown, Time.steadyNow(), 0,
+                     Effects);
+  const Upstream &U = State.Upstreams.All.at(Where);
+  EXPECT_TRUE(U.Probing);
+  EXPECT_EQ(U.ProbePause, std::chrono::seconds(1));
+
+  Time.advance(std::chrono::seconds(2));
+  Attempt Probe{WaitingTask{}, Where, Time.steadyNow()};
+  learnFromAttempt(State, Probe, AttemptEnd::Unknown, Time.steadyNow(), 0,
+                   Effects);
+  EXPECT_EQ(U.ProbePause, std::chrono::seconds(2));
+}
+
+// Guards against jobs that fail because many of their tasks meet busy slots at
+// once, and against more retries than the budget allows in its window.
+TEST(ProbeTest, RetriesBeyondTheBudgetWaitForIt) {
+  InstanceState State = initialState({}, IncarnationId{7});
+  FakeClock Time;
+  WaitingTask Task;
+  Task.Spec = std::make_shared<TaskSpec>();
+  Task.StartBefore = Time.steadyNow() + std::chrono::seconds(25);
+  std::vector<SteadyTime> Starts;
+  size_t Accepted = 0;
+  for (uint32_t I = 0; I < 40; ++I) {
+    Task.Key.Index.Value = I;
+    Accepted += retryTask(State, Task, Time.steadyNow(), 0) ? 1 : 0;
+  }
+  State.Queue.visit(false, [&](const WaitingTask &Waiting) {
+    Starts.push_back(Waiting.NotBefore);
+    return true;
+  });
+  // Ten at once, ten after each window of 10 s, and none after 25 s.
+  EXPECT_EQ(Accepted, 30U);
+  std::sort(Starts.begin(), Starts.end());
+  ASSERT_EQ(Starts.size(), 30U);
+  for (size_t I = 10; I < Starts.size(); ++I)
+    EXPECT_GE(Starts[I] - Starts[I - 10], std::chrono::seconds(10));
+}
+
+} // namespace
+} // namespace snipeshunt
