jobs: keep answers over several departures, refuse cancelled tickets alike

Cause: answers inherited from a departed instance were lost when the heir departed in its turn, and instances started after a departure did not know the heir, so a rolling restart answered 'home_unreachable' for tickets whose answers had been retained. A ticket cancelled before its submission answered 'ticket_conflict' to the submission, since the cancellation has no body. Change: answer.keep carries the home of each entry, and an heir passes inherited entries on; the lookup follows a chain of heirs. Heartbeats tell members heard of for less than 10 s of departures. A ticket spent by a cancellation matches any body.

--- a/src/jobs/forward_cmd.cpp
+++ b/src/jobs/forward_cmd.cpp
@@ -28,7 +28,8 @@
 
 void replyInherited(const JobRequested &Event, const InheritedAnswer &Kept,
                     EffectList &Out) {
-  if (Event.Verb == JobVerb::Submit && Event.BodyHash != Kept.BodyHash) {
+  if (Event.Verb == JobVerb::Submit &&
+      !sameBody(Kept.BodyHash, Event.BodyHash)) {
     replyUnknown(Event,
                  {ErrorKind::TicketConflict,
                   "the ticket was used with another body",
@@ -50,12 +51,18 @@
                                Event.Body, Event.Wait});
 }
 
-/// The member that has the retained answers of a departed incarnation.
+/// The member that has the retained answers of a departed incarnation. An heir
+/// that departs in its turn passes them on.
 const Member *heirOf(const InstanceState &State, IncarnationId Incarnation) {
-  auto Departure = State.Members.Departed.find(Incarnation);
-  if (Departure == State.Members.Departed.end())
+  const auto &Departed = State.Members.Departed;
+  auto Departure = Departed.find(Incarnation);
+  if (Departure == Departed.end())
     return nullptr;
-  return findMember(State, Departure->second.Heir);
+  IncarnationId Heir = Departure->second.Heir;
+  for (auto Next = Departed.find(Heir); Next != Departed.end();
+       Next = Departed.find(Heir))
+    Heir = Next->second.Heir;
+  return findMember(State, Heir);
 }
 
 void forwardToHome(InstanceState &State, const JobRequested &Event,
@@ -113,7 +120,8 @@
     return;
   }
   // One hop only: a request that was passed on here has missed its home.
-  if (Event.Forwarded || T.Home == State.Settings.Advertise) {
+  if (Event.Forwarded ||
+      (T.Home == State.Settings.Advertise && !heirOf(State, T.Incarnation))) {
     replyUnknown(Event, homeGone(T.Home), Out);
     return;
   }
--- a/src/jobs/job_base.h
+++ b/src/jobs/job_base.h
@@ -35,6 +35,14 @@
   std::vector<RequestId> Waiters; ///< Callers that get the answer.
 };
 
+/// Stands for the hash of a ticket that was cancelled before its submission,
+/// whose body is not known.
+constexpr uint64_t AnyBody = 0;
+
+inline bool sameBody(uint64_t Recorded, uint64_t Given) {
+  return Recorded == AnyBody || Recorded == Given;
+}
+
 /// What the home remembers of a used ticket.
 struct TicketRecord {
   uint64_t BodyHash = 0;
@@ -71,6 +79,8 @@
   std::unordered_map<IncarnationId,
                      std::unordered_map<TicketSequence, InheritedAnswer>>
       Inherited;
+  /// Tickets of these in the order in which they came.
+  std::deque<std::pair<IncarnationId, TicketSequence>> InheritedOrder;
 };
 
 } // namespace snipeshunt
--- a/src/jobs/job_cmd.cpp
+++ b/src/jobs/job_cmd.cpp
@@ -42,7 +42,7 @@
                       const JobRequested &Event, const Error &E, SteadyTime Now,
                       EffectList &Out) {
   TicketRecord &Record = State.Jobs.Records[T.Sequence];
-  Record.BodyHash = Event.BodyHash;
+  Record.BodyHash = Event.Verb == JobVerb::Submit ? Event.BodyHash : AnyBody;
   retainAnswer(State, T.Sequence, Record,
                plainAnswer(Outcome::NotRun, Event.TicketText, E), Now);
   ++State.Counts.JobsRefused;
@@ -174,7 +174,8 @@
 void handleKnownTicket(InstanceState &State, TicketRecord &Record,
                        const JobRequested &Event, SteadyTime Now,
                        EffectList &Out) {
-  if (Event.Verb == JobVerb::Submit && Event.BodyHash != Record.BodyHash) {
+  if (Event.Verb == JobVerb::Submit &&
+      !sameBody(Record.BodyHash, Event.BodyHash)) {
     reply(Event.Request,
           plainAnswer(Outcome::Unknown, Event.TicketText,
                       {ErrorKind::TicketConflict,
--- a/src/jobs/job_cmd.h
+++ b/src/jobs/job_cmd.h
@@ -34,7 +34,10 @@
 void failAllJobs(InstanceState &State, const Error &E, SteadyTime Now,
                  EffectList &Out);
 
-/// Retained answers for a departing instance's heir, from \p First on.
+/// Retained and inherited answers, the positions of `exportAnswers`.
+size_t answersToExport(const InstanceState &State);
+
+/// Answers for a departing instance's heir, from position \p First on.
 std::vector<AnswersReceived::Entry> exportAnswers(const InstanceState &State,
                                                   size_t First, size_t MaxBytes,
                                                   SteadyTime Now);
--- a/src/jobs/retention_cmd.cpp
+++ b/src/jobs/retention_cmd.cpp
@@ -68,6 +68,10 @@
   while (!State.Drain && !State.Jobs.Retained.empty() &&
          !State.Jobs.Records.count(State.Jobs.Retained.front()))
     State.Jobs.Retained.pop_front();
+  auto &Order = State.Jobs.InheritedOrder;
+  while (!State.Drain && !Order.empty() &&
+         !inheritedAnswer(State, Order.front().first, Order.front().second))
+    Order.pop_front();
   for (auto It = State.Jobs.Inherited.begin();
        It != State.Jobs.Inherited.end();) {
     auto &Answers = It->second;
@@ -88,23 +92,33 @@
   return Entry == Table->second.end() ? nullptr : &Entry->second;
 }
 
+size_t answersToExport(const InstanceState &State) {
+  return State.Jobs.Retained.size() + State.Jobs.InheritedOrder.size();
+}
+
 std::vector<AnswersReceived::Entry> exportAnswers(const InstanceState &State,
                                                   size_t First, size_t MaxBytes,
                                                   SteadyTime Now) {
   std::vector<AnswersReceived::Entry> Entries;
   size_t Bytes = 0;
-  for (size_t I = First; I < State.Jobs.Retained.size(); ++I) {
-    TicketSequence Sequence = State.Jobs.Retained[I];
-    auto It = State.Jobs.Records.find(Sequence);
+  size_t Own = State.Jobs.Retained.size();
+  for (size_t I = First; I < answersToExport(State); ++I) {
     AnswersReceived::Entry Entry;
-    Entry.Sequence = Sequence;
     // Forgotten records still take a place, so that positions stay stable.
-    if (It != State.Jobs.Records.end() && It->second.Answer) {
-      Entry.BodyHash = It->second.BodyHash;
+    auto Fill = [&](const auto &Kept) {
+      Entry.BodyHash = Kept.BodyHash;
       Entry.ForgetIn = std::chrono::duration_cast<std::chrono::milliseconds>(
-          It->second.ForgetAfter - Now);
-      Entry.Answer = *It->second.Answer;
-    }
+          Kept.ForgetAfter - Now);
+      Entry.Answer = *Kept.Answer;
+    };
+    std::tie(Entry.Home, Entry.Sequence) =
+        I < Own ? std::make_pair(State.Incarnation, State.Jobs.Retained[I])
+                : State.Jobs.InheritedOrder[I - Own];
+    auto It = State.Jobs.Records.find(Entry.Sequence);
+    if (I < Own && It != State.Jobs.Records.end() && It->second.Answer)
+      Fill(It->second);
+    else if (auto *Kept = inheritedAnswer(State, Entry.Home, Entry.Sequence))
+      Fill(*Kept);
     Bytes += Entry.Answer.Body.size() + 64;
     if (Bytes > MaxBytes && !Entries.empty())
       break;
@@ -115,8 +129,8 @@
 
 void importAnswers(InstanceState &State, const AnswersReceived &Event,
                    SteadyTime Now) {
-  auto &Table = State.Jobs.Inherited[Event.From];
   for (const AnswersReceived::Entry &Entry : Event.Entries) {
+    auto &Table = State.Jobs.Inherited[Entry.Home];
     if (Entry.Answer.Body.empty() || Table.size() >= MaxInheritedPerInstance)
       continue;
     InheritedAnswer Kept;
@@ -125,7 +139,8 @@
         Now + std::clamp(Entry.ForgetIn, std::chrono::milliseconds(0),
                          State.Settings.Limits.TicketLifetime);
     Kept.Answer = std::make_shared<StoredAnswer>(Entry.Answer);
-    Table.insert_or_assign(Entry.Sequence, std::move(Kept));
+    if (Table.insert_or_assign(Entry.Sequence, std::move(Kept)).second)
+      State.Jobs.InheritedOrder.emplace_back(Entry.Home, Entry.Sequence);
   }
 }
 
--- a/src/membership/drain_cmd.cpp
+++ b/src/membership/drain_cmd.cpp
@@ -68,7 +68,7 @@
   Part.Where = Drain.HeirAddress;
   Part.Entries = exportAnswers(State, Drain.AnswersSent, MaxPartBytes, Now);
   Drain.PartSize = Part.Entries.size();
-  Part.Last = Drain.AnswersSent + Drain.PartSize >= State.Jobs.Retained.size();
+  Part.Last = Drain.AnswersSent + Drain.PartSize >= answersToExport(State);
   Drain.SendPending = true;
   Out.push_back(std::move(Part));
 }
@@ -129,7 +129,7 @@
     return;
   }
   Drain.AnswersSent += Drain.PartSize;
-  if (Drain.AnswersSent < State.Jobs.Retained.size())
+  if (Drain.AnswersSent < answersToExport(State))
     sendNextPart(State, Now, Out);
   else
     leave(State, Now, Out);
--- a/src/membership/member_base.h
+++ b/src/membership/member_base.h
@@ -17,7 +17,8 @@
   MemberState State = MemberState::Joining;
   MemberHealth Health = MemberHealth::NeverHeard;
   SteadyTime LastHeard{};
-  LoadReport Load; ///< Last reported, less what was sent since.
+  SteadyTime FirstHeard{}; ///< Of its present incarnation.
+  LoadReport Load;         ///< Last reported, less what was sent since.
   Revision ConfigurationRevision;
   bool PlatformReachable = true; ///< As it says itself.
   SteadyTime LastFetch{}; ///< Last fetch from it since a revision was applied.
--- a/src/membership/member_cmd.cpp
+++ b/src/membership/member_cmd.cpp
@@ -25,6 +25,9 @@
 // instances that hold each other for dead take to find each other again.
 constexpr Duration LongestContactPause = std::chrono::seconds(5);
 
+// A member is new for this long: many heartbeats, so that losses don't matter.
+constexpr Duration NewMemberTime = std::chrono::seconds(10);
+
 void record(TimelineKind Kind, const Member &M, EffectList &Out) {
   Out.push_back(
       RecordTimeline{Kind, "", "",
@@ -37,6 +40,14 @@
   M.HeartbeatPending = true;
   Heartbeat Message = ownHeartbeat(State, Now);
   M.ToldFree = Message.Load.FreeSlots;
+  // One that started after a departure has not seen the farewell.
+  if (Now - M.FirstHeard < NewMemberTime)
+    for (const auto &[Left, D] : State.Members.Departed)
+      if (D.ForgetAfter > Now)
+        Message.Departed.push_back(
+            {Left, D.Heir,
+             std::chrono::duration_cast<std::chrono::milliseconds>(
+                 D.ForgetAfter - Now)});
   Out.push_back(SendHeartbeat{M.Self.Where, std::move(Message)});
 }
 
@@ -247,6 +258,11 @@
     return;
   if (Replaced)
     replaceIncarnation(State, M, Now, Out);
+  if (M.Incarnation != Message.Incarnation)
+    M.FirstHeard = Now;
+  for (const DepartureNotice &Notice : Message.Departed)
+    State.Members.Departed.emplace(
+        Notice.Left, Departure{Notice.Heir, Now + Notice.ForgetIn});
   bool StateChanged = M.State != Message.State || Replaced;
   M.Self = Message.Self;
   M.Incarnation = Message.Incarnation;
--- a/src/membership/member_type.h
+++ b/src/membership/member_type.h
@@ -23,6 +23,13 @@
   DataCentre Centre;
 };
 
+/// A graceful departure whose tickets may still be used.
+struct DepartureNotice {
+  IncarnationId Left;
+  IncarnationId Heir;
+  std::chrono::milliseconds ForgetIn{0};
+};
+
 /// `member.heartbeat`, and its answer.
 struct Heartbeat {
   MemberAddress Self;
@@ -35,6 +42,7 @@
   /// Receives the retained answers of a member that has left.
   std::optional<IncarnationId> Heir;
   std::vector<MemberAddress> Known;
+  std::vector<DepartureNotice> Departed; ///< Told to new members only.
 };
 
 } // namespace snipeshunt
--- a/src/reducer/event_type.h
+++ b/src/reducer/event_type.h
@@ -143,6 +143,7 @@
   RequestId Request;
   IncarnationId From;
   struct Entry {
+    IncarnationId Home; ///< Issued the ticket; not `From` if inherited by it.
     TicketSequence Sequence;
     uint64_t BodyHash = 0;
     std::chrono::milliseconds ForgetIn{0};
--- a/src/rpc/rpc_codec.cpp
+++ b/src/rpc/rpc_codec.cpp
@@ -77,8 +77,26 @@
   return finishReading(Reader, std::move(Member));
 }
 
+Json::Value encodeDeparture(const DepartureNotice &Notice) {
+  Json::Value V(Json::objectValue);
+  V["left"] = Json::UInt64(Notice.Left.Value);
+  V["heir"] = Json::UInt64(Notice.Heir.Value);
+  V["forget_ms"] = Json::Int64(Notice.ForgetIn.count());
+  return V;
+}
+
+Result<DepartureNotice> decodeDeparture(const Json::Value &Value) {
+  DepartureNotice Notice;
+  ObjectReader Reader(Value, "departed[]");
+  Reader.unsignedId("left", Notice.Left.Value)
+      .unsignedId("heir", Notice.Heir.Value);
+  readMs(Reader, "forget_ms", Notice.ForgetIn);
+  return finishReading(Reader, Notice);
+}
+
 Json::Value encodeAnswer(const AnswersReceived::Entry &Entry) {
   Json::Value V(Json::objectValue);
+  V["home"] = Json::UInt64(Entry.Home.Value);
   V["sequence"] = Json::UInt64(Entry.Sequence.Value);
   V["body_hash"] = Json::UInt64(Entry.BodyHash);
   V["forget_ms"] = Json::Int64(std::max<int64_t>(0, Entry.ForgetIn.count()));
@@ -92,7 +110,8 @@
   AnswersReceived::Entry Entry;
   int64_t Status = 0;
   ObjectReader Reader(Value, "entries[]");
-  Reader.unsignedId("sequence", Entry.Sequence.Value)
+  Reader.unsignedId("home", Entry.Home.Value)
+      .unsignedId("sequence", Entry.Sequence.Value)
       .unsignedId("body_hash", Entry.BodyHash)
       .integer("status", Status, 0, 999)
       .string("body", Entry.Answer.Body, MaxPayload);
@@ -262,6 +281,8 @@
   if (Message.Heir)
     V["heir"] = Json::UInt64(Message.Heir->Value);
   V["known"] = encodeList(Message.Known, encodeMember);
+  if (!Message.Departed.empty())
+    V["departed"] = encodeList(Message.Departed, encodeDeparture);
   V["platform_reachable"] = Message.PlatformReachable;
   return V;
 }
@@ -281,6 +302,8 @@
     Reader.unsignedId("heir", Message.Heir->Value);
   }
   readList(Reader, "known", MaxMembers, Message.Known, decodeMember);
+  if (Reader.has("departed"))
+    readList(Reader, "departed", MaxMembers, Message.Departed, decodeDeparture);
   return finishReading(Reader, std::move(Message));
 }
 
--- /dev/null
+++ b/tests/process/refusal_process_test.cpp
@@ -0,0 +1,163 @@
+/// \file Refusals crossed with late copies, and answers that are whole or none.
+#include "faulted_fleet.h"
+
+namespace snipeshunt {
+namespace {
+
+struct RefusalCase {
+  const char *Kind;            ///< Of the refusal's error.
+  const char *BlockerTeam;     ///< Team that fills the home first; may be "".
+  size_t Blockers;             ///< Jobs of 200 tasks.
+  RecordedJob Job;             ///< Without payloads.
+  bool CancelledFirst = false; ///< By DELETE before the submission.
+};
+
+const RefusalCase RefusalCases[] = {
+    {"queue_full", "filler", 3, {{}, "other"}},
+    {"quota_exceeded", "greedy", 2, {{}, "greedy"}},
+    {"patience_too_short", "filler", 2, {{}, "other", 50}},
+    {"never_fits", "", 0, {{}, "team", 60000, 0, 9}},
+    {"not_found", "", 0, {{}, "team"}, true},
+};
+
+std::string errorKind(const CallerAnswer &Answer) {
+  return Answer.Body["error"]["kind"].asString();
+}
+
+/// Fills instance 0 with waiting tasks; gives the tickets.
+std::vector<std::string> fill(FaultedFleet &Fleet, const RefusalCase &Case,
+                              std::vector<std::future<CallerAnswer>> &Open) {
+  std::vector<std::string> Tickets;
+  for (size_t I = 0; I < Case.Blockers; ++I) {
+    std::string Ticket = Fleet.ticket(0);
+    RecordedJob Job = Fleet.Caller.makeJob(200, "run_ms=3000");
+    // Fillers stay below the quota of each team.
+    Job.Team = Case.BlockerTeam == Case.Job.Team
+                   ? Case.Job.Team
+                   : Case.BlockerTeam + std::to_string(I);
+    Job.PatienceMs = 600000;
+    Job.ExpectedMs = 3000;
+    Open.push_back(Fleet.submitLater(0, Ticket, Job));
+    EXPECT_TRUE(Fleet::waitUntil(
+        [&] {
+          return Fleet.Caller.ask("GET", Fleet.F.instance(0), Ticket).Status ==
+                 202;
+        },
+        Deadline));
+    Tickets.push_back(Ticket);
+  }
+  return Tickets;
+}
+
+// Guards against a refused job that runs all the same when a copy of its
+// submission arrives after the cause of the refusal has passed.
+TEST(RefusalProcessTest, LateCopyOfRefusedJobIsRefusedTheSame) {
+  // The quota of 4000 tasks is divided by the instances: 500 for each.
+  FleetOptions Options = fleetOptions(2, 4, 1);
+  Options.ExtraSettings = R"("limits":{"queue_limit_tasks":600})";
+  FaultedFleet Fleet(Options);
+  ASSERT_TRUE(Fleet.Running);
+  for (const RefusalCase &Case : RefusalCases) {
+    SCOPED_TRACE(Case.Kind);
+    std::vector<std::future<CallerAnswer>> Open;
+    std::vector<std::string> Blockers = fill(Fleet, Case, Open);
+    std::string Ticket = Fleet.ticket(0);
+    RecordedJob Job = Fleet.Caller.makeJob(150, "run_ms=1");
+    Job.Team = Case.Job.Team;
+    Job.PatienceMs = Case.Job.PatienceMs;
+    Job.Accelerators = Case.Job.Accelerators;
+    CallerAnswer Refusal =
+        Case.CancelledFirst
+            ? Fleet.Caller.ask("DELETE", Fleet.F.instance(1), Ticket)
+            : Fleet.submit(1, Ticket, Job);
+    EXPECT_EQ(Refusal.Outcome, "not_run");
+    EXPECT_EQ(errorKind(Refusal), Case.Kind);
+    for (const std::string &Blocker : Blockers)
+      Fleet.Caller.ask("DELETE", Fleet.F.instance(0), Blocker);
+    for (std::future<CallerAnswer> &Answer : Open)
+      Answer.wait();
+    for (size_t Via = 0; Via < Fleet.F.instances(); ++Via)
+      EXPECT_EQ(Fleet.submit(Via, Ticket, Job).Body, Refusal.Body);
+    EXPECT_EQ(Fleet.starts(Ticket), 0U);
+  }
+}
+
+// Guards against a job refused by a departing home that runs at its heir or at
+// the home's successor.
+TEST(RefusalProcessTest, LateCopyAfterRefusalOfDrainingHome) {
+  FaultedFleet Fleet(fleetOptions(1, 3, 2));
+  ASSERT_TRUE(Fleet.Running);
+  std::string Ticket = Fleet.ticket(0);
+  RecordedJob Job = Fleet.Caller.makeJob(5, "run_ms=1");
+  ASSERT_EQ(
+      Fleet.submit(0, Fleet.ticket(0), Fleet.Caller.makeJob(1, "run_ms=1"))
+          .Outcome,
+      "complete");
+  // Without an answer to `answer.keep` the home goes on draining.
+  Fleet.setRules([&](size_t I) {
+    return I == 0 ? std::string("[]")
+                  : R"([{"from":")" + Fleet.F.instanceIp(0) +
+                        R"(","path":"/rpc","action":"drop_request"}])";
+  });
+  Fleet.F.process(FleetRole::Instance, 0).signal(SIGTERM);
+  auto Refuses = [&] {
+    CallerAnswer Answer = Fleet.submit(0, Ticket, Job, std::chrono::seconds(5));
+    return errorKind(Answer) == "draining" && Answer.Outcome == "not_run";
+  };
+  // The home accepts submissions until it has chosen its heir.
+  std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+  EXPECT_TRUE(Refuses());
+  EXPECT_FALSE(Fleet.F.process(FleetRole::Instance, 0).wait(Duration::zero()));
+  Fleet.setRules([](size_t) { return "[]"; });
+  EXPECT_EQ(Fleet.F.process(FleetRole::Instance, 0).wait(Deadline), 0);
+  for (size_t Via : {1, 2})
+    EXPECT_EQ(Fleet.submit(Via, Ticket, Job).Outcome, "not_run");
+  ASSERT_FALSE(failed(Fleet.F.restart(FleetRole::Instance, 0)));
+  ASSERT_TRUE(Fleet.waitForRoster());
+  for (size_t Via : {0, 1, 2}) {
+    std::string Outcome = Fleet.submit(Via, Ticket, Job).Outcome;
+    EXPECT_TRUE(Outcome == "not_run" || Outcome == "unknown") << Outcome;
+  }
+  EXPECT_EQ(Fleet.starts(Ticket), 0U);
+}
+
+// Guards against partial answers, and against answers lost with the
+// connection of the caller that asked first.
+TEST(RefusalProcessTest, AnswersAreCompleteOrFailed) {
+  FleetOptions Options = fleetOptions(1, 3, 2);
+  Options.ExtraSettings = R"("limits":{"max_answer_bytes":4096})";
+  FaultedFleet Fleet(Options);
+  ASSERT_TRUE(Fleet.Running);
+
+  RecordedJob Failing = Fleet.Caller.makeJob(20, "run_ms=30");
+  Failing.Payloads[7] += " fail=1";
+  RecordedJob Large = Fleet.Caller.makeJob(10, "run_ms=5");
+  for (std::string &Payload : Large.Payloads)
+    Payload += std::string(1000, 'x');
+  for (const auto &[Job, Kind] : {std::make_pair(Failing, "task_failed"),
+                                  std::make_pair(Large, "answer_too_large")}) {
+    std::string Ticket = Fleet.ticket(0);
+    CallerAnswer Answer = Fleet.submit(1, Ticket, Job);
+    EXPECT_EQ(Answer.Status, 500);
+    EXPECT_EQ(Answer.Outcome, "failed");
+    EXPECT_EQ(errorKind(Answer), Kind);
+    EXPECT_FALSE(Answer.Body.isMember("results"));
+    EXPECT_EQ(Answer.Body["tasks"].size(), Job.Payloads.size());
+    expectTruthfulStates(Fleet, Ticket, Answer);
+    EXPECT_EQ(Fleet.submit(2, Ticket, Job).Body, Answer.Body);
+  }
+
+  std::string Ticket = Fleet.ticket(0);
+  RecordedJob Job = Fleet.Caller.makeJob(4, "run_ms=700");
+  CallerAnswer HungUp =
+      Fleet.submit(1, Ticket, Job, std::chrono::milliseconds(300));
+  EXPECT_EQ(HungUp.Outcome, "none");
+  CallerAnswer Again = Fleet.submit(2, Ticket, Job);
+  EXPECT_EQ(Again.Outcome, "complete");
+  EXPECT_EQ(Fleet.Caller.ask("GET", Fleet.F.instance(0), Ticket).Body,
+            Again.Body);
+  EXPECT_EQ(Fleet.starts(Ticket), Job.Payloads.size());
+}
+
+} // namespace
+} // namespace snipeshunt
