handover: return what finds no free slot, and keep results of returned tasks

Cause: several homes act on the same news of free slots, so tasks waited at a receiver without a slot while slots were free elsewhere: 79 % of the waiting tasks on otjomuise were handed-over ones. Returning them showed a fault: when a task came to the same receiver again, forgetting its settled first batch also forgot the task, its result was dropped and its job was lost (0.08 to 0.8 % of the jobs). Change: the receiver returns tasks beyond its free slots if the wait at their home is shorter; the floor forgets only the batch's own tasks; the expected wait counts the instance's own slots.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -9,17 +9,17 @@
 
 namespace {
 
-/// Slots of the whole fleet that this instance can expect for its queue.
-double fairSlots(const InstanceState &State) {
-  double Slots = 0;
+// Wait told by an instance that sends to no upstream: longer than that of any
+// instance which can start tasks itself.
+constexpr Duration NoSlotsWait = std::chrono::seconds(60);
+
+/// Work at speed 1 that this instance's own slots do in a second.
+double ownRate(const InstanceState &State) {
+  double Rate = 0;
   for (const auto &[Where, U] : State.Upstreams.All)
-    if (!U.Leaving)
-      Slots += U.Listed.Slots * (U.Owned ? U.Speed : 1.0);
-  double Instances = 1;
-  for (const auto &[Where, M] : State.Members.Members)
-    if (M.Health == MemberHealth::Alive && M.State == MemberState::Live)
-      ++Instances;
-  return Slots / Instances;
+    if (U.Owned && !U.Leaving && !U.Probing)
+      Rate += U.Listed.Slots * U.Speed;
+  return Rate;
 }
 
 std::optional<Error> testFits(const InstanceState &State,
@@ -59,6 +59,9 @@
 std::optional<Error> testPatience(const InstanceState &State,
                                   const JobRequest &Request) {
   Duration Expected = expectedWait(State);
+  for (const auto &[Where, M] : State.Members.Members)
+    if (M.Health == MemberHealth::Alive && M.State == MemberState::Live)
+      Expected = std::min<Duration>(Expected, M.Load.ExpectedWait);
   // Declared run times are often far too long, so only the wait may refuse.
   if (Expected <= Request.Patience)
     return std::nullopt;
@@ -81,8 +84,10 @@
 }
 
 Duration expectedWait(const InstanceState &State) {
-  double Slots = std::max(1.0, fairSlots(State));
-  return std::chrono::duration_cast<Duration>(State.Queue.work() / Slots);
+  double Rate = ownRate(State);
+  if (Rate <= 0)
+    return NoSlotsWait;
+  return std::chrono::duration_cast<Duration>(State.Queue.work() / Rate);
 }
 
 std::optional<Error> testAdmission(const InstanceState &State,
--- a/src/admission/admission_func.h
+++ b/src/admission/admission_func.h
@@ -15,7 +15,7 @@
 std::optional<Error> testAdmission(const InstanceState &State,
                                    const JobRequest &Request, SteadyTime Now);
 
-/// Wait of a task that joins the queue now.
+/// Wait of a task that joins this instance's queue now.
 Duration expectedWait(const InstanceState &State);
 
 } // namespace snipeshunt
--- a/src/handover/receive_cmd.cpp
+++ b/src/handover/receive_cmd.cpp
@@ -1,6 +1,7 @@
 /// \file Receiver side of handovers.
 #include "handover/handover_cmd.h"
 
+#include "admission/admission_func.h"
 #include "membership/member_cmd.h"
 #include "scheduling/queue_cmd.h"
 #include "tickets/ticket_func.h"
@@ -34,8 +35,13 @@
   Channel.Floor = Floor;
   while (!Channel.Batches.empty() &&
          Channel.Batches.begin()->first < Channel.Floor) {
-    for (const auto &[Key, TaskIs] : Channel.Batches.begin()->second.Tasks)
-      State.Handovers.Held.erase(Key);
+    for (const auto &[Key, TaskIs] : Channel.Batches.begin()->second.Tasks) {
+      // A task that was returned may be here again in a later batch.
+      auto Held = State.Handovers.Held.find(Key);
+      if (Held != State.Handovers.Held.end() &&
+          Held->second == Channel.Batches.begin()->first)
+        State.Handovers.Held.erase(Held);
+    }
     Channel.Batches.erase(Channel.Batches.begin());
   }
 }
@@ -63,6 +69,18 @@
                                "from=" + Message.HomeAddress.Value});
 }
 
+/// Returns tasks that found no free slot here and wait less at their home.
+void returnExcess(InstanceState &State, const HandoverMessage &Message,
+                  size_t FreeBefore, SteadyTime Now) {
+  if (Message.Load.ExpectedWait > expectedWait(State))
+    return;
+  for (size_t I = FreeBefore; I < Message.Tasks.size(); ++I) {
+    TaskKey Key = keyOf(Message, Message.Tasks[I]);
+    if (State.Queue.erase(Key))
+      finishHeldTask(State, Key, {TaskEnd::NotStarted, "no free slot"}, Now);
+  }
+}
+
 HandoverVerdict takeBatch(InstanceState &State, const HandoverMessage &Message,
                           SteadyTime Now, EffectList &Out) {
   if (Message.Receiver != State.Incarnation)
@@ -87,8 +105,11 @@
     Batch.Refused = true;
     return HandoverVerdict::Refused;
   }
+  size_t Free = currentLoad(State, Now).FreeSlots;
   for (const HandedTask &Handed : Message.Tasks)
     holdTask(State, Message, Handed, Batch, Now, Out);
+  if (State.Policy.ReturnExcess)
+    returnExcess(State, Message, Free, Now);
   return HandoverVerdict::Accepted;
 }
 
--- a/src/load/policy_main.cpp
+++ b/src/load/policy_main.cpp
@@ -37,6 +37,7 @@
       {"no-speed",
        changed([](O &P) { P.Placement = PlacementRule::LeastOutstanding; })},
       {"no-lanes", changed([](O &P) { P.Lanes = false; })},
+      {"no-return", changed([](O &P) { P.ReturnExcess = false; })},
       {"no-probes", changed([](O &P) { P.Probes = false; })},
   };
   return Table;
--- a/src/reducer/policy_type.h
+++ b/src/reducer/policy_type.h
@@ -14,8 +14,9 @@
 struct PolicyOptions {
   OrderRule Order = OrderRule::ShortestRemaining;
   PlacementRule Placement = PlacementRule::EarliestFinish;
-  bool Lanes = true;  ///< Long tasks use only their share of the slots.
-  bool Probes = true; ///< Failing upstreams get only probes.
+  bool Lanes = true;        ///< Long tasks use only their share of the slots.
+  bool Probes = true;       ///< Failing upstreams get only probes.
+  bool ReturnExcess = true; ///< Receivers return what finds no free slot.
 };
 
 } // namespace snipeshunt
--- a/src/scheduling/dispatch_cmd.cpp
+++ b/src/scheduling/dispatch_cmd.cpp
@@ -158,9 +158,9 @@
                      });
 }
 
-/// Tasks of this home that \p M can take now.
+/// Up to \p Most tasks of this home that \p M can take now.
 std::vector<TaskKey> tasksFor(const InstanceState &State, const Member &M,
-                              SteadyTime Now) {
+                              size_t Most, SteadyTime Now) {
   std::vector<TaskKey> Keys;
   for (bool Long : {false, true}) {
     size_t Misfits = 0;
@@ -171,14 +171,41 @@
         Keys.push_back(Task.Key);
       else
         ++Misfits;
-      return Keys.size() < M.Load.FreeSlots && Misfits < MaxMisfits;
+      return Keys.size() < Most && Misfits < MaxMisfits;
     });
-    if (Keys.size() >= M.Load.FreeSlots)
+    if (Keys.size() >= Most)
       break;
   }
   return Keys;
 }
 
+/// The peer with slots whose queue is the shortest.
+Member *shortestQueue(InstanceState &State) {
+  Member *Best = nullptr;
+  for (auto &[Where, M] : State.Members.Members)
+    if (M.Health == MemberHealth::Alive && M.State == MemberState::Live &&
+        M.Load.TotalSlots > 0 &&
+        (!Best || M.Load.ExpectedWait < Best->Load.ExpectedWait))
+      Best = &M;
+  return Best;
+}
+
+/// An instance without slots of its own must queue its tasks at peers: while
+/// these have tasks of their own, they never announce a free slot.
+void queueAtPeers(InstanceState &State, SteadyTime Now, EffectList &Out) {
+  while (Member *M = shortestQueue(State)) {
+    size_t Batch = std::max<size_t>(1, M->Load.TotalSlots / 4);
+    std::vector<TaskKey> Keys = tasksFor(State, *M, Batch, Now);
+    if (Keys.empty())
+      return;
+    Duration Before = State.Queue.work();
+    giveTasks(State, *M, Keys, Now, Out);
+    // Speeds of the peer's upstreams are not known here.
+    M->Load.ExpectedWait += std::chrono::ceil<std::chrono::milliseconds>(
+        (Before - State.Queue.work()) / int64_t{M->Load.TotalSlots});
+  }
+}
+
 } // namespace
 
 void startTasks(InstanceState &State, SteadyTime Now, uint64_t Seed,
@@ -206,12 +233,14 @@
     if (!SameCentre && State.Members.OwnState == MemberState::Live &&
         M->Load.ExpectedWait + CentreRoundTrip >= expectedWait(State))
       continue;
-    std::vector<TaskKey> Keys = tasksFor(State, *M, Now);
+    std::vector<TaskKey> Keys = tasksFor(State, *M, M->Load.FreeSlots, Now);
     if (Keys.empty())
       continue;
     M->Load.FreeSlots -= static_cast<uint32_t>(Keys.size());
     giveTasks(State, *M, Keys, Now, Out);
   }
+  if (currentLoad(State, Now).TotalSlots == 0)
+    queueAtPeers(State, Now, Out);
 }
 
 } // namespace snipeshunt
