--- a/src/handover/receive_cmd.cpp
+++ b/src/handover/receive_cmd.cpp
@@ -1,6 +1,7 @@
 /// \file Receiver side of handovers.
 #include "handover/handover_cmd.h"
 
+#include "admission/admission_func.h"
 #include "membership/member_cmd.h"
 #include "scheduling/queue_cmd.h"
 #include "tickets/ticket_func.h"
@@ -82,6 +83,18 @@
                M->Health == MemberHealth::Suspect);
 }
 
+/// Returns tasks that found no free slot here and wait less at their home.
+void returnExcess(InstanceState &State, const HandoverMessage &Message,
+                  size_t FreeBefore, SteadyTime Now) {
+  if (Message.Load.ExpectedWait > expectedWait(State))
+    return;
+  for (size_t I = FreeBefore; I < Message.Tasks.size(); ++I) {
+    TaskKey Key = keyOf(Message, Message.Tasks[I]);
+    if (State.Queue.erase(Key))
+      finishHeldTask(State, Key, {TaskEnd::NotStarted, "no free slot"}, Now);
+  }
+}
+
 HandoverVerdict takeBatch(InstanceState &State, const HandoverMessage &Message,
                           SteadyTime Now, EffectList &Out) {
   if (Message.Receiver != State.Incarnation)
@@ -107,8 +120,11 @@
     Batch.Refused = true;
     return HandoverVerdict::Refused;
   }
+  size_t Free = currentLoad(State, Now).FreeSlots;
   for (const HandedTask &Handed : Message.Tasks)
     holdTask(State, Message, Handed, Batch, Now, Out);
+  if (State.Policy.ReturnExcess)
+    returnExcess(State, Message, Free, Now);
   return HandoverVerdict::Accepted;
 }
 
