membership: one heartbeat exchange per pair, members named every 5 s

Cause: both members of a pair sent heartbeats although request and reply tell each side of the other, and each message named all members.

Change: the member with the lower address starts the exchange. The other sends only while no heartbeat says that its own answers arrive, so a link that is cut in one direction is still covered. The list of members goes to a member when it appears and every 5 s after that.

--- a/src/membership/member_base.h
+++ b/src/membership/member_base.h
@@ -21,8 +21,10 @@
   Revision ConfigurationRevision;
   bool PlatformReachable = true; ///< As it says itself.
   SteadyTime LastFetch{}; ///< Last fetch from it since a revision was applied.
-  SteadyTime SilentSince{}; ///< When it was first found silent; 0 if it's not.
-  SteadyTime NextContact{}; ///< Earliest heartbeat to a silent member.
+  SteadyTime SilentSince{};  ///< When it was first found silent; 0 if it's not.
+  SteadyTime NextContact{};  ///< Earliest heartbeat to a silent member.
+  SteadyTime CoveredUntil{}; ///< Its own heartbeats suffice until then.
+  SteadyTime KnownSent{};    ///< When it was last told of the other members.
   bool HeartbeatPending = false; ///< A heartbeat to it is open.
   SteadyTime LastAnnounced{};    ///< Last heartbeat sent ahead of its time.
   uint32_t ToldFree = 0;         ///< Free slots here that it was told of last.
--- a/src/membership/member_cmd.cpp
+++ b/src/membership/member_cmd.cpp
@@ -25,6 +25,9 @@
 // instances that hold each other for dead take to find each other again.
 constexpr Duration LongestContactPause = std::chrono::seconds(5);
 
+// The list of members is most of a heartbeat's size and rarely changes.
+constexpr Duration KnownPause = std::chrono::seconds(5);
+
 void record(TimelineKind Kind, const Member &M, EffectList &Out) {
   Out.push_back(
       RecordTimeline{Kind, "", "",
@@ -35,9 +38,7 @@
 void sendHeartbeat(InstanceState &State, Member &M, SteadyTime Now,
                    EffectList &Out) {
   M.HeartbeatPending = true;
-  Heartbeat Message = ownHeartbeat(State, Now);
-  M.ToldFree = Message.Load.FreeSlots;
-  Out.push_back(SendHeartbeat{M.Self.Where, std::move(Message)});
+  Out.push_back(SendHeartbeat{M.Self.Where, heartbeatFor(State, M, Now)});
 }
 
 /// The process at this address is another one than before.
@@ -59,6 +60,7 @@
   M.Health = To;
   switch (To) {
   case MemberHealth::Alive:
+    M.KnownSent = {};
     if (From != MemberHealth::Suspect)
       record(TimelineKind::MemberJoined, M, Out);
     break;
@@ -190,7 +192,8 @@
 /// Whether a heartbeat to \p M is due. The longer a member is silent, the
 /// rarer they are, so that old addresses cost little.
 bool contactIsDue(Member &M, Duration Period, SteadyTime Now) {
-  if (M.HeartbeatPending || (isSilent(M) && Now < M.NextContact))
+  if (M.HeartbeatPending || Now < M.CoveredUntil ||
+      (isSilent(M) && Now < M.NextContact))
     return false;
   Duration Silence =
       M.SilentSince == SteadyTime{} ? Duration::zero() : Now - M.SilentSince;
@@ -247,6 +250,8 @@
     return;
   if (Replaced)
     replaceIncarnation(State, M, Now, Out);
+  if (Replaced)
+    M.KnownSent = {};
   bool StateChanged = M.State != Message.State || Replaced;
   M.Self = Message.Self;
   M.Incarnation = Message.Incarnation;
@@ -273,6 +278,19 @@
   fetchNewerConfiguration(State, Now, Out);
 }
 
+Heartbeat answerHeartbeat(InstanceState &State, const Heartbeat &Message,
+                          SteadyTime Now) {
+  auto It = State.Members.Members.find(Message.Self.Where);
+  if (It == State.Members.Members.end())
+    return ownHeartbeat(State, Now);
+  // One exchange tells both sides of each other. The member with the lower
+  // address starts it; the other does so only while none comes or its own
+  // answers don't arrive.
+  if (Message.HearsReceiver && Message.Self.Where < State.Settings.Advertise)
+    It->second.CoveredUntil = Now + State.Settings.Limits.Heartbeat * 3 / 2;
+  return heartbeatFor(State, It->second, Now);
+}
+
 void applyHeartbeatAnswer(InstanceState &State, const HeartbeatAnswered &Event,
                           SteadyTime Now, EffectList &Out) {
   auto It = State.Members.Members.find(Event.Where);
@@ -299,6 +317,19 @@
   return Message;
 }
 
+Heartbeat heartbeatFor(const InstanceState &State, Member &To, SteadyTime Now) {
+  Heartbeat Message = ownHeartbeat(State, Now);
+  Message.HearsReceiver =
+      To.Health == MemberHealth::Alive &&
+      Now - To.LastHeard < State.Settings.Limits.Suspect / 2;
+  if (To.KnownSent != SteadyTime{} && Now - To.KnownSent < KnownPause)
+    Message.Known.clear();
+  else
+    To.KnownSent = Now;
+  To.ToldFree = Message.Load.FreeSlots;
+  return Message;
+}
+
 void announceConfiguration(InstanceState &State, SteadyTime Now,
                            EffectList &Out) {
   State.Members.NextFetch = Now;
--- a/src/membership/member_cmd.h
+++ b/src/membership/member_cmd.h
@@ -33,6 +33,12 @@
 /// What this instance says of itself.
 Heartbeat ownHeartbeat(const InstanceState &State, SteadyTime Now);
 
+/// The same for one member, without what it need not be told again.
+Heartbeat heartbeatFor(const InstanceState &State, Member &To, SteadyTime Now);
+/// Answer to the heartbeat \p Message, which has been adopted.
+Heartbeat answerHeartbeat(InstanceState &State, const Heartbeat &Message,
+                          SteadyTime Now);
+
 /// Tells the data centre of a newly applied configuration at once.
 void announceConfiguration(InstanceState &State, SteadyTime Now,
                            EffectList &Out);
--- a/src/membership/member_type.h
+++ b/src/membership/member_type.h
@@ -32,8 +32,12 @@
   Revision ConfigurationRevision;
   /// Whether the platform's service answers the sender.
   bool PlatformReachable = true;
+  /// Whether the sender has lately heard the receiver, which then need not
+  /// send heartbeats of its own.
+  bool HearsReceiver = false;
   /// Receives the retained answers of a member that has left.
   std::optional<IncarnationId> Heir;
+  /// Members present; empty in most heartbeats.
   std::vector<MemberAddress> Known;
 };
 
--- a/src/reducer/reducer.cpp
+++ b/src/reducer/reducer.cpp
@@ -65,9 +65,8 @@
   }
   void operator()(const HeartbeatReceived &E) {
     applyHeartbeat(State, E.Message, Now, Out);
-    Heartbeat Own = ownHeartbeat(State, Now);
-    noteToldLoad(State, E.Message.Self.Where, Own.Load);
-    Out.push_back(ReplyHeartbeat{E.Request, std::move(Own)});
+    Out.push_back(
+        ReplyHeartbeat{E.Request, answerHeartbeat(State, E.Message, Now)});
   }
   void operator()(const HeartbeatAnswered &E) {
     applyHeartbeatAnswer(State, E, Now, Out);
--- a/src/rpc/rpc_codec.cpp
+++ b/src/rpc/rpc_codec.cpp
@@ -263,6 +263,7 @@
     V["heir"] = Json::UInt64(Message.Heir->Value);
   V["known"] = encodeList(Message.Known, encodeMember);
   V["platform_reachable"] = Message.PlatformReachable;
+  V["hears_receiver"] = Message.HearsReceiver;
   return V;
 }
 
@@ -273,7 +274,8 @@
       .string("data_centre", Message.Self.Centre.Value, MaxTextLength)
       .unsignedId("incarnation", Message.Incarnation.Value)
       .unsignedId("configuration_revision", Message.ConfigurationRevision.Value)
-      .boolean("platform_reachable", Message.PlatformReachable);
+      .boolean("platform_reachable", Message.PlatformReachable)
+      .boolean("hears_receiver", Message.HearsReceiver);
   readEnum(Reader, "state", Message.State, MemberState::Left);
   readLoad(Reader, "load", Message.Load);
   if (Reader.has("heir")) {
