--- a/src/rpc/rpc_codec.cpp
+++ b/src/rpc/rpc_codec.cpp
@@ -284,6 +284,7 @@
   if (!Message.Departed.empty())
     V["departed"] = encodeList(Message.Departed, encodeDeparture);
   V["platform_reachable"] = Message.PlatformReachable;
+  V["hears_receiver"] = Message.HearsReceiver;
   return V;
 }
 
@@ -294,7 +295,8 @@
       .string("data_centre", Message.Self.Centre.Value, MaxTextLength)
       .unsignedId("incarnation", Message.Incarnation.Value)
       .unsignedId("configuration_revision", Message.ConfigurationRevision.Value)
-      .boolean("platform_reachable", Message.PlatformReachable);
+      .boolean("platform_reachable", Message.PlatformReachable)
+      .boolean("hears_receiver", Message.HearsReceiver);
   readEnum(Reader, "state", Message.State, MemberState::Left);
   readLoad(Reader, "load", Message.Load);
   if (Reader.has("heir")) {
