--- a/src/handover/receive_cmd.cpp
+++ b/src/handover/receive_cmd.cpp
@@ -199,9 +199,12 @@
   }
   // Records of a home that is gone were dropped, so nothing can be said of what
   // its tasks did.
+  auto Known = State.Handovers.Incoming.find(Message.Home);
+  bool Recorded = Known != State.Handovers.Incoming.end() &&
+                  Known->second.Batches.count(Message.Sequence) &&
+                  !Known->second.Batches[Message.Sequence].Tasks.empty();
   bool Forgotten = State.Handovers.ClosedHomes.count(Message.Home) ||
-                   (!State.Handovers.Incoming.count(Message.Home) &&
-                    !homePresent(State, Message.Home));
+                   (!Recorded && !homePresent(State, Message.Home));
   if (Forgotten) {
     Out.push_back(std::move(Reply));
     return;
--- a/src/membership/member_cmd.cpp
+++ b/src/membership/member_cmd.cpp
@@ -67,7 +67,8 @@
     M.Load.FreeSlots = 0;
     break;
   case MemberHealth::Dead:
-    record(TimelineKind::MemberDead, M, Out);
+    if (M.State != MemberState::Left)
+      record(TimelineKind::MemberDead, M, Out);
     loseReceiver(State, M.Incarnation, Now, Out);
     returnHeldTasks(State, M.Incarnation, "the home is unreachable", Now, Out);
     endForwardsTo(State, M.Incarnation, Out);
