membership: let the process at an address say that it replaced another

Cause: a late copy of a heartbeat from a replaced process, arriving at an instance started since, made it take the present process for a former one. It then ignored that process's heartbeats for the lifetime of a ticket, 10 min. Change: a heartbeat request with another incarnation replaces a member that is present only after a reply from its address confirms it. Members that are dead, unknown or have left are replaced at once, as before. Tests: LateMessageOfUnknownFormerProcessReplacesNobody failed before (member dead after 10 s). ReturnedIncarnationIsAnotherMember expected the replacement on the first request, which is the fault; it now also demands the question and the answer, and that a late message changes nothing. Conclusion: a restarted instance is recognised one round trip later.

--- a/src/fleet/child_process.cpp
+++ b/src/fleet/child_process.cpp
@@ -17,6 +17,7 @@
 ChildProcess::start(const std::vector<std::string> &Arguments,
                     const std::string &LogFile) {
   std::vector<char *> Raw;
+  Raw.reserve(Arguments.size() + 1);
   for (const std::string &Argument : Arguments)
     Raw.push_back(const_cast<char *>(Argument.c_str()));
   Raw.push_back(nullptr);
--- a/src/fleet/recorded_caller.cpp
+++ b/src/fleet/recorded_caller.cpp
@@ -65,8 +65,10 @@
                                     const std::string &Directives) {
   RecordedJob Job;
   std::string Prefix = Name + "-" + std::to_string(++Jobs) + "-";
+  std::string Tail = " " + Directives;
   for (size_t I = 0; I < Tasks; ++I)
-    Job.Payloads.push_back(Prefix + std::to_string(I) + " " + Directives);
+    Job.Payloads.push_back(
+        std::string(Prefix).append(std::to_string(I)).append(Tail));
   return Job;
 }
 
--- a/src/membership/member_cmd.cpp
+++ b/src/membership/member_cmd.cpp
@@ -237,7 +237,7 @@
 }
 
 void applyHeartbeat(InstanceState &State, const Heartbeat &Message,
-                    SteadyTime Now, EffectList &Out) {
+                    SteadyTime Now, EffectList &Out, bool IsReply) {
   if (Message.Self.Where == State.Settings.Advertise ||
       State.Members.Former.count(Message.Incarnation))
     return;
@@ -253,6 +253,16 @@
   if (!Replaced && M.State == MemberState::Left &&
       Message.State != MemberState::Left)
     return;
+  // A request may be a late copy from a process that is gone. If a member that
+  // is present seems to be replaced, the process at its address decides.
+  bool Present =
+      (M.Health == MemberHealth::Alive || M.Health == MemberHealth::Suspect) &&
+      M.State != MemberState::Left;
+  if (Replaced && Present && !IsReply) {
+    if (!M.HeartbeatPending)
+      sendHeartbeat(State, M, Now, Out);
+    return;
+  }
   if (Replaced)
     replaceIncarnation(State, M, Now, Out);
   if (Replaced)
@@ -311,7 +321,7 @@
   if (It != State.Members.Members.end())
     It->second.HeartbeatPending = false;
   if (Event.Reply)
-    applyHeartbeat(State, *Event.Reply, Now, Out);
+    applyHeartbeat(State, *Event.Reply, Now, Out, /*IsReply=*/true);
 }
 
 Heartbeat ownHeartbeat(const InstanceState &State, SteadyTime Now) {
--- a/src/membership/member_cmd.h
+++ b/src/membership/member_cmd.h
@@ -16,7 +16,7 @@
 
 /// Adopts a heartbeat, received or as an answer.
 void applyHeartbeat(InstanceState &State, const Heartbeat &Message,
-                    SteadyTime Now, EffectList &Out);
+                    SteadyTime Now, EffectList &Out, bool IsReply = false);
 void applyHeartbeatAnswer(InstanceState &State, const HeartbeatAnswered &Event,
                           SteadyTime Now, EffectList &Out);
 
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -98,12 +98,28 @@
 TEST(MembershipTest, ReturnedIncarnationIsAnotherMember) {
   TestInstance I;
   I.hear(heartbeatOf(PeerA, 7));
+  I.send(HeartbeatAnswered{PeerA, std::nullopt});
   I.hear(heartbeatOf(PeerA, 8));
+  // The process at the address is asked at once, and its answer counts.
+  ASSERT_EQ(TestInstance::effects<SendHeartbeat>(I.Last).size(), 1U);
+  I.send(HeartbeatAnswered{PeerA, heartbeatOf(PeerA, 8)});
+  EXPECT_EQ(I.member(PeerA).Incarnation, IncarnationId{8});
   I.hear(heartbeatOf(PeerA, 7));
   EXPECT_EQ(I.member(PeerA).Incarnation, IncarnationId{8});
   EXPECT_EQ(findMember(I.State, {7}), nullptr);
 }
 
+// Guards against a late message of a replaced process that makes an instance
+// started since take the present one for a former one, for minutes.
+TEST(MembershipTest, LateMessageOfUnknownFormerProcessReplacesNobody) {
+  TestInstance I;
+  I.hear(heartbeatOf(PeerA, 8));
+  I.hear(heartbeatOf(PeerA, 7));
+  I.run(seconds(10), {heartbeatOf(PeerA, 8)});
+  EXPECT_EQ(I.member(PeerA).Incarnation, IncarnationId{8});
+  EXPECT_EQ(I.member(PeerA).Health, MemberHealth::Alive);
+}
+
 // Guards against a departed member being reported as dead, also when an older
 // message of it arrives after its farewell.
 TEST(MembershipTest, LeavingIsToldFromDead) {
