--- a/tests/process/refusal_process_test.cpp
+++ b/tests/process/refusal_process_test.cpp
@@ -80,6 +80,11 @@
       EXPECT_EQ(Fleet.submit(Via, Ticket, Job).Body, Refusal.Body);
     EXPECT_EQ(Fleet.starts(Ticket), 0U);
   }
+  // The home still runs jobs, so that it refused them for their own sake.
+  EXPECT_EQ(
+      Fleet.submit(0, Fleet.ticket(0), Fleet.Caller.makeJob(3, "run_ms=1"))
+          .Outcome,
+      "complete");
 }
 
 // Guards against a job refused by a departing home that runs at its heir or at
