admission: refuse early what would end late, and order by due time

Cause: at a burst of 5 times the mean, 36 % of the admitted jobs of the crest ended later than 3 times their ideal; the order counted a job's work as if it ran on one slot, so large jobs aged for up to a minute. Ruled out: order alone. Change: jobs are due at 3 times their expected response on an empty system; the earliest due goes first. A job whose expected wait behind earlier due work exceeds 40 % of its time left is refused, unless its caller gave patience_ms. An instance without slots of its own is judged by its peers' waits.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -2,6 +2,7 @@
 #include "admission/admission_func.h"
 
 #include "reducer/policy_func.h"
+#include "scheduling/queue_cmd.h"
 
 #include <algorithm>
 
@@ -13,6 +14,12 @@
 // instance which can start tasks itself.
 constexpr Duration NoSlotsWait = std::chrono::seconds(60);
 
+// Jobs admitted later may go ahead, so only a part of the time that is left is
+// promised.
+constexpr double WaitShare = 0.4;
+// Shorter waits are not worth a refusal.
+constexpr Duration MinAllowedWait = std::chrono::milliseconds(20);
+
 /// Work at speed 1 that this instance's own slots do in a second.
 double ownRate(const InstanceState &State) {
   double Rate = 0;
@@ -22,6 +29,33 @@
   return Rate;
 }
 
+double currentSlots(const InstanceState &State) {
+  double Slots = 0;
+  for (const auto &[Where, U] : State.Upstreams.All)
+    if (U.Owned && !U.Leaving && !U.Probing)
+      Slots += U.Listed.Slots;
+  return Slots;
+}
+
+/// Work that the queue here loses in a second: to own slots, and to peers with
+/// an empty queue, which serve all instances with waiting tasks alike.
+double drainRate(const InstanceState &State) {
+  double Own = ownRate(State);
+  double OwnSlots = currentSlots(State);
+  double Speed = OwnSlots > 0 ? Own / OwnSlots : 1;
+  double IdleSlots = 0;
+  double Waiting = 1;
+  for (const auto &[Where, M] : State.Members.Members) {
+    if (M.Health != MemberHealth::Alive || M.State != MemberState::Live)
+      continue;
+    if (M.Load.WaitingTasks > 0)
+      ++Waiting;
+    else
+      IdleSlots += M.Load.TotalSlots;
+  }
+  return Own + IdleSlots * Speed / Waiting;
+}
+
 std::optional<Error> testFits(const InstanceState &State,
                               const JobRequest &Request) {
   if (State.Upstreams.All.empty())
@@ -58,7 +92,8 @@
 
 std::optional<Error> testPatience(const InstanceState &State,
                                   const JobRequest &Request) {
-  Duration Expected = expectedWait(State);
+  bool HasSlots = ownRate(State) > 0;
+  Duration Expected = HasSlots ? expectedWait(State) : Request.Patience;
   for (const auto &[Where, M] : State.Members.Members)
     if (M.Health == MemberHealth::Alive && M.State == MemberState::Live)
       Expected = std::min<Duration>(Expected, M.Load.ExpectedWait);
@@ -72,6 +107,35 @@
                "submit later or with a longer patience_ms"};
 }
 
+/// Refuses early what would end late, unless the caller has said how long it
+/// will wait.
+std::optional<Error> testStretch(const InstanceState &State,
+                                 const JobRequest &Request, SteadyTime Now) {
+  if (!State.Policy.RefuseLate || Request.PatienceGiven ||
+      State.Queue.size() == 0)
+    return std::nullopt;
+  JobNeeds Needs = jobNeeds(State, Request.Tasks);
+  double Rank = rankOf(State, Now, Needs.Span);
+  Duration Ahead{0};
+  for (bool Long : {false, true})
+    State.Queue.visit(Long, [&](const WaitingTask &Task) {
+      Ahead += Task.Rank < Rank ? Task.Estimate : Duration{0};
+      return Task.Rank < Rank;
+    });
+  double Rate = drainRate(State);
+  if (Rate <= 0)
+    return std::nullopt;
+  auto Wait = std::chrono::duration_cast<Duration>(Ahead / Rate);
+  auto Allowed = std::chrono::duration_cast<Duration>(
+      (State.Policy.MaxStretch * Needs.Span - Needs.Longest) * WaitShare);
+  if (Wait <= std::max(Allowed, MinAllowedWait))
+    return std::nullopt;
+  return Error{ErrorKind::PatienceTooShort,
+               "the expected wait of " + std::to_string(toMilliseconds(Wait)) +
+                   " ms is long for a job of this size",
+               "submit later, or give a patience_ms to wait"};
+}
+
 } // namespace
 
 JobBodyLimits bodyLimits(const InstanceState &State) {
@@ -107,7 +171,9 @@
     return E;
   if (std::optional<Error> E = testQuota(State, Request))
     return E;
-  return testPatience(State, Request);
+  if (std::optional<Error> E = testPatience(State, Request))
+    return E;
+  return testStretch(State, Request, Now);
 }
 
 } // namespace snipeshunt
--- a/src/handover/give_cmd.cpp
+++ b/src/handover/give_cmd.cpp
@@ -104,6 +104,7 @@
     Task.Owner = Handed.Owner;
     Task.Enqueued = J.Tasks[Key.Index.Value].FirstQueued;
     Task.StartBefore = J.Deadline;
+    Task.Span = J.Span;
     // No upstream was asked, so the retry budget does not apply: a sender that
     // shuts down returns all of its waiting tasks at once.
     if (!requeueTask(State, Task, Now, Now, Seed))
--- a/src/jobs/answer.cpp
+++ b/src/jobs/answer.cpp
@@ -107,6 +107,7 @@
   if (std::optional<Error> Problem = Reader.finish())
     return *Problem;
   Request.Patience = std::chrono::milliseconds(PatienceMs);
+  Request.PatienceGiven = valueOf(Parsed).isMember("patience_ms");
   for (Json::ArrayIndex I = 0; I < Tasks->size(); ++I) {
     Result<TaskSpecPtr> Spec =
         parseTask((*Tasks)[I], "tasks[" + std::to_string(I) + "]");
--- a/src/jobs/job_base.h
+++ b/src/jobs/job_base.h
@@ -31,6 +31,7 @@
   size_t Unfinished = 0;  ///< Tasks without a result.
   size_t OutputBytes = 0; ///< Sum over finished tasks.
   SteadyTime Submitted;
+  Duration Span{0};    ///< Expected response on an empty system.
   SteadyTime Deadline; ///< The job fails when it has not ended by then.
   std::vector<RequestId> Waiters; ///< Callers that get the answer.
 };
--- a/src/jobs/job_cmd.cpp
+++ b/src/jobs/job_cmd.cpp
@@ -65,6 +65,7 @@
   Waiting.Owner = J.Owner;
   Waiting.Enqueued = Task.FirstQueued;
   Waiting.StartBefore = J.Deadline;
+  Waiting.Span = J.Span;
   queueTask(State, std::move(Waiting), J.Unfinished, Now);
 }
 
@@ -78,6 +79,7 @@
   J->Submitted = Now;
   J->Deadline = Now + Request.Patience;
   J->Unfinished = Request.Tasks.size();
+  J->Span = jobNeeds(State, Request.Tasks).Span;
   for (TaskSpecPtr &Spec : Request.Tasks) {
     JobTask Task;
     Task.Spec = std::move(Spec);
--- a/src/jobs/job_type.h
+++ b/src/jobs/job_type.h
@@ -26,6 +26,7 @@
 struct JobRequest {
   Team Owner;
   std::chrono::milliseconds Patience{0}; ///< Time limit; 0 takes the default.
+  bool PatienceGiven = false;            ///< The caller chose the time limit.
   std::vector<TaskSpecPtr> Tasks;
 };
 
--- a/src/load/policy_main.cpp
+++ b/src/load/policy_main.cpp
@@ -28,15 +28,20 @@
   using O = PolicyOptions;
   static const std::vector<PolicyRow> Table = {
       {"random-fifo",
-       {OrderRule::FirstInFirstOut, PlacementRule::Random, false, false}},
+       {OrderRule::FirstInFirstOut, PlacementRule::Random, false, false, 3,
+        false, false}},
       {"least-fifo",
        {OrderRule::FirstInFirstOut, PlacementRule::LeastOutstanding, false,
-        false}},
+        false, 3, false, false, false}},
       {"current", {}},
       {"no-order", changed([](O &P) { P.Order = OrderRule::FirstInFirstOut; })},
       {"no-speed",
        changed([](O &P) { P.Placement = PlacementRule::LeastOutstanding; })},
       {"no-lanes", changed([](O &P) { P.Lanes = false; })},
+      {"shortest-remaining",
+       changed([](O &P) { P.Order = OrderRule::ShortestRemaining; })},
+      {"no-refusal", changed([](O &P) { P.RefuseLate = false; })},
+      {"no-wait", changed([](O &P) { P.WaitForFaster = false; })},
       {"no-return", changed([](O &P) { P.ReturnExcess = false; })},
       {"no-probes", changed([](O &P) { P.Probes = false; })},
   };
--- a/src/scheduling/queue_base.h
+++ b/src/scheduling/queue_base.h
@@ -20,6 +20,7 @@
   SteadyTime StartBefore; ///< Not started after this time.
   SteadyTime NotBefore;   ///< Backoff after an attempt that did not start.
   Duration Estimate{0};   ///< Run time at speed 1.
+  Duration Span{0};       ///< Expected response of its job on an empty system.
   bool Long = false;      ///< Belongs to the lane of long tasks.
   double Rank = 0;        ///< Lower goes first; set by the order policy.
   uint64_t Arrival = 0;   ///< Breaks ties by order of arrival.
--- a/src/scheduling/queue_cmd.cpp
+++ b/src/scheduling/queue_cmd.cpp
@@ -5,6 +5,8 @@
 #include "reducer/policy_func.h"
 #include "scheduling/estimate_func.h"
 
+#include <algorithm>
+
 namespace snipeshunt {
 
 namespace {
@@ -13,13 +15,69 @@
   return std::chrono::duration<double>(D).count();
 }
 
+Duration estimateOf(const InstanceState &State, const TaskSpec &Spec) {
+  return estimateRuntime(State.Estimates, Spec,
+                         expectedTime(State.Configuration.InForce, Spec.Kind));
+}
+
+/// Speeds of this instance's upstreams, as learned so far.
+struct KnownSpeeds {
+  double Fastest = 0;
+  double Mean = 1;
+  double Capacity = 0; ///< Of the whole fleet; others are taken as alike.
+};
+
+KnownSpeeds knownSpeeds(const InstanceState &State) {
+  KnownSpeeds Speeds;
+  double OwnSlots = 0;
+  double OwnRate = 0;
+  double AllSlots = 0;
+  for (const auto &[Where, U] : State.Upstreams.All) {
+    AllSlots += U.Listed.Slots;
+    if (!U.Owned)
+      continue;
+    OwnSlots += U.Listed.Slots;
+    OwnRate += U.Listed.Slots * U.Speed;
+    Speeds.Fastest = std::max(Speeds.Fastest, U.Speed);
+  }
+  if (OwnSlots > 0)
+    Speeds.Mean = OwnRate / OwnSlots;
+  if (Speeds.Fastest <= 0)
+    Speeds.Fastest = 1;
+  Speeds.Capacity = std::max(1.0, AllSlots * Speeds.Mean);
+  return Speeds;
+}
+
+Duration scaled(Duration D, double Speed) {
+  return std::chrono::duration_cast<Duration>(D / Speed);
+}
+
 } // namespace
 
+JobNeeds jobNeeds(const InstanceState &State,
+                  const std::vector<TaskSpecPtr> &Tasks) {
+  KnownSpeeds Speeds = knownSpeeds(State);
+  JobNeeds Needs;
+  Duration Longest{0};
+  for (const TaskSpecPtr &Spec : Tasks) {
+    Duration Estimate = estimateOf(State, *Spec);
+    Needs.Work += Estimate;
+    Longest = std::max(Longest, Estimate);
+  }
+  Needs.Span = std::max(scaled(Longest, Speeds.Fastest),
+                        scaled(Needs.Work, Speeds.Capacity));
+  Needs.Longest = scaled(Longest, Speeds.Mean);
+  return Needs;
+}
+
+double rankOf(const InstanceState &State, SteadyTime Enqueued, Duration Span) {
+  return toSeconds(Enqueued.time_since_epoch()) +
+         State.Policy.MaxStretch * toSeconds(Span);
+}
+
 void queueTask(InstanceState &State, WaitingTask Task, size_t Remaining,
                SteadyTime Now) {
-  Task.Estimate = estimateRuntime(
-      State.Estimates, *Task.Spec,
-      expectedTime(State.Configuration.InForce, Task.Spec->Kind));
+  Task.Estimate = estimateOf(State, *Task.Spec);
   Task.Long = State.Policy.Lanes && Task.Estimate > longThreshold(State);
   // The time of arrival in the rank is the ageing: a task that arrived
   // earlier by the whole remaining work of a later job goes before it.
@@ -27,6 +85,12 @@
     Task.Rank = toSeconds(Task.Enqueued.time_since_epoch()) +
                 toSeconds(Task.Estimate) * static_cast<double>(Remaining) /
                     teamWeightOf(State, Task.Owner);
+  // Jobs are to end within a multiple of their response on an empty system, so
+  // the one that reaches this multiple first goes first. This prefers short
+  // jobs and ages long ones by real time.
+  if (State.Policy.Order == OrderRule::EarliestDue)
+    Task.Rank = rankOf(State, Task.Enqueued,
+                       Task.Span > Duration{0} ? Task.Span : Task.Estimate);
   State.Queue.push(std::move(Task));
 }
 
