scheduling: let tasks wait for a faster slot

Cause: with speeds from 1 to 4 a task on a slow upstream takes longer than 3 times its ideal even when it starts at once. Change: a task waits when a slot in use is expected to end it within 0.67 of its time on the free slot; each waiting task reserves its slot.

--- a/src/scheduling/dispatch_cmd.cpp
+++ b/src/scheduling/dispatch_cmd.cpp
@@ -22,6 +22,10 @@
 // Long tasks get at least this share of the slots, so that they don't starve.
 constexpr double LongMinimumShare = 0.1;
 
+// A task waits for a faster slot only to end within this share of its time on
+// the free one; estimates are too rough for less.
+constexpr double WorthWaiting = 0.67;
+
 using Candidates = std::vector<Upstream *>;
 
 bool fits(const Upstream &U, const TaskSpec &Spec) {
@@ -107,15 +111,67 @@
   return Free;
 }
 
+/// A slot in use, and when it is expected to be free.
+struct BusySlot {
+  double FreeIn = 0; ///< In seconds.
+  double Speed = 1;
+};
+
+double toSeconds(Duration D) {
+  return std::chrono::duration<double>(D).count();
+}
+
+/// Slots in use that may be worth waiting for.
+std::vector<BusySlot> busySlots(const InstanceState &State, SteadyTime Now) {
+  std::vector<BusySlot> Slots;
+  if (State.Policy.Placement != PlacementRule::EarliestFinish ||
+      !State.Policy.WaitForFaster)
+    return Slots;
+  for (const auto &[Id, A] : State.Upstreams.Attempts) {
+    auto U = State.Upstreams.All.find(A.Where);
+    if (U == State.Upstreams.All.end() || U->second.Leaving ||
+        U->second.ConsecutiveFailures > 0)
+      continue;
+    double Left = toSeconds(A.Task.Estimate) / U->second.Speed -
+                  toSeconds(Now - A.Started);
+    Slots.push_back({std::max(0.0, Left), U->second.Speed});
+  }
+  return Slots;
+}
+
+/// Reserves the slot on which \p Task ends before it would on a free slot of
+/// \p FreeSpeed, if there is one.
+bool waitsForFaster(std::vector<BusySlot> &Slots, const WaitingTask &Task,
+                    double FreeSpeed) {
+  double Best = toSeconds(Task.Estimate) / FreeSpeed * WorthWaiting;
+  BusySlot *Chosen = nullptr;
+  for (BusySlot &S : Slots) {
+    double Finish = S.FreeIn + toSeconds(Task.Estimate) / S.Speed;
+    if (S.Speed > FreeSpeed && Finish < Best) {
+      Best = Finish;
+      Chosen = &S;
+    }
+  }
+  if (!Chosen)
+    return false;
+  Chosen->FreeIn = Best;
+  return true;
+}
+
 /// Starts the first task of a lane that fits a free slot.
 bool startFromLane(InstanceState &State, bool Long, const Candidates &Free,
                    SteadyTime Now, uint64_t Seed, EffectList &Out) {
   Upstream *Place = nullptr;
   TaskKey Key;
   size_t Misfits = 0;
+  std::vector<BusySlot> Busy = busySlots(State, Now);
   State.Queue.visit(Long, [&](const WaitingTask &Task) {
     if (Task.NotBefore <= Now && Task.StartBefore > Now)
       Place = choosePlace(State, Free, *Task.Spec, Seed);
+    // What needs an accelerator takes the slot that it can get.
+    if (Place && Task.Spec->Accelerators == 0 &&
+        waitsForFaster(Busy, Task, Place->Speed))
+      Place = nullptr;
     Key = Task.Key;
     return !Place && ++Misfits < MaxMisfits;
   });
@@ -162,10 +218,17 @@
 std::vector<TaskKey> tasksFor(const InstanceState &State, const Member &M,
                               size_t Most, SteadyTime Now) {
   std::vector<TaskKey> Keys;
+  // While a slot is free here, the others wait for a faster one.
+  bool AllWait = State.Policy.WaitForFaster &&
+                 std::any_of(State.Upstreams.All.begin(),
+                             State.Upstreams.All.end(), [&](const auto &Entry) {
+                               return acceptsTask(State, Entry.second, Now);
+                             });
   for (bool Long : {false, true}) {
     size_t Misfits = 0;
     State.Queue.visit(Long, [&](const WaitingTask &Task) {
-      bool Ready = Task.Key.Home == State.Incarnation &&
+      bool Ready = (!AllWait || Task.Spec->Accelerators > 0) &&
+                   Task.Key.Home == State.Incarnation &&
                    Task.NotBefore <= Now && Task.StartBefore > Now;
       if (Ready && memberFits(State, M, *Task.Spec))
         Keys.push_back(Task.Key);
