membership: wait 20 ms between announcements to one peer

Cause: announcements every 5 ms led to handovers of one or two tasks. Change: 20 ms between two announcements to one peer.

--- a/src/membership/member_cmd.cpp
+++ b/src/membership/member_cmd.cpp
@@ -16,7 +16,7 @@
 // Bounds what a confused peer can make this instance remember.
 constexpr size_t MaxMembers = 512;
 // At least this long between two heartbeats sent ahead of their time.
-constexpr Duration AnnouncePause = std::chrono::milliseconds(5);
+constexpr Duration AnnouncePause = std::chrono::milliseconds(20);
 constexpr Duration FetchPause = std::chrono::milliseconds(500);
 // A peer that did not give its document is passed over for this long, so that
 // one that can't be reached does not stand in the way of the others.
