--- /dev/null
+++ b/tests/policy_test.cpp
@@ -0,0 +1,239 @@
+/// \file Scheduling decisions of the reducer.
+#include "reducer/reducer.h"
+
+#include <gtest/gtest.h>
+
+namespace snipeshunt {
+namespace {
+
+using std::chrono::milliseconds;
+
+const Address Self{"10.0.0.1:1"};
+const Address Peer{"10.0.0.2:1"};
+const Address First{"10.1.0.1:1"};
+const Address Second{"10.1.0.2:1"};
+constexpr IncarnationId Own{7};
+constexpr IncarnationId Other{8};
+
+/// One instance that sends to two upstreams of two slots.
+class PolicyTest : public ::testing::Test {
+protected:
+  void SetUp() override { start(2, "dc1"); }
+
+  void start(int64_t Slots, const char *UpstreamCentre) {
+    DaemonSettings S;
+    S.Listen = S.Advertise = Self;
+    S.Centre = DataCentre{"dc1"};
+    S.FleetKey = "a key of sixteen bytes or more";
+    for (const Address &Where : {First, Second})
+      S.Upstreams.push_back({Where, DataCentre{UpstreamCentre}, Slots, 0});
+    State = initialState(std::move(S), Own);
+    send(Tick{});
+    for (const Address &Where : {First, Second})
+      send(StatusRead{Where,
+                      UpstreamStatus{static_cast<uint32_t>(Slots), 0, false}});
+  }
+
+  EffectList send(EventBody Body) {
+    return reduce(State, {Time.steadyNow(), 1, std::move(Body)});
+  }
+
+  /// Submits \p Count tasks of \p Kind that are declared to run \p Expected.
+  EffectList submit(const std::string &Kind, size_t Count, int Expected,
+                    const std::string &Extra = "") {
+    std::string Tasks;
+    for (size_t I = 0; I < Count; ++I)
+      Tasks += std::string(I ? "," : "") + R"({"kind":")" + Kind +
+               R"(","expected_ms":)" + std::to_string(Expected) + "}";
+    JobRequested E;
+    E.Request = RequestId{++Requests};
+    EffectList Drawn = send(TicketsRequested{RequestId{++Requests}, 1});
+    E.TicketText = std::get<ReplyTickets>(Drawn[0]).Tickets[0];
+    E.Body = R"({"team":"t",)" + Extra + R"("tasks":[)" + Tasks + "]}";
+    return send(E);
+  }
+
+  EffectList end(const StartTask &Start, AttemptEnd End) {
+    return send(AttemptEnded{Start.Attempt, {End, "x"}});
+  }
+
+  /// A handover of tasks 0 to \p Count - 1 of one job, from an idle home.
+  EffectList handOver(uint64_t Sequence, uint64_t SettledBelow,
+                      uint32_t Count) {
+    HandoverReceived E;
+    E.Message = {Other,
+                 Peer,
+                 Own,
+                 {Sequence},
+                 {SettledBelow},
+                 {},
+                 {8, 8, 0, milliseconds(0)}};
+    for (uint32_t I = 0; I < Count; ++I) {
+      auto Spec = std::make_shared<TaskSpec>();
+      Spec->Kind = TaskKind{"k"};
+      E.Message.Tasks.push_back({TicketSequence{1}, TaskIndex{I}, Team{"t"},
+                                 Spec, milliseconds(5000), milliseconds(0)});
+    }
+    return send(E);
+  }
+
+  template <typename T> static std::vector<T> all(const EffectList &Effects) {
+    std::vector<T> Found;
+    for (const Effect &E : Effects)
+      if (auto *One = std::get_if<T>(&E))
+        Found.push_back(*One);
+    return Found;
+  }
+
+  FakeClock Time;
+  InstanceState State;
+  uint64_t Requests = 0;
+};
+
+// Guards against short jobs waiting for large ones that came just before, and
+// against large ones waiting for ever.
+TEST_F(PolicyTest, ShortJobsGoFirstUntilLongOnesAreDue) {
+  std::vector<StartTask> Running = all<StartTask>(submit("a", 5, 500));
+  ASSERT_EQ(Running.size(), 4U);
+  submit("b", 1, 100, R"("patience_ms":9000,)");
+  Time.advance(milliseconds(1900));
+  submit("b", 1, 100, R"("patience_ms":9000,)");
+  std::vector<std::string> Kinds;
+  for (size_t I = 0; I < 3; ++I)
+    for (const StartTask &S :
+         all<StartTask>(end(Running[I], AttemptEnd::Finished)))
+      Kinds.push_back(S.Spec->Kind.Value);
+  EXPECT_EQ(Kinds, (std::vector<std::string>{"b", "a", "b"}));
+}
+
+// Guards against long tasks taking every slot from short ones.
+TEST_F(PolicyTest, LongTasksLeaveSlotsToShortOnes) {
+  EXPECT_EQ(all<StartTask>(submit("long", 4, 5000)).size(), 2U);
+  EXPECT_EQ(all<StartTask>(submit("short", 2, 100)).size(), 2U);
+}
+
+// Guards against an upstream that breaks while older tasks still end well on
+// it: their success must not clear its failures.
+TEST_F(PolicyTest, OlderSuccessDoesNotClearAFailure) {
+  std::vector<StartTask> Running = all<StartTask>(submit("a", 4, 100));
+  ASSERT_EQ(Running.size(), 4U);
+  Time.advance(milliseconds(1));
+  std::vector<StartTask> There;
+  for (const StartTask &S : Running)
+    if (S.Where == First)
+      There.push_back(S);
+  ASSERT_EQ(There.size(), 2U);
+  end(There[0], AttemptEnd::Failed);
+  end(There[1], AttemptEnd::Finished);
+  EXPECT_EQ(State.Upstreams.All[First].ConsecutiveFailures, 1U);
+}
+
+// Guards against losing many jobs to an upstream that fails every task.
+TEST_F(PolicyTest, FailingUpstreamGetsOnlyProbes) {
+  State.Upstreams.All[Second].Leaving = true;
+  for (int I = 0; I < 3; ++I) {
+    std::vector<StartTask> Starts = all<StartTask>(submit("a", 1, 100));
+    ASSERT_EQ(Starts.size(), 1U);
+    Time.advance(milliseconds(1));
+    end(Starts[0], AttemptEnd::Failed);
+  }
+  EXPECT_TRUE(State.Upstreams.All[First].Probing);
+  EXPECT_TRUE(all<StartTask>(submit("a", 1, 100)).empty());
+  Time.advance(milliseconds(2000));
+  send(StatusRead{First, UpstreamStatus{2, 0, false}});
+  EXPECT_EQ(State.Upstreams.All[First].Busy, 1U);
+}
+
+// Guards against retries that multiply the load of a busy fleet.
+TEST_F(PolicyTest, RetriesEndWithTheBudget) {
+  State.Configuration.InForce.Defaults.RetryBurst = 2;
+  State.Configuration.InForce.Defaults.RetryShare = 0;
+  std::vector<StartTask> Starts = all<StartTask>(submit("a", 3, 100));
+  ASSERT_EQ(Starts.size(), 3U);
+  end(Starts[0], AttemptEnd::Busy);
+  end(Starts[1], AttemptEnd::Busy);
+  EXPECT_EQ(State.Jobs.Running, 1U);
+  end(Starts[2], AttemptEnd::Busy);
+  EXPECT_EQ(State.Jobs.Running, 0U);
+}
+
+// Guards against admitting at overload what then ends late, and against
+// refusing callers who said that they wait.
+TEST_F(PolicyTest, RefusesJobsThatWouldEndLate) {
+  for (int I = 0; I < 30; ++I)
+    submit("a", 1, 500, R"("patience_ms":60000,)");
+  Time.advance(milliseconds(1900));
+  auto Late = all<ReplyToCaller>(submit("b", 1, 100));
+  ASSERT_EQ(Late.size(), 1U);
+  EXPECT_EQ(Late[0].Answer->Result, Outcome::NotRun);
+  EXPECT_TRUE(all<ReplyToCaller>(submit("b", 1, 100, R"("patience_ms":60000,)"))
+                  .empty());
+}
+
+// Guards against tasks that start at once on a slow slot although a fast one
+// is about to be free.
+TEST_F(PolicyTest, WaitsForAFasterSlot) {
+  start(1, "dc1");
+  State.Upstreams.All[First].Speed = 4;
+  std::vector<StartTask> Fast = all<StartTask>(submit("a", 1, 400));
+  ASSERT_EQ(Fast.size(), 1U);
+  EXPECT_EQ(Fast[0].Where, First);
+  Time.advance(milliseconds(90));
+  EXPECT_TRUE(all<StartTask>(submit("a", 1, 400)).empty());
+  auto Next = all<StartTask>(end(Fast[0], AttemptEnd::Finished));
+  ASSERT_EQ(Next.size(), 1U);
+  EXPECT_EQ(Next[0].Where, First);
+}
+
+// Guards against tasks that wait here while slots are free elsewhere.
+TEST_F(PolicyTest, ReturnsTasksWithoutAFreeSlot) {
+  EffectList Effects = handOver(1, 1, 6);
+  EXPECT_EQ(all<StartTask>(Effects).size(), 4U);
+  auto Reports = all<SendReport>(Effects);
+  ASSERT_EQ(Reports.size(), 1U);
+  ASSERT_EQ(Reports[0].Message.Reports.size(), 2U);
+  EXPECT_EQ(Reports[0].Message.Reports[0].Result.End, TaskEnd::NotStarted);
+}
+
+// Guards against losing the result of a task that was returned and then came
+// again: forgetting its first batch forgot the task.
+TEST_F(PolicyTest, KeepsResultsOfTasksThatCameAgain) {
+  submit("a", 4, 100);
+  handOver(1, 1, 1);
+  send(ReportAnswered{Other, true, false, {}});
+  for (auto &[Id, A] : std::unordered_map(State.Upstreams.Attempts))
+    send(AttemptEnded{Id, {AttemptEnd::Finished, "x"}});
+  auto Starts = all<StartTask>(handOver(2, 1, 1));
+  ASSERT_EQ(Starts.size(), 1U);
+  handOver(3, 2, 0);
+  auto Reports = all<SendReport>(end(Starts[0], AttemptEnd::Finished));
+  ASSERT_EQ(Reports.size(), 1U);
+  EXPECT_EQ(Reports[0].Message.Reports[0].Result.End, TaskEnd::Finished);
+}
+
+// Guards against one report for each task of a job.
+TEST_F(PolicyTest, ReportsTheResultsOfAJobTogether) {
+  auto Starts = all<StartTask>(handOver(1, 1, 3));
+  ASSERT_EQ(Starts.size(), 3U);
+  EXPECT_TRUE(all<SendReport>(end(Starts[0], AttemptEnd::Finished)).empty());
+  EXPECT_TRUE(all<SendReport>(end(Starts[1], AttemptEnd::Finished)).empty());
+  auto Reports = all<SendReport>(end(Starts[2], AttemptEnd::Finished));
+  ASSERT_EQ(Reports.size(), 1U);
+  EXPECT_EQ(Reports[0].Message.Reports.size(), 3U);
+}
+
+// Guards against starvation of an instance that sends to no upstream while
+// its peers have full queues.
+TEST_F(PolicyTest, InstanceWithoutSlotsQueuesAtPeers) {
+  start(2, "dc2");
+  Heartbeat Message;
+  Message.Self = {Peer, DataCentre{"dc1"}};
+  Message.Incarnation = Other;
+  Message.State = MemberState::Live;
+  Message.Load = {0, 8, 5, milliseconds(100)};
+  send(HeartbeatReceived{RequestId{99}, Message});
+  EXPECT_EQ(all<SendHandover>(submit("a", 1, 100)).size(), 1U);
+}
+
+} // namespace
+} // namespace snipeshunt
