--- a/src/scheduling/queue_base.h
+++ b/src/scheduling/queue_base.h
@@ -4,6 +4,7 @@
 
 #include "jobs/job_type.h"
 
+#include <array>
 #include <functional>
 #include <optional>
 #include <set>
@@ -54,7 +55,7 @@
   };
 
   std::unordered_map<TaskKey, WaitingTask> Entries;
-  std::set<Order> Lanes[2];
+  std::array<std::set<Order>, 2> Lanes;
   Duration Work{0};
   uint64_t NextArrival = 1;
 };
