--- a/src/tool/config_command.cpp
+++ b/src/tool/config_command.cpp
@@ -135,8 +135,8 @@
 
 /// Replaces the document. The same transaction may be sent repeatedly, since
 /// its comparison and its id let it take effect only once.
-ToolExit swap(ApiClient &Client, const ToolArguments &Arguments,
-              const Base &Old, const Configuration &New) {
+ToolExit replaceDocument(ApiClient &Client, const ToolArguments &Arguments,
+                         const Base &Old, const Configuration &New) {
   EtcdRequest Request = swapRequest(Old.Document, Old.Number, New);
   bool MayHaveArrived = false;
   for (int Attempt = 0; Attempt < MaxAttempts; ++Attempt) {
@@ -191,7 +191,7 @@
   New.Change = newChange(Arguments.Author);
   if (std::optional<Error> Problem = checkConfiguration(New))
     return failWith(ToolExit::Usage, *Problem);
-  return swap(Client, Arguments, B, New);
+  return replaceDocument(Client, Arguments, B, New);
 }
 
 ToolExit runDiff(const ToolArguments &Arguments) {
@@ -231,7 +231,7 @@
                            : removeException(New, Added.Id, By);
   if (failed(Changed))
     return failWith(ToolExit::Failed, errorOf(Changed));
-  return swap(Client, Arguments, valueOf(Old), New);
+  return replaceDocument(Client, Arguments, valueOf(Old), New);
 }
 
 ToolExit runHistory(const ToolArguments &Arguments) {
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -16,14 +16,18 @@
 const Address PeerB{"127.0.0.3:1"};
 const DataCentre Here{"dc1"};
 
+DaemonSettings settingsWith(std::vector<PeerSettings> Peers) {
+  DaemonSettings Settings;
+  Settings.Listen = Settings.Advertise = Self;
+  Settings.Centre = Here;
+  Settings.Peers = std::move(Peers);
+  return Settings;
+}
+
 /// The reducer with a clock and the effects of the last event.
 struct TestInstance {
-  explicit TestInstance(std::vector<PeerSettings> Peers = {}) {
-    DaemonSettings Settings;
-    Settings.Listen = Settings.Advertise = Self;
-    Settings.Centre = Here;
-    Settings.Peers = std::move(Peers);
-    State = initialState(Settings, IncarnationId{1});
+  explicit TestInstance(std::vector<PeerSettings> Peers = {})
+      : State(initialState(settingsWith(std::move(Peers)), IncarnationId{1})) {
     run(milliseconds(100));
   }
 
@@ -220,6 +224,7 @@
     I.run(milliseconds(200), {A, B});
     return I.State.Watching;
   };
+  EXPECT_FALSE(I.State.Members.PlatformReachable) << "it has no platform";
   bool Usual = Watches(true, true, true);
   EXPECT_TRUE(Watches(true, false, false));
   EXPECT_FALSE(Watches(false, true, false));
--- a/tests/process/configuration_process_test.cpp
+++ b/tests/process/configuration_process_test.cpp
@@ -147,6 +147,8 @@
   ConfigurationFleet C(1, 2);
   EXPECT_TRUE(C.everywhere(C.change()));
   std::string File = C.F.workDir() + "/base.json";
+  // Slow answers let both read the document before either changes it.
+  C.platformFaults(R"({"delay_ms":300})");
   for (int Round = 0; Round < 5; ++Round) {
     std::ofstream(File) << C.tool("get").Output;
     auto Set = [&](const char *Author) {
--- a/tests/process/measurement_test.cpp
+++ b/tests/process/measurement_test.cpp
@@ -105,6 +105,7 @@
         Last[Revision] = std::max(Last[Revision], Wall);
       }
     std::vector<int64_t> Times;
+    Times.reserve(Sent.size());
     for (const auto &[Revision, Start] : Sent)
       Times.push_back(Last[Revision] - Start);
     printSpread("  from sending the change to the last instance in force",
@@ -146,13 +147,16 @@
   Own.Self = {valueOf(Bound), {"dc1"}};
   Own.Incarnation = {1};
   Call.Body = encodeRpcRequest("member.heartbeat", encodeHeartbeat(Own));
-  HttpOutcome Outcome = callOnce(std::move(Call));
-  const auto *Reply = std::get_if<HttpReply>(&Outcome);
-  ASSERT_TRUE(Reply);
-  size_t Size = 17 + 2 + Reply->Body.size();
-  for (const auto &[Name, Value] : Reply->Headers)
-    Size += Name.size() + Value.size() + 4;
-  printf("heartbeat reply: %zu bytes with headers\n", Size);
+  // The first reply names the members, the second does not.
+  for (const char *Name : {"first", "next"}) {
+    HttpOutcome Outcome = callOnce(Call);
+    const auto *Reply = std::get_if<HttpReply>(&Outcome);
+    ASSERT_TRUE(Reply);
+    size_t Size = 17 + 2 + Reply->Body.size();
+    for (const auto &[Key, Value] : Reply->Headers)
+      Size += Key.size() + Value.size() + 4;
+    printf("%s heartbeat reply: %zu bytes with headers\n", Name, Size);
+  }
 }
 
 /// Pauses or kills instance 0 repeatedly and prints what the others noted.
