scheduling: scan the upstreams once per round of starts

Every start of a task went over all known upstreams twice, to collect the free ones and to sum the slots of long tasks. A start changes only its own upstream, so one pass per round is enough; the list of free upstreams is then kept up to date. The choice of lane and place is the same, which the test of slots and long share checks.

Conclusion: the cost of a start no longer multiplies with the number of upstreams that other instances own; one pass per event remains.

--- a/src/scheduling/dispatch_cmd.cpp
+++ b/src/scheduling/dispatch_cmd.cpp
@@ -108,9 +108,9 @@
   return Free;
 }
 
-/// Starts the first task of a lane that fits a free slot.
-bool startFromLane(InstanceState &State, bool Long, const Candidates &Free,
-                   SteadyTime Now, uint64_t Seed, EffectList &Out) {
+/// Starts the first task of a lane that fits a free slot; gives its place.
+Upstream *startFromLane(InstanceState &State, bool Long, const Candidates &Free,
+                        SteadyTime Now, uint64_t Seed, EffectList &Out) {
   Upstream *Place = nullptr;
   TaskKey Key;
   size_t Misfits = 0;
@@ -120,10 +120,9 @@
     Key = Task.Key;
     return !Place && ++Misfits < MaxMisfits;
   });
-  if (!Place)
-    return false;
-  startTask(State, Key, *Place, Now, Out);
-  return true;
+  if (Place)
+    startTask(State, Key, *Place, Now, Out);
+  return Place;
 }
 
 bool canReceive(const Member &M) {
@@ -211,18 +210,24 @@
 
 void startTasks(InstanceState &State, SteadyTime Now, uint64_t Seed,
                 EffectList &Out) {
-  while (State.Queue.size() > 0) {
-    Candidates Free = freeUpstreams(State, Now);
-    if (Free.empty())
-      return;
-    bool Started = false;
-    for (bool Long : laneOrder(State, slotUse(State))) {
-      Started = startFromLane(State, Long, Free, Now, Seed++, Out);
-      if (Started)
+  if (State.Queue.size() == 0)
+    return;
+  // One pass over all upstreams serves the whole round, since a start changes
+  // nothing but its own upstream.
+  Candidates Free = freeUpstreams(State, Now);
+  SlotUse Use = slotUse(State);
+  while (State.Queue.size() > 0 && !Free.empty()) {
+    Upstream *Place = nullptr;
+    for (bool Long : laneOrder(State, Use)) {
+      Place = startFromLane(State, Long, Free, Now, Seed++, Out);
+      Use.Long += Place && Long ? 1 : 0;
+      if (Place)
         break;
     }
-    if (!Started)
+    if (!Place)
       return;
+    if (!acceptsTask(State, *Place, Now))
+      Free.erase(std::find(Free.begin(), Free.end(), Place));
   }
 }
 
