rpc: answer a request that nests too deeply

A body of 100,000 opening brackets on /rpc ended the daemon: jsoncpp reports nesting beyond its limit by an exception, libjsonrpccpp passes it on, and nothing caught it. The gateway of callers was ruled out, since parseJson catches the same exception.

RpcServer now answers such a request with the parse error of JSON-RPC.

Not covered: the number of connections is bounded only by the limit on open files.

--- a/src/rpc/rpc_server.cpp
+++ b/src/rpc/rpc_server.cpp
@@ -7,6 +7,15 @@
 
 namespace snipeshunt {
 
+namespace {
+
+// Parse error of JSON-RPC 2.0.
+constexpr char UnreadableRequest[] =
+    R"({"jsonrpc":"2.0","id":null,"error":{"code":-32700,)"
+    R"("message":"the request can't be read; send one JSON-RPC object"}})";
+
+} // namespace
+
 /// Takes responses in memory; the library's own connectors block and use
 /// threads.
 class RpcServer::Connector : public jsonrpc::AbstractServerConnector {
@@ -58,9 +67,15 @@
 }
 
 std::string RpcServer::handle(const std::string &Request) {
-  std::string Response;
-  Link->OnRequest(Request, &Response);
-  return Response;
+  // jsoncpp reports excessive nesting by an exception that the library passes
+  // on; it must not end the process.
+  try {
+    std::string Response;
+    Link->OnRequest(Request, &Response);
+    return Response;
+  } catch (const std::exception &) {
+    return UnreadableRequest;
+  }
 }
 
 } // namespace snipeshunt
