--- a/src/load/load_driver.cpp
+++ b/src/load/load_driver.cpp
@@ -77,6 +77,9 @@
     if (Job.Measured) {
       ++OpenMeasured;
       ++Gathered.Counts.Sent;
+      // Taken before any wait for a ticket, which is the instance's delay.
+      Gathered.Counts.LateMs.push_back(
+          toMs(std::chrono::steady_clock::now() - Job.Due));
     }
     if (H.Tickets.empty())
       H.Waiting.push_back(std::move(Job));
@@ -174,8 +177,6 @@
   Call.Body = std::move(Job.Body);
   Call.Timeout = std::chrono::milliseconds(Options.PatienceMs + 5000);
   SteadyTime Sent = std::chrono::steady_clock::now();
-  if (Job.Measured)
-    Gathered.Counts.LateMs.push_back(toMs(Sent - Job.Due));
   Client.send(std::move(Call), [this, Job, Sent](const HttpOutcome &Outcome) {
     finish(Outcome, Job, Sent);
   });
--- a/src/load/load_type.h
+++ b/src/load/load_type.h
@@ -66,7 +66,7 @@
   uint64_t NoAnswer = 0; ///< Lost connections and jobs open at the end.
   std::vector<double> ResponseMs; ///< Of complete jobs, from the due time.
   std::vector<double> AddedMs;    ///< From sending, less the longest task.
-  std::vector<double> LateMs;     ///< Delay of sending after the due time.
+  std::vector<double> LateMs;     ///< Delay of the callers after the due time.
 };
 
 /// Everything that one run gives.
