load: pass the result by reference

clang-tidy reported a copied parameter, temporary strings in the report and a vector without reserved space in the dispatch test. No change of behaviour.

--- a/src/load/load_func.h
+++ b/src/load/load_func.h
@@ -24,7 +24,7 @@
 double quantile(const std::vector<double> &Sorted, double Share);
 
 /// The report of a run; all fields are named with their units.
-Json::Value loadReport(const LoadOptions &Options, LoadResult Result);
+Json::Value loadReport(const LoadOptions &Options, const LoadResult &Result);
 /// The report on one line, with three decimals.
 std::string loadReportJson(const Json::Value &Report);
 /// The report with one line for each figure.
--- a/src/load/load_report.cpp
+++ b/src/load/load_report.cpp
@@ -131,7 +131,7 @@
                 1];
 }
 
-Json::Value loadReport(const LoadOptions &Options, LoadResult Result) {
+Json::Value loadReport(const LoadOptions &Options, const LoadResult &Result) {
   const CallerCounts &C = Result.Counts;
   double Seconds =
       std::chrono::duration<double>(Result.After.At - Result.Before.At).count();
@@ -189,10 +189,15 @@
       [&](const Json::Value &V, const std::string &Name) {
         if (V.isObject()) {
           for (const std::string &Key : V.getMemberNames())
-            Print(V[Key], Name.empty() ? Key : Name + "." + Key);
+            Print(V[Key], Name.empty()
+                              ? Key
+                              : std::string(Name).append(".").append(Key));
         } else if (V.isArray()) {
           for (Json::ArrayIndex I = 0; I < V.size(); ++I)
-            Print(V[I], Name + "[" + std::to_string(I) + "]");
+            Print(V[I], std::string(Name)
+                            .append("[")
+                            .append(std::to_string(I))
+                            .append("]"));
         } else {
           Out << std::left << std::setw(44) << Name << loadReportJson(V)
               << "\n";
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -63,6 +63,7 @@
 TEST(DispatchTest, OneRoundRespectsSlotsAndTheShareOfLongTasks) {
   SteadyTime Now = FakeClock().steadyNow();
   std::vector<Address> Where;
+  Where.reserve(5);
   for (int I = 0; I < 5; ++I)
     Where.push_back({"10.0.1." + std::to_string(I) + ":7070"});
   InstanceState State = stateWithUpstreams(Where, 4, Now);
