--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -115,7 +115,7 @@
       State.Queue.size() == 0)
     return std::nullopt;
   JobNeeds Needs = jobNeeds(State, Request.Tasks);
-  double Rank = rankOf(State, Now, Needs.Span);
+  double Rank = rankOf(State, Request.Owner, Now, Needs.Span);
   Duration Ahead{0};
   for (bool Long : {false, true})
     State.Queue.visit(Long, [&](const WaitingTask &Task) {
--- a/src/scheduling/queue_cmd.cpp
+++ b/src/scheduling/queue_cmd.cpp
@@ -70,9 +70,10 @@
   return Needs;
 }
 
-double rankOf(const InstanceState &State, SteadyTime Enqueued, Duration Span) {
+double rankOf(const InstanceState &State, const Team &Owner,
+              SteadyTime Enqueued, Duration Span) {
   return toSeconds(Enqueued.time_since_epoch()) +
-         State.Policy.MaxStretch * toSeconds(Span);
+         State.Policy.MaxStretch * toSeconds(Span) / teamWeightOf(State, Owner);
 }
 
 void queueTask(InstanceState &State, WaitingTask Task, size_t Remaining,
@@ -89,7 +90,7 @@
   // the one that reaches this multiple first goes first. This prefers short
   // jobs and ages long ones by real time.
   if (State.Policy.Order == OrderRule::EarliestDue)
-    Task.Rank = rankOf(State, Task.Enqueued,
+    Task.Rank = rankOf(State, Task.Owner, Task.Enqueued,
                        Task.Span > Duration{0} ? Task.Span : Task.Estimate);
   State.Queue.push(std::move(Task));
 }
--- a/src/scheduling/queue_cmd.h
+++ b/src/scheduling/queue_cmd.h
@@ -17,7 +17,8 @@
                   const std::vector<TaskSpecPtr> &Tasks);
 
 /// Order of a task in its lane; lower goes first.
-double rankOf(const InstanceState &State, SteadyTime Enqueued, Duration Span);
+double rankOf(const InstanceState &State, const Team &Owner,
+              SteadyTime Enqueued, Duration Span);
 
 /// Queues \p Task; \p Remaining tasks of its job have no result yet.
 void queueTask(InstanceState &State, WaitingTask Task, size_t Remaining,
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -106,6 +106,21 @@
   EXPECT_EQ(Kinds, (std::vector<std::string>{"b", "a", "b"}));
 }
 
+// Guards against an order that ignores the weights of teams.
+TEST_F(PolicyTest, HeavierTeamsGoFirst) {
+  std::vector<StartTask> Running = all<StartTask>(submit("a", 5, 500));
+  submit("b", 1, 500, R"("patience_ms":9000,)");
+  PolicyException Heavier;
+  Heavier.Name = "t";
+  Heavier.Setting = ExceptionSetting::TeamWeight;
+  Heavier.Value = 10;
+  State.Configuration.InForce.Exceptions.push_back(Heavier);
+  submit("c", 1, 500, R"("patience_ms":9000,)");
+  auto Next = all<StartTask>(end(Running[0], AttemptEnd::Finished));
+  ASSERT_EQ(Next.size(), 1U);
+  EXPECT_EQ(Next[0].Spec->Kind.Value, "c");
+}
+
 // Guards against long tasks taking every slot from short ones.
 TEST_F(PolicyTest, LongTasksLeaveSlotsToShortOnes) {
   EXPECT_EQ(all<StartTask>(submit("long", 4, 5000)).size(), 2U);
@@ -211,6 +226,15 @@
   EXPECT_EQ(Reports[0].Message.Reports[0].Result.End, TaskEnd::Finished);
 }
 
+// Guards against a failure that calls a task that still waits unknown.
+TEST_F(PolicyTest, FailureTellsWhichTaskWasNotStarted) {
+  auto Running = all<StartTask>(submit("a", 5, 500));
+  auto Replies = all<ReplyToCaller>(end(Running[0], AttemptEnd::Failed));
+  ASSERT_EQ(Replies.size(), 1U);
+  EXPECT_NE(Replies[0].Answer->Body.find(R"("index":4,"state":"not_started")"),
+            std::string::npos);
+}
+
 // Guards against one report for each task of a job.
 TEST_F(PolicyTest, ReportsTheResultsOfAJobTogether) {
   auto Starts = all<StartTask>(handOver(1, 1, 3));
