--- a/tests/support/session.cpp
+++ b/tests/support/session.cpp
@@ -118,6 +118,8 @@
   M.Receiver = SelfId;
   M.Sequence = HandoverSequence{Sequence};
   M.SettledBelow = HandoverSequence{1};
+  // A home with a shorter wait would get tasks without a free slot back.
+  M.Load.ExpectedWait = std::chrono::milliseconds(5000);
   for (uint32_t I = 0; I < Tasks; ++I) {
     auto Spec = std::make_shared<TaskSpec>();
     Spec->Kind = {"lookup"};
