membership: do not report a departed member as dead

Cause: a departed member now falls silent like any other, so that what it held is settled, and was then recorded as suspected and dead.

Change: the records are left out for a member that has left.

Result: MembershipTest.LeavingIsToldFromDead, which failed after the merge, passes.

--- a/src/membership/member_cmd.cpp
+++ b/src/membership/member_cmd.cpp
@@ -67,11 +67,14 @@
       record(TimelineKind::MemberJoined, M, Out);
     break;
   case MemberHealth::Suspect:
-    record(TimelineKind::MemberSuspected, M, Out);
+    if (M.State != MemberState::Left)
+      record(TimelineKind::MemberSuspected, M, Out);
     M.Load.FreeSlots = 0;
     break;
   case MemberHealth::Dead:
-    record(TimelineKind::MemberDead, M, Out);
+    // A departed member falls silent as well and is not reported as dead.
+    if (M.State != MemberState::Left)
+      record(TimelineKind::MemberDead, M, Out);
     loseReceiver(State, M.Incarnation, Now, Out);
     returnHeldTasks(State, M.Incarnation, "the home is unreachable", Now, Out);
     endForwardsTo(State, M.Incarnation, Out);
