tests: follow the confirmed replacement of an incarnation

A member that is present counts as replaced only when the process at its address says so; the golden session and one membership test announced the new process by a request alone. Ruled out: that the late copy of the handover ran again. It was answered from the record, and the start that followed was the retry of a task that the upstream had answered as busy.

--- a/tests/golden_session_test.cpp
+++ b/tests/golden_session_test.cpp
@@ -74,6 +74,7 @@
   S.feed("handover", HandoverReceived{S.nextRequest(), M});
   S.attemptEnded(1, AttemptEnd::Finished, "echo:0");
   S.heartbeat(IncarnationId{0xb2}, 0);
+  S.heartbeatAnswer(IncarnationId{0xb2}, 0);
   S.attemptEnded(2, AttemptEnd::Busy, "the upstream is busy");
   S.feed("late copy of the handover", HandoverReceived{S.nextRequest(), M});
   S.tick(milliseconds(100));
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -194,6 +194,8 @@
         .Message.Known.size();
   };
   EXPECT_EQ(Told(heartbeatOf(PeerA, 7)), 0U);
+  Told(heartbeatOf(PeerA, 8));
+  I.send(HeartbeatAnswered{PeerA, heartbeatOf(PeerA, 8)});
   EXPECT_EQ(Told(heartbeatOf(PeerA, 8)), 1U);
   I.hear(heartbeatOf(PeerA, 8, MemberState::Left));
   I.hear(heartbeatOf(PeerB, 9));
--- a/tests/support/session.h
+++ b/tests/support/session.h
@@ -26,6 +26,8 @@
   EffectList status();
   EffectList heartbeat(IncarnationId Id, uint32_t FreeSlots,
                        MemberState As = MemberState::Live);
+  /// The answer of the process at the peer's address to a heartbeat.
+  EffectList heartbeatAnswer(IncarnationId Id, uint32_t FreeSlots);
   /// One task per character of \p Payloads.
   EffectList submit(uint64_t Sequence, const std::string &Payloads,
                     int PatienceMs = 5000);
