daemon: an instance without the platform says so

Cause: the reducer set this in its initial state, where it changed the golden sessions, whose instances have no platform in their settings.

Change: the gateway reports it.

--- a/src/daemon/platform_gateway.cpp
+++ b/src/daemon/platform_gateway.cpp
@@ -72,14 +72,19 @@
     : Owner(Owner),
       Client(Owner.loop(), clientOptions(Owner.state().Settings, 4)),
       ListTimer(Owner.loop(), [this] { pollList(); }), Watch(Owner, Client) {
+  ListTimer.startOnce(Duration::zero());
   if (!Owner.state().Settings.Platform)
     return;
-  ListTimer.startOnce(Duration::zero());
   Owner.effects().on<WatchConfiguration>().connect(
       [this](const WatchConfiguration &E) { Watch.enable(E.Enabled); });
 }
 
 void PlatformGateway::pollList() {
+  if (!Owner.state().Settings.Platform) {
+    // An instance without the service must not be chosen to watch it.
+    Owner.dispatch(PlatformObserved{false});
+    return;
+  }
   HttpCall Call;
   Call.Target = *Owner.state().Settings.Platform;
   Call.Path = "/v1/instances";
--- a/src/reducer/reducer.cpp
+++ b/src/reducer/reducer.cpp
@@ -112,8 +112,6 @@
   InstanceState State;
   State.Settings = std::move(Settings);
   State.Incarnation = Incarnation;
-  // An instance without the service must not be chosen to watch it.
-  State.Members.PlatformReachable = State.Settings.Platform.has_value();
   for (const PeerSettings &Peer : State.Settings.Peers)
     addMember(State, {Peer.At, Peer.Centre});
   addConfiguredUpstreams(State);
