--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -16,6 +16,10 @@
 
 // Retries, probes and deadlines are due to within this time.
 constexpr Duration TickPeriod = std::chrono::milliseconds(10);
+// A connection accepted last still has its request on the way.
+constexpr Duration ExitGrace = std::chrono::milliseconds(300);
+constexpr Duration ExitLimit = std::chrono::seconds(3);
+constexpr Duration ExitPoll = std::chrono::milliseconds(20);
 
 IncarnationId drawIncarnation() {
   std::random_device Device;
@@ -38,6 +42,7 @@
       Timeline(static_cast<size_t>(State.Settings.Limits.TimelineEvents)),
       Server(Loop, serverLimits(State.Settings)),
       TickTimer(Loop, [this] { dispatch(Tick{}); }),
+      ExitTimer(Loop, [this] { advanceExit(); }),
       OnTerminate(Loop, SIGTERM, [this] { dispatch(DrainRequested{}); }),
       OnInterrupt(Loop, SIGINT, [this] { dispatch(DrainRequested{}); }) {
   Callers = std::make_unique<CallerGateway>(*this);
@@ -47,7 +52,7 @@
   Effects.on<RecordTimeline>().connect(
       [this](const RecordTimeline &Entry) { record(Entry); });
   Effects.on<ExitProcess>().connect(
-      [this](const ExitProcess &) { this->Loop.stop(); });
+      [this](const ExitProcess &) { beginExit(); });
 }
 
 Daemon::~Daemon() = default;
@@ -81,6 +86,21 @@
   Dispatching = false;
 }
 
+void Daemon::beginExit() {
+  if (ExitBegun)
+    return;
+  ExitBegun = Time.steadyNow();
+  Server.stopListening();
+  ExitTimer.startPeriodic(ExitPoll);
+}
+
+void Daemon::advanceExit() {
+  Duration Waited = Time.steadyNow() - *ExitBegun;
+  bool Idle = Waited >= ExitGrace && Server.openRequests() == 0;
+  if (Idle || Waited >= ExitLimit)
+    Loop.stop();
+}
+
 void Daemon::record(const RecordTimeline &Entry) {
   if (Entry.Kind == TimelineKind::ConfigurationApplied)
     SNIPESHUNT_LOG(INFO, "configuration")
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -12,6 +12,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <random>
 
 namespace snipeshunt {
@@ -46,6 +47,10 @@
 
 private:
   void record(const RecordTimeline &Entry);
+  /// Accepts no more connections and ends the loop once every request that
+  /// has come in is answered.
+  void beginExit();
+  void advanceExit();
 
   EventLoop &Loop;
   const Clock &Time;
@@ -61,6 +66,8 @@
   std::unique_ptr<UpstreamGateway> Upstreams;
   std::unique_ptr<PlatformGateway> Platform;
   Timer TickTimer;
+  Timer ExitTimer;
+  std::optional<SteadyTime> ExitBegun;
   SignalWatcher OnTerminate;
   SignalWatcher OnInterrupt;
 };
