scheduling: do not wait for a slot whose task is overdue

Cause: a task that waits for a faster slot took a slot whose task had run past its estimate as free at any moment. With a task that hangs there, waiting tasks of short kinds stayed in the queue until the hanging task's timeout of 60 s although slower slots were free. Change: slots past twice their expected time are not waited for. Measured: DoesNotWaitForASlotThatIsOverdue failed before (no start) and passes now.

--- a/src/scheduling/dispatch_cmd.cpp
+++ b/src/scheduling/dispatch_cmd.cpp
@@ -133,8 +133,12 @@
     if (U == State.Upstreams.All.end() || U->second.Leaving ||
         U->second.ConsecutiveFailures > 0)
       continue;
-    double Left = toSeconds(A.Task.Estimate) / U->second.Speed -
-                  toSeconds(Now - A.Started);
+    double Expected = toSeconds(A.Task.Estimate) / U->second.Speed;
+    double Left = Expected - toSeconds(Now - A.Started);
+    // The estimate of an overdue task is worth nothing; the task may hang
+    // until its timeout.
+    if (Left < -Expected)
+      continue;
     Slots.push_back({std::max(0.0, Left), U->second.Speed});
   }
   return Slots;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -205,6 +205,18 @@
   EXPECT_EQ(Next[0].Where, First);
 }
 
+// Guards against tasks that wait for a slot whose task hangs: it seems to be
+// about to end until its timeout.
+TEST_F(PolicyTest, DoesNotWaitForASlotThatIsOverdue) {
+  start(1, "dc1");
+  State.Upstreams.All[First].Speed = 4;
+  ASSERT_EQ(all<StartTask>(submit("a", 1, 400)).size(), 1U);
+  Time.advance(milliseconds(1000));
+  std::vector<StartTask> Next = all<StartTask>(submit("a", 1, 400));
+  ASSERT_EQ(Next.size(), 1U);
+  EXPECT_EQ(Next[0].Where, Second);
+}
+
 // Guards against tasks that wait here while slots are free elsewhere.
 TEST_F(PolicyTest, ReturnsTasksWithoutAFreeSlot) {
   EffectList Effects = handOver(1, 1, 6);
