scheduling: respect data centres that take no foreign work

Cause: the exception accept_foreign_work was accepted in documents but nothing read it. Change: tasks go to another data centre only if it takes them.

--- a/src/scheduling/dispatch_cmd.cpp
+++ b/src/scheduling/dispatch_cmd.cpp
@@ -2,6 +2,7 @@
 #include "scheduling/dispatch_cmd.h"
 
 #include "admission/admission_func.h"
+#include "configuration/configuration_func.h"
 #include "handover/handover_cmd.h"
 #include "jobs/job_cmd.h"
 #include "reducer/policy_func.h"
@@ -185,16 +186,19 @@
   return Place;
 }
 
-bool canReceive(const Member &M) {
-  return M.Health == MemberHealth::Alive && M.State == MemberState::Live &&
-         M.Load.FreeSlots > 0;
+/// Whether tasks of this home may go to \p M.
+bool takesWork(const InstanceState &State, const Member &M) {
+  bool Allowed = M.Self.Centre == State.Settings.Centre ||
+                 acceptsForeignWork(State.Configuration.InForce, M.Self.Centre);
+  return Allowed && M.Health == MemberHealth::Alive &&
+         M.State == MemberState::Live;
 }
 
 /// Peers with free slots: those of this data centre first, then by free slots.
 std::vector<Member *> receivers(InstanceState &State) {
   std::vector<Member *> Found;
   for (auto &[Where, M] : State.Members.Members)
-    if (canReceive(M))
+    if (takesWork(State, M) && M.Load.FreeSlots > 0)
       Found.push_back(&M);
   std::sort(Found.begin(), Found.end(), [&](const Member *L, const Member *R) {
     bool LocalL = L->Self.Centre == State.Settings.Centre;
@@ -250,8 +254,7 @@
 Member *shortestQueue(InstanceState &State) {
   Member *Best = nullptr;
   for (auto &[Where, M] : State.Members.Members)
-    if (M.Health == MemberHealth::Alive && M.State == MemberState::Live &&
-        M.Load.TotalSlots > 0 &&
+    if (takesWork(State, M) && M.Load.TotalSlots > 0 &&
         (!Best || M.Load.ExpectedWait < Best->Load.ExpectedWait))
       Best = &M;
   return Best;
--- a/tests/exception_test.cpp
+++ b/tests/exception_test.cpp
@@ -60,5 +60,35 @@
   EXPECT_EQ(teamQuotaHere(State, Team{"rawahel"}), 10U);
 }
 
+// Guards against work that crosses into a data centre which is closed to it.
+TEST(ExceptionTest, ClosedDataCentreGetsNoForeignWork) {
+  DaemonSettings Settings;
+  Settings.Listen = Settings.Advertise = Address{"10.0.0.1:1"};
+  Settings.Centre = DataCentre{"dc1"};
+  Settings.FleetKey = "a key of sixteen bytes or more";
+  for (bool Closed : {false, true}) {
+    InstanceState State = initialState(Settings, IncarnationId{1});
+    if (Closed)
+      State.Configuration.InForce.Exceptions = {
+          exceptionFor(ExceptionScope::DataCentre, "dc2",
+                       ExceptionSetting::AcceptForeignWork, 0)};
+    SteadyTime Now{std::chrono::hours(1)};
+    Heartbeat Message;
+    Message.Self = {Address{"10.0.0.2:1"}, DataCentre{"dc2"}};
+    Message.Incarnation = IncarnationId{2};
+    Message.State = MemberState::Live;
+    Message.Load.FreeSlots = Message.Load.TotalSlots = 8;
+    reduce(State, {Now, 1, Tick{}});
+    reduce(State, {Now, 1, HeartbeatReceived{RequestId{1}, Message}});
+    WaitingTask Task;
+    Task.Key.Home = IncarnationId{1};
+    Task.Spec = std::make_shared<TaskSpec>();
+    Task.StartBefore = Now + std::chrono::hours(1);
+    queueTask(State, Task, 1, Now);
+    reduce(State, {Now, 1, Tick{}});
+    EXPECT_EQ(State.Queue.size(), Closed ? 1U : 0U);
+  }
+}
+
 } // namespace
 } // namespace snipeshunt
