handover: return tasks that this instance has no slot to start

Cause: a task of another home that came back busy after its sender had begun to shut down, or had lost its upstreams to a new owner, waited there until its patience ended: a receiver never hands tasks on, and tasks were returned only at the beginning of a shutdown. Ruled out: a lost reply. The caller's limit and the job's patience are both 60 s, and the shutdown waits for its queue. Change: held tasks go back while no own upstream can take them; slots of upstreams that get only probes are not counted as usable. Measured: DrainingSenderReturnsATaskThatComesBack failed before (1 task queued, no report) and passes now.

--- a/src/handover/handover_cmd.h
+++ b/src/handover/handover_cmd.h
@@ -48,6 +48,9 @@
 void returnHeldTasks(InstanceState &State, std::optional<IncarnationId> Home,
                      const std::string &Reason, SteadyTime Now,
                      EffectList &Out);
+/// Returns held tasks while this instance has no slot to start them on.
+void returnUnservableTasks(InstanceState &State, SteadyTime Now,
+                           EffectList &Out);
 /// Sends results that no open request carries.
 void sendReports(InstanceState &State, SteadyTime Now, EffectList &Out);
 void applyReportAnswer(InstanceState &State, const ReportAnswered &Event,
--- a/src/handover/receive_cmd.cpp
+++ b/src/handover/receive_cmd.cpp
@@ -298,6 +298,15 @@
   }
 }
 
+void returnUnservableTasks(InstanceState &State, SteadyTime Now,
+                           EffectList &Out) {
+  if (State.Queue.size() == 0 || currentLoad(State, Now).TotalSlots > 0)
+    return;
+  // A change of ownership or a shutdown can take the upstreams away from tasks
+  // that wait here; only their homes may give them to another instance.
+  returnHeldTasks(State, std::nullopt, "the sender has no slots", Now, Out);
+}
+
 void sendReports(InstanceState &State, SteadyTime Now, EffectList &Out) {
   for (auto &[Home, Channel] : State.Handovers.Incoming) {
     if (Channel.Unreported.empty() || Channel.ReportsInFlight > 0 ||
--- a/src/reducer/reducer.cpp
+++ b/src/reducer/reducer.cpp
@@ -123,6 +123,7 @@
   std::visit(Router{State, E.Now, E.Seed, Out}, E.Body);
   startTasks(State, E.Now, E.Seed, Out);
   handOverTasks(State, E.Now, Out);
+  returnUnservableTasks(State, E.Now, Out);
   sendReports(State, E.Now, Out);
   announceFreeSlots(State, E.Now, Out);
   return Out;
--- a/src/upstreams/upstream_cmd.cpp
+++ b/src/upstreams/upstream_cmd.cpp
@@ -234,7 +234,10 @@
   for (const auto &[Where, U] : State.Upstreams.All) {
     if (!U.Owned || U.Leaving)
       continue;
-    Load.TotalSlots += U.Listed.Slots;
+    // A probe may find the upstream working again; until then its slots are
+    // not counted on.
+    if (!U.Probing)
+      Load.TotalSlots += U.Listed.Slots;
     if (acceptsTask(State, U, Now))
       Load.FreeSlots += U.ConsecutiveFailures > 0 ? 1 : U.Listed.Slots - U.Busy;
   }
--- a/tests/reducer_fault_test.cpp
+++ b/tests/reducer_fault_test.cpp
@@ -67,6 +67,22 @@
   EXPECT_EQ(S.State.Handovers.Held.count({PeerId, {7}, {0}}), 1u);
 }
 
+// Guards against a task of another home that waits until its patience ends at
+// an instance which can't start it: its attempt came back after a shutdown had
+// begun.
+TEST(ReducerFault, DrainingSenderReturnsATaskThatComesBack) {
+  Session S;
+  live(S);
+  S.feed("handover",
+         HandoverReceived{S.nextRequest(), Session::handoverOf(PeerId, 1, 1)});
+  S.feed("drain", DrainRequested{});
+  EffectList Out = S.attemptEnded(1, AttemptEnd::Busy, "busy");
+  EXPECT_EQ(S.State.Queue.size(), 0u);
+  ASSERT_NE(find<SendReport>(Out), nullptr);
+  EXPECT_EQ(find<SendReport>(Out)->Message.Reports[0].Result.End,
+            TaskEnd::NotStarted);
+}
+
 // Guards against tasks that start although their home has given them up and
 // has answered its caller.
 TEST(ReducerFault, FloorTakesGivenUpTasksOutOfTheQueue) {
