jobs: give callers answers that are too large to be retained

A job's callers were answered from the record after the byte limit had been enforced; an answer larger than kept_answer_bytes was replaced by the note that it is no longer held. Besides, the answers of departed instances were visited at each tick of 10 ms, and an eviction during a shutdown shifted the positions that the transfer counts. Change: callers get the answer itself; the visit happens every 5 s; nothing is evicted while draining. Measured: CallerGetsAnAnswerTooLargeToRetain failed before (unknown in place of complete) and passes now; 157 unit tests pass. The cost of the visits was not measured.

--- a/src/jobs/job_base.h
+++ b/src/jobs/job_base.h
@@ -75,6 +75,7 @@
   std::unordered_map<RequestId, TicketSequence> WaitedFor;
   size_t Running = 0;                         ///< Jobs without an answer.
   std::unordered_map<Team, size_t> TeamTasks; ///< Unfinished tasks per team.
+  SteadyTime NextInheritedSweep{};
   SteadyTime LastActivity;                    ///< Last start or end of a job.
   /// Answers of departed instances.
   std::unordered_map<IncarnationId,
--- a/src/jobs/job_cmd.cpp
+++ b/src/jobs/job_cmd.cpp
@@ -106,8 +106,8 @@
 }
 
 /// Answers all waiters of a job and lets go of its tasks.
-void endJob(InstanceState &State, TicketRecord &Record, StoredAnswerPtr Answer,
-            SteadyTime Now, EffectList &Out) {
+void endJob(InstanceState &State, TicketRecord &Record,
+            const StoredAnswerPtr &Answer, SteadyTime Now, EffectList &Out) {
   std::unique_ptr<Job> J = std::move(Record.Running);
   std::vector<TaskKey> ToRevoke;
   for (uint32_t I = 0; I < J->Tasks.size(); ++I) {
@@ -130,10 +130,11 @@
   ++(Complete ? State.Counts.JobsCompleted : State.Counts.JobsFailed);
   record(State, Complete ? TimelineKind::JobCompleted : TimelineKind::JobFailed,
          J->Sequence, "", Out);
-  retainAnswer(State, J->Sequence, Record, std::move(Answer), Now);
+  // The callers get the answer even if it is too large to be retained.
+  retainAnswer(State, J->Sequence, Record, Answer, Now);
   for (RequestId Waiter : J->Waiters) {
     State.Jobs.WaitedFor.erase(Waiter);
-    reply(Waiter, Record.Answer, Out);
+    reply(Waiter, Answer, Out);
   }
 }
 
--- a/src/jobs/retention_cmd.cpp
+++ b/src/jobs/retention_cmd.cpp
@@ -13,6 +13,8 @@
 
 // Bounds what departing instances can leave here, beside the byte limit.
 constexpr size_t MaxInheritedPerInstance = 1 << 20;
+// The sweep visits every inherited answer, so it is not done at each tick.
+constexpr Duration InheritedSweepPause = std::chrono::seconds(5);
 
 /// Keeps the outcome of the oldest answers but not their outputs while all
 /// together exceed the limit.
@@ -21,7 +23,9 @@
   if (State.Drain && State.Drain->Heir)
     return;
   size_t Limit = static_cast<size_t>(State.Settings.Limits.KeptAnswerBytes);
-  while (State.Jobs.RetainedBytes > Limit && !State.Jobs.Retained.empty()) {
+  // While draining, positions must not move: the transfer counts them.
+  while (!State.Drain && State.Jobs.RetainedBytes > Limit &&
+         !State.Jobs.Retained.empty()) {
     TicketSequence Oldest = State.Jobs.Retained.front();
     State.Jobs.Retained.pop_front();
     auto It = State.Jobs.Records.find(Oldest);
@@ -42,6 +46,17 @@
   }
 }
 
+void forgetInherited(InstanceState &State, SteadyTime Now) {
+  for (auto It = State.Jobs.Inherited.begin();
+       It != State.Jobs.Inherited.end();) {
+    auto &Answers = It->second;
+    for (auto Entry = Answers.begin(); Entry != Answers.end();)
+      Entry = Entry->second.ForgetAfter < Now ? Answers.erase(Entry)
+                                              : std::next(Entry);
+    It = Answers.empty() ? State.Jobs.Inherited.erase(It) : std::next(It);
+  }
+}
+
 } // namespace
 
 void retainAnswer(InstanceState &State, TicketSequence Sequence,
@@ -75,13 +90,9 @@
   while (!State.Drain && !Order.empty() &&
          !inheritedAnswer(State, Order.front().first, Order.front().second))
     Order.pop_front();
-  for (auto It = State.Jobs.Inherited.begin();
-       It != State.Jobs.Inherited.end();) {
-    auto &Answers = It->second;
-    for (auto Entry = Answers.begin(); Entry != Answers.end();)
-      Entry = Entry->second.ForgetAfter < Now ? Answers.erase(Entry)
-                                              : std::next(Entry);
-    It = Answers.empty() ? State.Jobs.Inherited.erase(It) : std::next(It);
+  if (Now >= State.Jobs.NextInheritedSweep) {
+    State.Jobs.NextInheritedSweep = Now + InheritedSweepPause;
+    forgetInherited(State, Now);
   }
 }
 
--- a/tests/reducer_fault_test.cpp
+++ b/tests/reducer_fault_test.cpp
@@ -67,6 +67,17 @@
   EXPECT_EQ(S.State.Handovers.Held.count({PeerId, {7}, {0}}), 1u);
 }
 
+// Guards against a caller that gets the note "no longer held" in place of its
+// answer, because the answer alone exceeds what may be retained.
+TEST(ReducerFault, CallerGetsAnAnswerTooLargeToRetain) {
+  Session S;
+  live(S);
+  S.State.Settings.Limits.KeptAnswerBytes = 1;
+  S.submit(1, "x");
+  EffectList Out = S.attemptEnded(1, AttemptEnd::Finished, "echo:x");
+  EXPECT_EQ(outcomeOf(Out), Outcome::Complete);
+}
+
 // Guards against a task of another home that waits until its patience ends at
 // an instance which can't start it: its attempt came back after a shutdown had
 // begun.
