jobs: bound the search for the heir of a departed instance

Cause: found by reading. Departure notices come from peers; two that name each other made the search endless and the process deaf. Change: the search ends after as many steps as there are notices. Measured: HeirsInACircleAreNotFollowed passes; it was not run on the version before, which would not end.

--- a/src/jobs/forward_cmd.cpp
+++ b/src/jobs/forward_cmd.cpp
@@ -59,10 +59,14 @@
   if (Departure == Departed.end())
     return nullptr;
   IncarnationId Heir = Departure->second.Heir;
-  for (auto Next = Departed.find(Heir); Next != Departed.end();
-       Next = Departed.find(Heir))
+  // Bounded, since notices of a confused peer could form a circle.
+  for (size_t Steps = 0; Steps < Departed.size(); ++Steps) {
+    auto Next = Departed.find(Heir);
+    if (Next == Departed.end())
+      return findMember(State, Heir);
     Heir = Next->second.Heir;
-  return findMember(State, Heir);
+  }
+  return nullptr;
 }
 
 void forwardToHome(InstanceState &State, const JobRequested &Event,
--- a/tests/reducer_fault_test.cpp
+++ b/tests/reducer_fault_test.cpp
@@ -1,5 +1,7 @@
 /// \file Single faults of the reducer, one test each.
+#include "support/history_rules.h"
 #include "support/session.h"
+#include "tickets/ticket_func.h"
 
 #include <gtest/gtest.h>
 
@@ -67,6 +69,23 @@
   EXPECT_EQ(S.State.Handovers.Held.count({PeerId, {7}, {0}}), 1u);
 }
 
+// Guards against an endless search for the heir of a departed instance.
+TEST(ReducerFault, HeirsInACircleAreNotFollowed) {
+  Session S;
+  live(S);
+  IncarnationId A{0xd1};
+  IncarnationId B{0xd2};
+  SteadyTime Later = S.Time.steadyNow() + std::chrono::hours(1);
+  S.State.Members.Departed[A] = {B, Later};
+  S.State.Members.Departed[B] = {A, Later};
+  JobRequested E;
+  E.Request = S.nextRequest();
+  E.TicketText =
+      encodeTicket({{"a"}, PeerAt, A, {1}, milliseconds(0)}, TestFleetKey);
+  EffectList Out = S.feed("query", E);
+  EXPECT_NE(find<ForwardRequest>(Out), nullptr);
+}
+
 // Guards against a caller that gets the note "no longer held" in place of its
 // answer, because the answer alone exceeds what may be retained.
 TEST(ReducerFault, CallerGetsAnAnswerTooLargeToRetain) {
