load: let operators race during the soak

Cause: the soak changed no configuration, so that its check of revisions had nothing to read (g: 0 checked). Change: two operators read the same document and both try to replace it, also while the platform is slow or loses answers; at the end the last accepted revision must be in force on every instance.

--- a/src/load/soak_injector.cpp
+++ b/src/load/soak_injector.cpp
@@ -25,8 +25,8 @@
 
 } // namespace
 
-SoakInjector::SoakInjector(Fleet &Target)
-    : F(Target), Counts(std::size(SoakFaults)) {}
+SoakInjector::SoakInjector(Fleet &Target, SoakOperators &Operators)
+    : F(Target), Operators(Operators), Counts(std::size(SoakFaults)) {}
 
 void SoakInjector::run(const std::vector<SoakStep> &Steps) {
   SteadyTime Start = std::chrono::steady_clock::now();
@@ -95,6 +95,8 @@
     return true;
   case SoakAction::Platform:
     return !failed(postText(F.platform(), "/v1/faults", Fault.Detail));
+  case SoakAction::OperatorRace:
+    return Operators.race();
   }
   return false;
 }
@@ -125,6 +127,8 @@
     return healProcess(Due, FleetRole::Upstream);
   case SoakAction::Platform:
     return !failed(postText(F.platform(), "/v1/faults", "{}"));
+  case SoakAction::OperatorRace:
+    return true;
   }
   return true;
 }
--- a/src/load/soak_injector.h
+++ b/src/load/soak_injector.h
@@ -2,6 +2,7 @@
 #ifndef SNIPESHUNT_LOAD_SOAK_INJECTOR_H
 #define SNIPESHUNT_LOAD_SOAK_INJECTOR_H
 
+#include "load/soak_operators.h"
 #include "load/soak_type.h"
 
 #include <atomic>
@@ -12,7 +13,7 @@
 /// Carries out a schedule; used by one thread.
 class SoakInjector {
 public:
-  explicit SoakInjector(Fleet &Target);
+  SoakInjector(Fleet &Target, SoakOperators &Operators);
 
   /// Carries out \p Steps in real time and heals everything at the end.
   void run(const std::vector<SoakStep> &Steps);
@@ -40,6 +41,7 @@
   bool setRule(size_t Relay, const std::string &Rule, bool On);
 
   Fleet &F;
+  SoakOperators &Operators;
   std::multimap<SteadyTime, Healing> Pending;
   std::map<size_t, std::vector<std::string>> Rules; ///< By relay.
   std::vector<Count> Counts;                        ///< By row of the table.
--- a/src/load/soak_main.cpp
+++ b/src/load/soak_main.cpp
@@ -156,7 +156,8 @@
       soakSchedule({Arguments.Fleet.Centres, F.instances(), F.upstreams()},
                    Arguments.Fleet.Seed, Arguments.Rate,
                    std::chrono::seconds(Arguments.Seconds));
-  SoakInjector Injector(F);
+  SoakOperators Operators(F, Arguments.Fleet.Seed);
+  SoakInjector Injector(F, Operators);
   SoakCallers Callers(F, static_cast<size_t>(Arguments.Callers),
                       Arguments.Fleet.Seed);
   Injector.run(Steps);
@@ -167,6 +168,7 @@
   Files.push_back(F.workDir() + "/recovery.history");
   size_t Unrecovered = unrecovered(F, Files.back());
   Callers.audit();
+  size_t Behind = Operators.behind(RecoveryLimit);
   Result<std::vector<GuaranteeReport>> Reports = checkFleet(F, Files);
   if (failed(Reports)) {
     std::cerr << "soak: " << errorOf(Reports).Message << "; "
@@ -178,6 +180,10 @@
                  F.instances(), Joined ? 0U : 1U});
   All.push_back({"i: every instance serves jobs after the faults",
                  F.instances(), Unrecovered});
+  All.push_back({"j: of two racing changes at most one is accepted",
+                 Operators.races(), Operators.bothAccepted()});
+  All.push_back({"k: the last accepted revision is in force everywhere",
+                 F.instances(), Behind});
   std::cout << Injector.report() << Callers.report() << formatReports(All);
   return anyViolation(All) ? ExitViolated : ExitHolds;
 }
--- a/src/load/soak_schedule.cpp
+++ b/src/load/soak_schedule.cpp
@@ -31,6 +31,7 @@
   case SoakAction::KillUpstream:
     return Subject::Upstream;
   case SoakAction::Platform:
+  case SoakAction::OperatorRace:
     return Subject::Platform;
   }
   return Subject::Platform;
@@ -60,6 +61,9 @@
       Step.Other = (Step.Target + 1 + below(Count - 1)) % Count;
       return Step;
     }
+    // Operators change the configuration whatever befalls the platform.
+    if (Fault.Action == SoakAction::OperatorRace)
+      return Step;
     if (!reserve(What, Step))
       return std::nullopt;
     if (Fault.Action == SoakAction::UpstreamLeaves)
--- a/src/load/soak_table.h
+++ b/src/load/soak_table.h
@@ -50,6 +50,7 @@
      8000},
     {"platform_lost_answers", SoakAction::Platform, R"({"lose_answers":true})",
      "", 2, 1000, 8000},
+    {"operator_race", SoakAction::OperatorRace, "", "", 6, 0, 0},
 };
 
 } // namespace snipeshunt
--- a/src/load/soak_type.h
+++ b/src/load/soak_type.h
@@ -24,6 +24,7 @@
   UpstreamLeaves, ///< The mode `leaving`, until the end of the run.
   KillUpstream,   ///< SIGKILL, then restart.
   Platform,       ///< Faults of the platform stand-in.
+  OperatorRace,   ///< Two conflicting changes of the configuration.
 };
 
 /// One kind of fault.
