tests: give fleets the same addresses on each run

The addresses of a fleet came from the process id, and they decide which instance sends to which upstream. When instance 0 had no upstream it queued its tasks at peers, so that its queue was not full; when a second sender was idle, a job of short tasks could end within 50 ms and was rightly admitted. Besides, a peer with all slots in use and an empty queue told a wait of 0, which counted as a place where a job can start at once. Ruled out: a refused job that ran. Each failing case was an admission. Change: fleets take the first free addresses; the test uses one data centre and the instance that sends to its only upstream, with the same checks; admission takes a peer's wait only if it has free slots or a queue.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -90,12 +90,19 @@
                "submit later, or ask the operators to raise team_quota_tasks"};
 }
 
+/// Whether the wait that \p M tells says when a task would start there. With
+/// all slots in use and an empty queue it tells none, but a task would wait.
+bool knowsItsWait(const Member &M) {
+  return M.Health == MemberHealth::Alive && M.State == MemberState::Live &&
+         (M.Load.FreeSlots > 0 || M.Load.WaitingTasks > 0);
+}
+
 std::optional<Error> testPatience(const InstanceState &State,
                                   const JobRequest &Request) {
   bool HasSlots = ownRate(State) > 0;
   Duration Expected = HasSlots ? expectedWait(State) : Request.Patience;
   for (const auto &[Where, M] : State.Members.Members)
-    if (M.Health == MemberHealth::Alive && M.State == MemberState::Live)
+    if (knowsItsWait(M))
       Expected = std::min<Duration>(Expected, M.Load.ExpectedWait);
   // Declared run times are often far too long, so only the wait may refuse.
   if (Expected <= Request.Patience)
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -2,9 +2,12 @@
 #include "fleet/fleet.h"
 
 #include "core/json_func.h"
+#include "core/scope_guard.h"
 #include "http/event_loop.h"
 #include "http/http_client.h"
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -18,6 +21,7 @@
 
 constexpr uint16_t PublicPort = 7070;
 constexpr uint16_t BehindRelayPort = 7071;
+constexpr uint32_t MaxPrefixes = 200;
 constexpr size_t RoleCount = 5;
 // Generous, so that a loaded machine does not decide a test.
 constexpr Duration StartTimeout = std::chrono::seconds(60);
@@ -56,6 +60,35 @@
   return "";
 }
 
+/// Whether nothing listens at \p Ip on the port that all processes use.
+bool isFree(const std::string &Ip) {
+  int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  ScopeGuard Close([Socket] { close(Socket); });
+  int On = 1;
+  setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  sockaddr_in Where{};
+  Where.sin_family = AF_INET;
+  Where.sin_port = htons(PublicPort);
+  inet_pton(AF_INET, Ip.c_str(), &Where.sin_addr);
+  return bind(Socket, reinterpret_cast<sockaddr *>(&Where), sizeof(Where)) == 0;
+}
+
+/// Addresses of fleet \p Number of this process. They are the same on each run
+/// unless another fleet has them, since addresses decide which instance sends
+/// to which upstream.
+std::string freePrefix(uint32_t Number) {
+  std::string Prefix;
+  for (uint32_t Attempt = 0; Attempt < MaxPrefixes; ++Attempt) {
+    Prefix = "127." + std::to_string(10 + Attempt) + "." +
+             std::to_string(1 + Number % 250) + ".";
+    if (isFree(Prefix + std::to_string(firstHost(FleetRole::Platform))) &&
+        isFree(Prefix + std::to_string(firstHost(FleetRole::Upstream))) &&
+        isFree(Prefix + std::to_string(firstHost(FleetRole::Instance))))
+      break;
+  }
+  return Prefix;
+}
+
 Address join(const std::string &Ip, uint16_t Port) {
   return {Ip + ":" + std::to_string(Port)};
 }
@@ -117,9 +150,7 @@
 }
 
 Fleet::Fleet(FleetOptions Given) : Options(std::move(Given)) {
-  uint32_t Number = static_cast<uint32_t>(getpid()) + 32768 * NextFleet++;
-  IpPrefix = "127." + std::to_string(1 + Number / 250 % 250) + "." +
-             std::to_string(1 + Number % 250) + ".";
+  IpPrefix = freePrefix(NextFleet++);
   std::string Template =
       (std::filesystem::temp_directory_path() / "snipeshunt-XXXXXX").string();
   WorkDir = mkdtemp(Template.data());
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -38,9 +38,10 @@
 
 /// Starts, faults and stops the processes.
 ///
-/// Each fleet has its own loopback addresses, derived from the id of this
-/// process, so that fleets of concurrent runs do not meet. Instance I listens
-/// behind relay I, if there are relays; its advertised address is the relay's.
+/// Each fleet has its own loopback addresses: the first ones that no other
+/// fleet uses, so that fleets of concurrent runs do not meet. Instance I
+/// listens behind relay I, if there are relays; its advertised address is the
+/// relay's.
 class Fleet {
 public:
   explicit Fleet(FleetOptions Options);
--- a/tests/process/refusal_process_test.cpp
+++ b/tests/process/refusal_process_test.cpp
@@ -24,12 +24,31 @@
   return Answer.Body["error"]["kind"].asString();
 }
 
-/// Fills instance 0 with waiting tasks; gives the tickets.
-std::vector<std::string> fill(FaultedFleet &Fleet, const RefusalCase &Case,
+/// The instance that sends to the first upstream. Which one it is follows from
+/// the addresses; one without an upstream would queue its tasks at its peers.
+size_t firstSender(const FaultedFleet &Fleet) {
+  Result<std::string> Text =
+      getText(Fleet.F.directInstance(0), "/v1/upstreams");
+  EXPECT_FALSE(failed(Text));
+  Result<Json::Value> Parsed = parseJson(valueOf(Text));
+  std::string Sender;
+  for (const Json::Value &Entry : valueOf(Parsed)["upstreams"])
+    if (Entry["address"].asString() == Fleet.F.upstream(0).Value)
+      Sender = Entry["sender"].asString();
+  for (size_t I = 0; I < Fleet.F.instances(); ++I)
+    if (Fleet.F.instance(I).Value == Sender)
+      return I;
+  ADD_FAILURE() << "no instance sends to the first upstream";
+  return 0;
+}
+
+/// Fills instance \p Home with waiting tasks; gives the tickets.
+std::vector<std::string> fill(FaultedFleet &Fleet, size_t Home,
+                              const RefusalCase &Case,
                               std::vector<std::future<CallerAnswer>> &Open) {
   std::vector<std::string> Tickets;
   for (size_t I = 0; I < Case.Blockers; ++I) {
-    std::string Ticket = Fleet.ticket(0);
+    std::string Ticket = Fleet.ticket(Home);
     RecordedJob Job = Fleet.Caller.makeJob(200, "run_ms=3000");
     // Fillers stay below the quota of each team.
     Job.Team = Case.BlockerTeam == Case.Job.Team
@@ -37,11 +56,11 @@
                    : Case.BlockerTeam + std::to_string(I);
     Job.PatienceMs = 600000;
     Job.ExpectedMs = 3000;
-    Open.push_back(Fleet.submitLater(0, Ticket, Job));
+    Open.push_back(Fleet.submitLater(Home, Ticket, Job));
     EXPECT_TRUE(Fleet::waitUntil(
         [&] {
-          return Fleet.Caller.ask("GET", Fleet.F.instance(0), Ticket).Status ==
-                 202;
+          return Fleet.Caller.ask("GET", Fleet.F.instance(Home), Ticket)
+                     .Status == 202;
         },
         Deadline));
     Tickets.push_back(Ticket);
@@ -52,28 +71,32 @@
 // Guards against a refused job that runs all the same when a copy of its
 // submission arrives after the cause of the refusal has passed.
 TEST(RefusalProcessTest, LateCopyOfRefusedJobIsRefusedTheSame) {
-  // The quota of 4000 tasks is divided by the instances: 500 for each.
-  FleetOptions Options = fleetOptions(2, 4, 1);
+  // The quota of 4000 tasks is divided by the instances: 500 for each. Only the
+  // home has slots, so that its refusals do not depend on what it last heard
+  // of other senders.
+  FleetOptions Options = fleetOptions(1, 8, 1);
   Options.ExtraSettings = R"("limits":{"queue_limit_tasks":600})";
   FaultedFleet Fleet(Options);
   ASSERT_TRUE(Fleet.Running);
+  size_t Home = firstSender(Fleet);
+  size_t Other = (Home + 1) % Fleet.F.instances();
   for (const RefusalCase &Case : RefusalCases) {
     SCOPED_TRACE(Case.Kind);
     std::vector<std::future<CallerAnswer>> Open;
-    std::vector<std::string> Blockers = fill(Fleet, Case, Open);
-    std::string Ticket = Fleet.ticket(0);
+    std::vector<std::string> Blockers = fill(Fleet, Home, Case, Open);
+    std::string Ticket = Fleet.ticket(Home);
     RecordedJob Job = Fleet.Caller.makeJob(150, "run_ms=1");
     Job.Team = Case.Job.Team;
     Job.PatienceMs = Case.Job.PatienceMs;
     Job.Accelerators = Case.Job.Accelerators;
     CallerAnswer Refusal =
         Case.CancelledFirst
-            ? Fleet.Caller.ask("DELETE", Fleet.F.instance(1), Ticket)
-            : Fleet.submit(1, Ticket, Job);
+            ? Fleet.Caller.ask("DELETE", Fleet.F.instance(Other), Ticket)
+            : Fleet.submit(Other, Ticket, Job);
     EXPECT_EQ(Refusal.Outcome, "not_run");
     EXPECT_EQ(errorKind(Refusal), Case.Kind);
     for (const std::string &Blocker : Blockers)
-      Fleet.Caller.ask("DELETE", Fleet.F.instance(0), Blocker);
+      Fleet.Caller.ask("DELETE", Fleet.F.instance(Home), Blocker);
     for (std::future<CallerAnswer> &Answer : Open)
       Answer.wait();
     for (size_t Via = 0; Via < Fleet.F.instances(); ++Via)
@@ -82,7 +105,8 @@
   }
   // The home still runs jobs, so that it refused them for their own sake.
   EXPECT_EQ(
-      Fleet.submit(0, Fleet.ticket(0), Fleet.Caller.makeJob(3, "run_ms=1"))
+      Fleet
+          .submit(Home, Fleet.ticket(Home), Fleet.Caller.makeJob(3, "run_ms=1"))
           .Outcome,
       "complete");
 }
