--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -47,6 +47,11 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(D).count();
 }
 
+/// \p D in seconds, for estimates.
+inline double toSeconds(Duration D) {
+  return std::chrono::duration<double>(D).count();
+}
+
 } // namespace snipeshunt
 
 #endif // SNIPESHUNT_CORE_CLOCK_H
--- a/src/jobs/job_base.h
+++ b/src/jobs/job_base.h
@@ -76,7 +76,7 @@
   size_t Running = 0;                         ///< Jobs without an answer.
   std::unordered_map<Team, size_t> TeamTasks; ///< Unfinished tasks per team.
   SteadyTime NextInheritedSweep{};
-  SteadyTime LastActivity;                    ///< Last start or end of a job.
+  SteadyTime LastActivity; ///< Last start or end of a job.
   /// Answers of departed instances.
   std::unordered_map<IncarnationId,
                      std::unordered_map<TicketSequence, InheritedAnswer>>
--- a/src/scheduling/dispatch_cmd.cpp
+++ b/src/scheduling/dispatch_cmd.cpp
@@ -119,10 +119,6 @@
   double Speed = 1;
 };
 
-double toSeconds(Duration D) {
-  return std::chrono::duration<double>(D).count();
-}
-
 /// Slots in use that may be worth waiting for.
 std::vector<BusySlot> busySlots(const InstanceState &State, SteadyTime Now) {
   std::vector<BusySlot> Slots;
--- a/src/scheduling/estimate.cpp
+++ b/src/scheduling/estimate.cpp
@@ -17,10 +17,6 @@
 // Kinds are named by callers; this bounds what they can make us remember.
 constexpr size_t MaxKinds = 4096;
 
-double toSeconds(Duration D) {
-  return std::chrono::duration<double>(D).count();
-}
-
 } // namespace
 
 Duration estimateRuntime(const RuntimeEstimates &Estimates,
--- a/src/scheduling/queue_cmd.cpp
+++ b/src/scheduling/queue_cmd.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-double toSeconds(Duration D) {
-  return std::chrono::duration<double>(D).count();
-}
-
 Duration estimateOf(const InstanceState &State, const TaskSpec &Spec) {
   return estimateRuntime(State.Estimates, Spec,
                          expectedTime(State.Configuration.InForce, Spec.Kind));
--- a/tests/process/thin_path_test.cpp
+++ b/tests/process/thin_path_test.cpp
@@ -1,6 +1,7 @@
 /// \file The whole path on real processes.
 #include "core/json_func.h"
 #include "fleet/fleet.h"
+#include "fleet/recorded_caller.h"
 
 #include <gtest/gtest.h>
 
@@ -21,13 +22,6 @@
   return {0, std::get<HttpFailure>(Outcome).Message};
 }
 
-std::string takeTicket(const Address &Where) {
-  Result<std::string> Text = postText(Where, "/v1/tickets?count=1", "");
-  if (failed(Text))
-    return "";
-  return valueOf(parseJson(valueOf(Text)))["tickets"][0].asString();
-}
-
 // Guards against a break anywhere on the path from caller to upstream and
 // back: every instance accepts a job of every home and gives the same answer.
 TEST(ThinPathTest, AnyInstanceAnswersAnyJob) {
@@ -42,7 +36,7 @@
                      R"({"kind":"a","payload":"x run_ms=30"},)"
                      R"({"kind":"b","payload":"y run_ms=10"}]})";
   for (size_t Home = 0; Home < F.instances(); ++Home) {
-    std::string Ticket = takeTicket(F.instance(Home));
+    std::string Ticket = RecordedCaller::takeTicket(F.instance(Home));
     ASSERT_NE(Ticket, "");
     std::string First;
     for (size_t Via = 0; Via < F.instances(); ++Via) {
