admission: bound the cost of an early refusal

Cause: found by reading. The check of a job without patience added up all waiting tasks that go before it, so that with a full queue of 20,000 tasks each submission would visit all of them. Change: the sum ends once it decides; the message says at least. The saving was not measured.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -121,24 +121,30 @@
   if (!State.Policy.RefuseLate || Request.PatienceGiven ||
       State.Queue.size() == 0)
     return std::nullopt;
+  double Rate = drainRate(State);
+  if (Rate <= 0)
+    return std::nullopt;
   JobNeeds Needs = jobNeeds(State, Request.Tasks);
   double Rank = rankOf(State, Request.Owner, Now, Needs.Span);
+  auto Allowed = std::chrono::duration_cast<Duration>(
+      (State.Policy.MaxStretch * Needs.Span - Needs.Longest) * WaitShare);
+  auto MostAhead = std::chrono::duration_cast<Duration>(
+      std::max(Allowed, MinAllowedWait) * Rate);
   Duration Ahead{0};
+  // Ends early, since a full queue would make each refusal expensive.
   for (bool Long : {false, true})
     State.Queue.visit(Long, [&](const WaitingTask &Task) {
-      Ahead += Task.Rank < Rank ? Task.Estimate : Duration{0};
-      return Task.Rank < Rank;
+      if (Task.Rank >= Rank || Ahead > MostAhead)
+        return false;
+      Ahead += Task.Estimate;
+      return true;
     });
-  double Rate = drainRate(State);
-  if (Rate <= 0)
+  if (Ahead <= MostAhead)
     return std::nullopt;
   auto Wait = std::chrono::duration_cast<Duration>(Ahead / Rate);
-  auto Allowed = std::chrono::duration_cast<Duration>(
-      (State.Policy.MaxStretch * Needs.Span - Needs.Longest) * WaitShare);
-  if (Wait <= std::max(Allowed, MinAllowedWait))
-    return std::nullopt;
   return Error{ErrorKind::PatienceTooShort,
-               "the expected wait of " + std::to_string(toMilliseconds(Wait)) +
+               "the expected wait of at least " +
+                   std::to_string(toMilliseconds(Wait)) +
                    " ms is long for a job of this size",
                "submit later, or give a patience_ms to wait"};
 }
