demo: log errors only

Cause: at its end the demo stops the platform first, and the instances that still shut down print warnings after the answer. Change: the instances of the demo log errors only.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -39,7 +39,7 @@
   "fleet_key": "demo key, not a secret",
   "peers": [{"address": "127.0.111.1:7070", "data_centre": "dc1"}],
   "platform": "$PLATFORM",
-  "log": {"level": "warning"}
+  "log": {"level": "error"}
 }
 SETTINGS
     "$BIN/snipeshuntd" --settings "$WORK/instance-$dc-$n.json" & PIDS+=($!)
