tool: read one path of all instances by one function

Cause: two subcommands had the same function. Change: it is ApiClient::getAll. Conclusion: kept; behaviour is the same.

--- a/src/tool/api_client.cpp
+++ b/src/tool/api_client.cpp
@@ -34,6 +34,16 @@
   return callAll({std::move(Call)}).front();
 }
 
+std::vector<HttpOutcome>
+ApiClient::getAll(const std::vector<Address> &Instances, const char *Path) {
+  std::vector<HttpCall> Calls;
+  for (const Address &Instance : Instances) {
+    Calls.push_back(request("GET", Path));
+    Calls.back().Target = Instance;
+  }
+  return callAll(std::move(Calls));
+}
+
 std::vector<HttpOutcome> ApiClient::callAll(std::vector<HttpCall> Calls) {
   std::vector<HttpOutcome> Out(Calls.size());
   size_t Missing = Calls.size();
--- a/src/tool/api_client.h
+++ b/src/tool/api_client.h
@@ -20,6 +20,9 @@
   /// A request with the time limit of the command line, without a target.
   HttpCall request(std::string Method, std::string Path) const;
   HttpOutcome call(HttpCall Call);
+  /// Reads \p Path of all \p Instances at once; outcomes in their order.
+  std::vector<HttpOutcome> getAll(const std::vector<Address> &Instances,
+                                  const char *Path);
   /// Sends all calls at once; outcomes are in the order of the calls.
   std::vector<HttpOutcome> callAll(std::vector<HttpCall> Calls);
   /// Asks the instances in turn until \p Enough accepts a reply; gives the
--- a/src/tool/config_status_command.cpp
+++ b/src/tool/config_status_command.cpp
@@ -11,17 +11,6 @@
 
 namespace {
 
-std::vector<HttpOutcome> getAll(ApiClient &Client,
-                                const std::vector<Address> &Instances,
-                                const char *Path) {
-  std::vector<HttpCall> Calls;
-  for (const Address &Instance : Instances) {
-    Calls.push_back(Client.request("GET", Path));
-    Calls.back().Target = Instance;
-  }
-  return Client.callAll(std::move(Calls));
-}
-
 /// The JSON object of a good reply, or null.
 Json::Value objectOf(const HttpOutcome &Outcome) {
   const auto *Reply = std::get_if<HttpReply>(&Outcome);
@@ -38,11 +27,11 @@
   ApiClient Client(Arguments);
   std::vector<Address> All = Arguments.Instances;
   for (const HttpOutcome &Outcome :
-       getAll(Client, Arguments.Instances, "/v1/instances"))
+       Client.getAll(Arguments.Instances, "/v1/instances"))
     for (Address &Listed : presentInstances(objectOf(Outcome)))
       if (std::find(All.begin(), All.end(), Listed) == All.end())
         All.push_back(std::move(Listed));
-  std::vector<HttpOutcome> Outcomes = getAll(Client, All, "/v1/configuration");
+  std::vector<HttpOutcome> Outcomes = Client.getAll(All, "/v1/configuration");
   std::vector<ConfigurationStatus> Rows;
   for (size_t I = 0; I < All.size(); ++I)
     Rows.push_back(readConfigurationStatus(All[I], objectOf(Outcomes[I])));
--- a/src/tool/timeline_command.cpp
+++ b/src/tool/timeline_command.cpp
@@ -13,17 +13,6 @@
 
 namespace {
 
-std::vector<HttpOutcome> getAll(ApiClient &Client,
-                                const std::vector<Address> &Instances,
-                                const char *Path) {
-  std::vector<HttpCall> Calls;
-  for (const Address &Instance : Instances) {
-    Calls.push_back(Client.request("GET", Path));
-    Calls.back().Target = Instance;
-  }
-  return Client.callAll(std::move(Calls));
-}
-
 Result<Json::Value> bodyOf(const HttpOutcome &Outcome) {
   if (const auto *Failure = std::get_if<HttpFailure>(&Outcome))
     return Error{ErrorKind::Unavailable, Failure->Message,
@@ -40,7 +29,7 @@
 std::vector<Address> findInstances(ApiClient &Client,
                                    const std::vector<Address> &Named) {
   std::vector<Address> All = Named;
-  for (const HttpOutcome &Outcome : getAll(Client, Named, "/v1/instances")) {
+  for (const HttpOutcome &Outcome : Client.getAll(Named, "/v1/instances")) {
     Result<Json::Value> Body = bodyOf(Outcome);
     if (failed(Body))
       continue;
@@ -60,7 +49,7 @@
 
 Collected collect(ApiClient &Client, const std::vector<Address> &Instances) {
   Collected Out;
-  std::vector<HttpOutcome> Outcomes = getAll(Client, Instances, "/v1/timeline");
+  std::vector<HttpOutcome> Outcomes = Client.getAll(Instances, "/v1/timeline");
   for (size_t I = 0; I < Instances.size(); ++I) {
     Result<Json::Value> Body = bodyOf(Outcomes[I]);
     Result<TimelineAnswer> Answer = failed(Body)
