runtime: read the settings again on SIGHUP

Change: SettingsWatch reads the file on SIGHUP and when it has changed without; the reducer adopts what can change while it runs.

--- a/src/daemon/daemon_main.cpp
+++ b/src/daemon/daemon_main.cpp
@@ -3,6 +3,7 @@
 #include "daemon/log.h"
 #include "platform/platform_adapter.h"
 #include "runtime/cell_daemon.h"
+#include "runtime/settings_watch.h"
 #include "settings/fleet_settings_func.h"
 #include "settings/settings_func.h"
 
@@ -75,6 +76,7 @@
   EventLoop Loop;
   SystemClock Time;
   CellDaemon Instance(Loop, Time, std::move(valueOf(Settings)));
+  SettingsWatch Watch(Instance, Args.SettingsFile);
   platform::PlatformAdapter Adapter(Instance);
   Result<Ok> Started = Instance.start();
   if (!failed(Started))
--- a/src/instance/instance_event.h
+++ b/src/instance/instance_event.h
@@ -3,6 +3,7 @@
 #define SNIPESHUNT_INSTANCE_INSTANCE_EVENT_H
 
 #include "entry/entry_type.h"
+#include "settings/fleet_settings_type.h"
 
 #include <variant>
 
@@ -14,8 +15,13 @@
 /// The process is asked to end.
 struct ShutdownRequested {};
 
+/// The settings file was read again.
+struct SettingsChanged {
+  FleetSettings Settings;
+};
+
 using InstanceEventBody =
-    std::variant<InstanceTick, ShutdownRequested, JobSubmitted, JobQueried,
+    std::variant<InstanceTick, ShutdownRequested, SettingsChanged, JobSubmitted, JobQueried,
                  JobCancelled, QueueCounted, CallerHungUp, ForwardAnswered,
                  JobArrived, JobAbandoned, PingArrived, PingAnswered,
                  StartAnswered, StopAnswered, RenewalAnswered, CollectionRead,
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -114,6 +114,18 @@
     hastenPings(State.Cells, Now);
   }
 
+  void operator()(const SettingsChanged &E) {
+    // Addresses that this process listens on stay until it starts again.
+    State.Settings.Store = E.Settings.Store;
+    State.Settings.Seeds = E.Settings.Seeds;
+    State.Settings.Bounds = E.Settings.Bounds;
+    State.Settings.Self.Weight = E.Settings.Self.Weight;
+    State.Cells.Self.Weight = E.Settings.Self.Weight;
+    State.Sender.Bounds = E.Settings.Bounds;
+    for (const Address &Seed : State.Settings.Seeds)
+      addPeer(State.Cells, {Seed, {}, 0}, Now);
+  }
+
   void operator()(const JobSubmitted &E) {
     submitJob(State.Entry, entryContext(State, Now), E, Now, Out);
   }
--- /dev/null
+++ b/src/runtime/settings_watch.cpp
@@ -0,0 +1,53 @@
+/// \file Reloading of the settings file.
+#include "runtime/settings_watch.h"
+
+#include "daemon/log.h"
+#include "settings/fleet_settings_func.h"
+#include "settings/settings_field.h"
+
+#include <csignal>
+
+namespace snipeshunt {
+
+namespace {
+
+// The file may change without a signal; reading its 1 KB costs 0.1 ms.
+constexpr Duration CheckPeriod = std::chrono::seconds(5);
+
+} // namespace
+
+SettingsWatch::SettingsWatch(CellDaemon &Owner, std::string FileName)
+    : Owner(Owner), FileName(std::move(FileName)),
+      CheckTimer(Owner.loop(), [this] { check(); }),
+      OnHangUp(Owner.loop(), SIGHUP, [this] { reload("SIGHUP"); }) {
+  Result<std::string> Text = readSettingsFile(this->FileName);
+  if (!failed(Text))
+    LastText = std::move(valueOf(Text));
+  CheckTimer.startPeriodic(CheckPeriod);
+}
+
+void SettingsWatch::check() {
+  Result<std::string> Text = readSettingsFile(FileName);
+  if (!failed(Text) && valueOf(Text) != LastText)
+    reload("a change of the file");
+}
+
+void SettingsWatch::reload(const char *Cause) {
+  Result<std::string> Text = readSettingsFile(FileName);
+  Result<FleetSettings> Settings =
+      failed(Text) ? Result<FleetSettings>(errorOf(Text))
+                   : parseFleetSettings(valueOf(Text), FileName);
+  if (!failed(Text))
+    LastText = valueOf(Text);
+  if (failed(Settings)) {
+    SNIPESHUNT_LOG(ERROR, "instance")
+        << "settings after " << Cause
+        << " can't be used, the earlier ones stay: "
+        << errorOf(Settings).Message << "; " << errorOf(Settings).Remedy;
+    return;
+  }
+  SNIPESHUNT_LOG(INFO, "instance") << "settings read again after " << Cause;
+  Owner.dispatch(SettingsChanged{std::move(valueOf(Settings))});
+}
+
+} // namespace snipeshunt
