cells: spend less on pings and reads in large fleets

Change: instances are named on first contact only; far and idle peers are pinged rarely, senders of own jobs every 250 ms; candidates for a cell claim in turn, 250 ms apart, so that idle peers need no close watch; upstreams are read twice within the drain notice; ticks of 20 ms.

--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -28,6 +28,7 @@
   SenderLoad Load;
   std::set<UpstreamId> Held; ///< Still used while it drains.
   uint64_t ConfigurationVersion = 0;
+  uint32_t OpenJobs = 0; ///< Jobs of this instance that it runs.
   /// Of this instance's jobs there; rises when they are given up.
   uint64_t Session = 0;
   std::map<JobId, SteadyTime> Cancelled; ///< To be told; by time of the cancel.
@@ -54,6 +55,8 @@
   std::map<CellId, FencingToken> HighestToken;
   /// Cells that may not be claimed before a time.
   std::map<CellId, SteadyTime> ClaimAfter;
+  /// Since when cells of the own data centre have had no sender.
+  std::map<CellId, SteadyTime> UnservedSince;
   uint32_t CellCount = 1; ///< Cells of the own data centre.
   /// Instances that the store named, and when it did.
   std::set<Address> Registered;
--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -18,6 +18,11 @@
 // the job has reached its deadline anyway.
 constexpr Duration CancelMemory = std::chrono::seconds(10);
 
+/// Whether \p P has not answered for longer than \p Limit.
+bool isSuspectFor(const Peer &P, SteadyTime Now, Duration Limit) {
+  return P.Refused || Now - P.Heard >= Limit + SuspectAfter;
+}
+
 bool isNear(const CellState &State, const Peer &P) {
   return P.Entry.Centre == State.Self.Centre;
 }
@@ -53,13 +58,19 @@
                      [&](const CellClaim &C) { return C.Cell == Cell; });
 }
 
+bool isCandidate(const Peer &P, SteadyTime Now) {
+  SteadyTime Last = std::max(P.Heard, P.PingedBy);
+  return !P.Refused && !P.Draining && Last != SteadyTime{} &&
+         Now - Last < CandidateMemory;
+}
+
 /// Instances of the own data centre that can be senders, strongest first.
 std::vector<Address> rankCandidates(const CellState &State, SteadyTime Now) {
   std::vector<const InstanceEntry *> Entries;
   if (!State.Draining)
     Entries.push_back(&State.Self);
   for (const auto &[Where, P] : State.Peers)
-    if (isNear(State, P) && !P.Draining && isPresent(P, Now))
+    if (isNear(State, P) && isCandidate(P, Now))
       Entries.push_back(&P.Entry);
   std::sort(Entries.begin(), Entries.end(),
             [](const InstanceEntry *L, const InstanceEntry *R) {
@@ -72,6 +83,21 @@
   return Ranked;
 }
 
+/// Whether this instance's turn to claim the cell has come: cells take the
+/// candidates in turn, and each has some time before the next one.
+bool isTurn(const CellState &State, const CellId &Cell,
+            const std::vector<Address> &Ranked, SteadyTime Since,
+            SteadyTime Now) {
+  auto Own = std::find(Ranked.begin(), Ranked.end(), State.Self.Where);
+  if (Own == Ranked.end())
+    return false;
+  size_t Count = Ranked.size();
+  size_t Position =
+      (static_cast<size_t>(Own - Ranked.begin()) + Count - Cell.Index % Count) %
+      Count;
+  return Now - Since >= CandidateDelay * Position;
+}
+
 /// Whether the silence of a cell's former sender can't be due to a cut of this
 /// instance. A cut silences all peers at nearly the same time, so one must have
 /// been heard clearly after the sender. Where all are silent, the store tells
@@ -134,12 +160,14 @@
   P.TheirSession = 0;
 }
 
-Duration pingPeriod(const CellState &State, const Peer &P, SteadyTime Now) {
+Duration pingPeriod(const CellState &State, const Peer &P) {
   if (P.Draining && !P.Held.empty() && isNear(State, P) &&
       !State.Claims.empty())
     return HandoverPingPeriod;
+  if (P.OpenJobs > 0 || (isNear(State, P) && !P.Claims.empty()))
+    return SenderPingPeriod;
   if (isNear(State, P))
-    return NearPingPeriod;
+    return NearIdlePeriod;
   return P.Claims.empty() ? IdlePingPeriod : FarPingPeriod;
 }
 
@@ -174,8 +202,8 @@
   return !P.Refused && Last != SteadyTime{} && Now - Last < SuspectAfter;
 }
 
-bool isSuspect(const Peer &P, SteadyTime Now) {
-  return P.Refused || Now - P.Heard >= SuspectAfter;
+bool isSuspect(const Peer &P, SteadyTime Reached, SteadyTime Now) {
+  return P.Refused || Now - std::max(P.Heard, Reached) >= SuspectAfter;
 }
 
 void applyPing(CellState &State, const PingArrived &Event,
@@ -207,10 +235,11 @@
   if (State.Draining)
     Reply.Held = Report.Held;
   Reply.ConfigurationVersion = Report.ConfigurationVersion;
-  for (const auto &[Where, P] : State.Peers)
-    if (Reply.Known.size() < MaxNamedPeers && isPresent(P, Now) &&
-        Where != Message.From.Where)
-      Reply.Known.push_back(P.Entry);
+  if (Message.WantsKnown)
+    for (const auto &[Where, P] : State.Peers)
+      if (Reply.Known.size() < MaxNamedPeers && P.Heard != SteadyTime{} &&
+          !isSuspectFor(P, Now, IdlePingPeriod) && Where != Message.From.Where)
+        Reply.Known.push_back(P.Entry);
   Out.push_back(AnswerPing{Event.Request, std::move(Reply)});
 }
 
@@ -231,7 +260,8 @@
     return;
   }
   const PeerPong &Reply = *Event.Reply;
-  bool WasPresent = isPresent(P, Now);
+  bool WasHeard =
+      P.Heard != SteadyTime{} && !isSuspectFor(P, Now, IdlePingPeriod);
   adoptIncarnation(P, Reply.Incarnation);
   P.Entry = Reply.From;
   P.Refused = false;
@@ -245,7 +275,7 @@
   adoptClaims(State, P, Reply.Claims);
   for (const InstanceEntry &Known : Reply.Known)
     addPeer(State, Known, Now);
-  if (!WasPresent)
+  if (!WasHeard)
     log(Out, "peer=" + Event.Where.Value +
                  " answers, centre=" + P.Entry.Centre.Value);
 }
@@ -262,11 +292,12 @@
       continue;
     P.PingPending = true;
     P.PingSent = Now;
-    P.NextPing = Now + pingPeriod(State, P, Now);
+    P.NextPing = Now + pingPeriod(State, P);
     PeerPing Message;
     Message.From = State.Self;
     Message.Incarnation = State.Incarnation;
     Message.Draining = State.Draining;
+    Message.WantsKnown = P.Heard == SteadyTime{};
     Message.Session = P.Session;
     for (auto C = P.Cancelled.begin(); C != P.Cancelled.end();) {
       if (Now - C->second > CancelMemory) {
@@ -329,16 +360,20 @@
         std::any_of(State.Peers.begin(), State.Peers.end(), [&](const auto &E) {
           return servesCell(E.second, Cell, Now);
         });
-    if (Served)
+    if (Served) {
+      State.UnservedSince.erase(Cell);
       continue;
+    }
+    SteadyTime Since = State.UnservedSince.try_emplace(Cell, Now).first->second;
     auto After = State.ClaimAfter.find(Cell);
     if (After != State.ClaimAfter.end() && Now < After->second)
       continue;
     if (Ranked.empty())
       Ranked = rankCandidates(State, Now);
-    if (Ranked[I % Ranked.size()] != State.Self.Where ||
+    if (!isTurn(State, Cell, Ranked, Since, Now) ||
         !silenceIsConfirmed(State, Cell, Now))
       continue;
+    State.UnservedSince.erase(Cell);
     FencingToken Token = newToken(State, Cell, Wall);
     State.Claims[Cell] = {Token, Now};
     noteToken(State, {Cell, Token});
@@ -363,7 +398,7 @@
   return std::any_of(
       State.Peers.begin(), State.Peers.end(), [&](const auto &Entry) {
         const Peer &P = Entry.second;
-        return P.Draining && !isSuspect(P, Now) && P.Held.count(Id);
+        return P.Draining && !isSuspect(P, {}, Now) && P.Held.count(Id);
       });
 }
 
@@ -372,8 +407,8 @@
   if (!State.Claims.empty() && !State.Draining)
     Senders.push_back(State.Self.Where);
   for (const auto &[Where, P] : State.Peers)
-    if (!P.Claims.empty() && !P.Draining && !P.RefusesJobs &&
-        !isSuspect(P, Now))
+    if (!P.Claims.empty() && !P.Draining && !P.RefusesJobs && !P.Refused &&
+        Now - P.Heard < SenderMemory)
       Senders.push_back(Where);
   return Senders;
 }
--- a/src/cells/cell_cmd.h
+++ b/src/cells/cell_cmd.h
@@ -56,8 +56,9 @@
 /// Whether \p P has answered or pinged lately.
 bool isPresent(const Peer &P, SteadyTime Now);
 
-/// Whether no answer of \p P can be expected any more.
-bool isSuspect(const Peer &P, SteadyTime Now);
+/// Whether no answer of \p P can be expected any more, which was reached at
+/// \p Reached by other means.
+bool isSuspect(const Peer &P, SteadyTime Reached, SteadyTime Now);
 
 /// Whether a draining predecessor still uses the upstream.
 bool heldByPredecessor(const CellState &State, const UpstreamId &Id,
--- a/src/cells/cell_table.h
+++ b/src/cells/cell_table.h
@@ -8,14 +8,16 @@
 
 namespace snipeshunt {
 
-/// Pause between pings to peers of the own data centre. Three of them fit into
-/// the time after which a peer is suspected.
-constexpr Duration NearPingPeriod = std::chrono::milliseconds(250);
-/// Pause between pings to senders of other data centres; they only need to
-/// know that jobs of theirs are still wanted.
-constexpr Duration FarPingPeriod = std::chrono::milliseconds(300);
-/// Pause between pings to other peers, which may become senders.
-constexpr Duration IdlePingPeriod = std::chrono::milliseconds(2000);
+/// Pause between pings to senders of the own data centre and to those that run
+/// jobs of this instance. Three of them fit into the time after which a peer is
+/// suspected.
+constexpr Duration SenderPingPeriod = std::chrono::milliseconds(250);
+/// Pause between pings to other senders, of which only the load is of use.
+constexpr Duration FarPingPeriod = std::chrono::milliseconds(700);
+/// Pause between pings to peers of the own data centre that are no senders.
+constexpr Duration NearIdlePeriod = std::chrono::milliseconds(1500);
+/// Pause between pings to other peers. One that becomes a sender says so.
+constexpr Duration IdlePingPeriod = std::chrono::milliseconds(5000);
 /// Pause between pings to a predecessor that still uses upstreams.
 constexpr Duration HandoverPingPeriod = std::chrono::milliseconds(40);
 /// A ping without an answer is given up after this time; a connection that has
@@ -28,6 +30,14 @@
 /// time that a stop takes it is below the pause after which a caller submits
 /// a job again elsewhere, 1.3 s.
 constexpr Duration OrphanAfter = std::chrono::milliseconds(1000);
+/// A peer that answered within this time is a candidate for a cell; most peers
+/// are pinged rarely.
+constexpr Duration CandidateMemory = std::chrono::milliseconds(2600);
+/// The second candidate claims a cell this much later than the first, and so
+/// on, since the first may be gone without this instance knowing yet.
+constexpr Duration CandidateDelay = std::chrono::milliseconds(250);
+/// A sender that answered within this time may be given jobs.
+constexpr Duration SenderMemory = std::chrono::milliseconds(1700);
 /// An instance that has just started first hears of claims that exist.
 constexpr Duration JoinDelay = std::chrono::milliseconds(150);
 /// Pause before a cell is claimed again whose claim was fenced off.
--- a/src/cells/cell_type.h
+++ b/src/cells/cell_type.h
@@ -47,6 +47,7 @@
   InstanceEntry From;
   IncarnationId Incarnation;
   bool Draining = false;
+  bool WantsKnown = false; ///< The answer should name other instances.
   /// Rises when the pinging instance has given up its jobs at the receiver.
   uint64_t Session = 0;
   std::vector<JobId> Cancelled; ///< Jobs of the session to stop.
--- a/src/directory/directory_base.h
+++ b/src/directory/directory_base.h
@@ -33,6 +33,7 @@
   std::array<Feed, CollectionCount> Feeds;
   Registration Own;
   bool SendsOrders = false; ///< This instance is a sender.
+  Duration DrainNotice = std::chrono::seconds(2); ///< See `FleetBounds`.
   bool Leaving = false;
   std::optional<FleetConfiguration> Configuration;
   std::vector<UpstreamEntry> Upstreams;
--- a/src/directory/directory_cmd.cpp
+++ b/src/directory/directory_cmd.cpp
@@ -80,8 +80,9 @@
   }
   F.Phase = FeedPhase::Pausing;
   Duration Period = What == Collection::Instances ? InstanceReadPeriod
-                    : State.SendsOrders           ? SenderReadPeriod
-                                                  : SpareReadPeriod;
+                    : State.SendsOrders
+                        ? State.DrainNotice / ReadsPerDrainNotice
+                        : SpareReadPeriod;
   if (What == Collection::Configuration)
     Period = StoreRetry;
   F.Due = Now + Period;
--- a/src/directory/directory_table.h
+++ b/src/directory/directory_table.h
@@ -10,12 +10,12 @@
 /// A watch returns after this time. It is below the 20 s for which the store
 /// keeps its history.
 constexpr std::chrono::milliseconds WatchWait{10000};
-/// Pause between reads of the upstreams by a sender. An upstream that leaves
-/// must get no starts 2 s after it said so.
-constexpr Duration SenderReadPeriod = std::chrono::milliseconds(1000);
+/// A sender reads the upstreams twice within the time after which one that
+/// leaves must get no more starts.
+constexpr int ReadsPerDrainNotice = 2;
 /// Pause between stale reads of the upstreams by other instances, which may
 /// become senders while the store is away.
-constexpr Duration SpareReadPeriod = std::chrono::milliseconds(4000);
+constexpr Duration SpareReadPeriod = std::chrono::milliseconds(8000);
 /// Pause between reads of the instances; peers also name each other.
 constexpr Duration InstanceReadPeriod = std::chrono::milliseconds(4000);
 /// Pause after a call that failed, doubled up to the limit.
--- a/src/entry/entry_base.h
+++ b/src/entry/entry_base.h
@@ -18,6 +18,7 @@
   std::set<Address> Tried;
   SteadyTime Arrived{};
   SteadyTime Deadline{};
+  SteadyTime Forwarded{}; ///< When its sender got it.
 };
 
 struct EntryCounters {
--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -2,6 +2,7 @@
 #include "entry/entry_cmd.h"
 
 #include "cells/cell_cmd.h"
+#include "cells/cell_table.h"
 
 #include <algorithm>
 
@@ -62,10 +63,18 @@
   }
 }
 
+/// Counts a job in or out at its sender, whose silence is watched closely while
+/// it has jobs.
+void countOpen(const EntryContext &Context, const Address &Where, int Change) {
+  auto P = Context.Cells.Peers.find(Where);
+  if (P != Context.Cells.Peers.end())
+    P->second.OpenJobs += Change;
+}
+
 /// Removes a job and answers its caller.
-void endJob(EntryState &State, RequestId Forward, CallerVerdict Verdict,
-            Duration RetryAfter, const std::string &Reason, SteadyTime Now,
-            InstanceEffects &Out) {
+void endJob(EntryState &State, const EntryContext &Context, RequestId Forward,
+            CallerVerdict Verdict, Duration RetryAfter,
+            const std::string &Reason, SteadyTime Now, InstanceEffects &Out) {
   auto It = State.Jobs.find(Forward);
   if (It == State.Jobs.end())
     return;
@@ -73,6 +82,7 @@
   State.Jobs.erase(It);
   State.ByCaller.erase(J.Caller);
   State.ByJob.erase(J.Order.Id);
+  countOpen(Context, J.Where, -1);
   count(State.Counts, Verdict);
   if (Verdict != CallerVerdict::Done)
     logJob(Out, J.Order.Id,
@@ -124,6 +134,8 @@
 bool forward(EntryState &State, const EntryContext &Context, RequestId Forward,
              SteadyTime Now, InstanceEffects &Out) {
   EntryJob &J = State.Jobs.at(Forward);
+  countOpen(Context, J.Where, -1);
+  J.Where = {};
   if (J.Tried.size() >= MaxSendersAsked)
     return false;
   Address Best;
@@ -142,12 +154,15 @@
     return false;
   J.Tried.insert(Best);
   J.Where = Best;
+  J.Forwarded = Now;
+  countOpen(Context, Best, 1);
   J.Order.Remaining = J.Deadline - Now;
   J.Order.Age = Now - J.Arrived;
   auto P = Context.Cells.Peers.find(Best);
   if (P != Context.Cells.Peers.end()) {
     J.Order.Session = P->second.Session;
     P->second.Cancelled.erase(J.Order.Id);
+    P->second.NextPing = std::min(P->second.NextPing, Now + SenderPingPeriod);
     P->second.Load.FreeCpu -=
         J.Order.Step.Each.CpuMillis * static_cast<int64_t>(J.Order.Step.Count);
   }
@@ -165,10 +180,10 @@
   if (forward(State, Context, Forward, Now, Out))
     return;
   EntryJob &J = State.Jobs.at(Forward);
-  J.Where = {};
   bool SenderPresent = !presentSenders(Context.Cells, Now).empty();
   if (SenderPresent || Now >= waitLimit(J))
-    endJob(State, Forward, CallerVerdict::NotRun, RetryAfter, Reason, Now, Out);
+    endJob(State, Context, Forward, CallerVerdict::NotRun, RetryAfter, Reason,
+           Now, Out);
 }
 
 /// Has a peer stop a job of this entry.
@@ -263,6 +278,7 @@
   State.Jobs.erase(Forward);
   State.ByCaller.erase(It);
   State.ByJob.erase(J.Order.Id);
+  countOpen(Context, J.Where, -1);
   ++State.Counts.HungUp;
   logJob(Out, J.Order.Id,
          "the caller hung up after_ms=" +
@@ -292,30 +308,30 @@
       forwardOrWait(State, Context, Event.Request, NoSenderRetry,
                     "the sender could not be reached", Now, Out);
     else
-      endJob(State, Event.Request, CallerVerdict::Lost, Duration::zero(),
-             "the sender did not answer", Now, Out);
+      endJob(State, Context, Event.Request, CallerVerdict::Lost,
+             Duration::zero(), "the sender did not answer", Now, Out);
     return;
   }
   const JobResult &Result = *Event.Result;
   switch (Result.Outcome) {
   case JobOutcome::Done:
-    endJob(State, Event.Request, CallerVerdict::Done, Duration::zero(),
+    endJob(State, Context, Event.Request, CallerVerdict::Done, Duration::zero(),
            Result.Reason, Now, Out);
     return;
   case JobOutcome::Failed:
-    endJob(State, Event.Request, CallerVerdict::Failed, Duration::zero(),
-           Result.Reason, Now, Out);
+    endJob(State, Context, Event.Request, CallerVerdict::Failed,
+           Duration::zero(), Result.Reason, Now, Out);
     return;
   case JobOutcome::NotRun:
     if (Result.Moved)
       forwardOrWait(State, Context, Event.Request, Result.RetryAfter,
                     Result.Reason, Now, Out);
     else
-      endJob(State, Event.Request, CallerVerdict::NotRun, Result.RetryAfter,
-             Result.Reason, Now, Out);
+      endJob(State, Context, Event.Request, CallerVerdict::NotRun,
+             Result.RetryAfter, Result.Reason, Now, Out);
     return;
   case JobOutcome::Lost:
-    endJob(State, Event.Request,
+    endJob(State, Context, Event.Request,
            Now >= J.Deadline ? CallerVerdict::Expired : CallerVerdict::Lost,
            Duration::zero(), Result.Reason, Now, Out);
     return;
@@ -337,7 +353,8 @@
     if (J.Where.Value.empty() || J.Where == Context.Cells.Self.Where)
       continue;
     auto P = Context.Cells.Peers.find(J.Where);
-    if (P != Context.Cells.Peers.end() && !isSuspect(P->second, Now))
+    if (P != Context.Cells.Peers.end() &&
+        !isSuspect(P->second, J.Forwarded, Now))
       continue;
     Gone.insert(J.Where);
     Ended.emplace_back(Forward, false);
@@ -357,7 +374,7 @@
   }
   for (const auto &[Forward, Expired] : Ended) {
     cancelAtSender(Context, State.Jobs.at(Forward), Now);
-    endJob(State, Forward,
+    endJob(State, Context, Forward,
            Expired ? CallerVerdict::Expired : CallerVerdict::Lost,
            Duration::zero(),
            Expired ? "the caller's deadline has passed" : "the sender is gone",
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -21,10 +21,6 @@
 
 namespace {
 
-// A burst within this time may exceed the bound; the system's limit on
-// descriptors is above it.
-constexpr Duration BoundPeriod = std::chrono::milliseconds(250);
-
 const char *methodName(evhttp_cmd_type Type) {
   switch (Type) {
   case EVHTTP_REQ_GET:
@@ -105,7 +101,8 @@
   if (!Socket)
     return Error{ErrorKind::Unavailable, "can't listen on " + Listen.Value,
                  "choose a free port and an address of this machine"};
-  BoundTimer.startPeriodic(BoundPeriod);
+  if (Limits.CountPeriod.count() > 0)
+    BoundTimer.startPeriodic(Limits.CountPeriod);
   sockaddr_in Bound{};
   socklen_t Size = sizeof(Bound);
   getsockname(evhttp_bound_socket_get_fd(Socket),
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -27,6 +27,9 @@
   /// Open descriptors of the process beyond which no connection is accepted;
   /// further ones wait in the system's queue.
   size_t MaxDescriptors = 30000;
+  /// Pause between counts of the descriptors; 0 never counts them. A burst
+  /// within this time may exceed the bound; the system's limit is above it.
+  std::chrono::milliseconds CountPeriod{250};
 };
 
 /// Serves HTTP on one address.
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -124,6 +124,7 @@
     State.Settings.Self.Weight = E.Settings.Self.Weight;
     State.Cells.Self.Weight = E.Settings.Self.Weight;
     State.Sender.Bounds = E.Settings.Bounds;
+    State.Directory.DrainNotice = E.Settings.Bounds.DrainNotice;
     for (const Address &Seed : State.Settings.Seeds)
       addPeer(State.Cells, {Seed, {}, 0}, Now);
   }
@@ -345,6 +346,7 @@
   State.Cells.Started = Now;
   State.LastEvent = Now;
   State.Sender.Bounds = State.Settings.Bounds;
+  State.Directory.DrainNotice = State.Settings.Bounds.DrainNotice;
   for (const Address &Seed : State.Settings.Seeds)
     addPeer(State.Cells, {Seed, {}, 0}, Now);
   return State;
--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -145,6 +145,7 @@
   V["from"] = encodeInstance(Message.From);
   V["incarnation"] = Json::UInt64(Message.Incarnation.Value);
   V["draining"] = Message.Draining;
+  V["wants_known"] = Message.WantsKnown;
   V["session"] = Json::UInt64(Message.Session);
   V["cancelled"] = encodeIds(Message.Cancelled);
   V["claims"] = encodeList(Message.Claims, encodeClaim);
@@ -157,6 +158,7 @@
   readInstance(Reader, "from", Message.From);
   Reader.unsignedId("incarnation", Message.Incarnation.Value)
       .boolean("draining", Message.Draining)
+      .boolean("wants_known", Message.WantsKnown)
       .unsignedId("session", Message.Session);
   readIds(Reader, "cancelled", Message.Cancelled);
   readList(Reader, "claims", MaxClaims, Message.Claims, decodeClaim);
--- a/src/runtime/cell_daemon.cpp
+++ b/src/runtime/cell_daemon.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 // Leases and deadlines are due to within this time.
-constexpr Duration TickPeriod = std::chrono::milliseconds(10);
+constexpr Duration TickPeriod = std::chrono::milliseconds(20);
 // Jobs under way to one sender; each uses a connection until its end.
 constexpr size_t MaxJobConnections = 400;
 // Idle connections are closed before the other side does it.
@@ -33,6 +33,7 @@
 HttpServerLimits peerLimits() {
   HttpServerLimits Limits;
   Limits.Timeout = PeerTimeout;
+  Limits.CountPeriod = {}; // Only the fleet's own instances connect here.
   return Limits;
 }
 
--- a/src/settings/fleet_settings.cpp
+++ b/src/settings/fleet_settings.cpp
@@ -25,6 +25,7 @@
   ObjectReader Reader(*Object, "bounds");
   readTime(Reader, "max_lease_ms", Out.MaxLease, 100, 60000);
   readTime(Reader, "stop_timeout_ms", Out.StopTimeout, 1, 10000);
+  readTime(Reader, "drain_notice_ms", Out.DrainNotice, 100, 600000);
   double GraceSeconds = static_cast<double>(Out.Grace.count()) / 1000;
   Reader.optionalNumber("grace_s", GraceSeconds, 1, 600);
   Out.Grace =
--- a/src/settings/fleet_settings_type.h
+++ b/src/settings/fleet_settings_type.h
@@ -14,8 +14,10 @@
 struct FleetBounds {
   using Milliseconds = std::chrono::milliseconds;
 
-  Milliseconds MaxLease{1000};    ///< Longest lease that an upstream grants.
-  Milliseconds StopTimeout{50};   ///< A stopped run has ended after this time.
+  Milliseconds MaxLease{1000};  ///< Longest lease that an upstream grants.
+  Milliseconds StopTimeout{50}; ///< A stopped run has ended after this time.
+  /// A leaving upstream gets no starts this long after it said so.
+  Milliseconds DrainNotice{2000};
   Milliseconds Grace{6000};       ///< From SIGTERM to SIGKILL.
   Milliseconds CallerRetry{1300}; ///< A caller's pause before it tries again.
 };
