cells: read the list before the first start; flush answers before the end

Change: a new sender waits for a fresh list, and takes the old one only when the store fails; the process ends 300 ms after the last job; instances are read and asked for more often in their first two seconds. Also: one copy of Base64; the stand-in's own had another result type and was linked in place of the shared one.

--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -160,14 +160,15 @@
   P.TheirSession = 0;
 }
 
-Duration pingPeriod(const CellState &State, const Peer &P) {
+Duration pingPeriod(const CellState &State, const Peer &P, SteadyTime Now) {
   if (P.Draining && !P.Held.empty() && isNear(State, P) &&
       !State.Claims.empty())
     return HandoverPingPeriod;
   if (P.OpenJobs > 0 || (isNear(State, P) && !P.Claims.empty()))
     return SenderPingPeriod;
   if (isNear(State, P))
-    return NearIdlePeriod;
+    return Now - State.Started < DiscoveryTime ? SenderPingPeriod
+                                               : NearIdlePeriod;
   return P.Claims.empty() ? IdlePingPeriod : FarPingPeriod;
 }
 
@@ -292,12 +293,13 @@
       continue;
     P.PingPending = true;
     P.PingSent = Now;
-    P.NextPing = Now + pingPeriod(State, P);
+    P.NextPing = Now + pingPeriod(State, P, Now);
     PeerPing Message;
     Message.From = State.Self;
     Message.Incarnation = State.Incarnation;
     Message.Draining = State.Draining;
-    Message.WantsKnown = P.Heard == SteadyTime{};
+    Message.WantsKnown =
+        P.Heard == SteadyTime{} || Now - State.Started < DiscoveryTime;
     Message.Session = P.Session;
     for (auto C = P.Cancelled.begin(); C != P.Cancelled.end();) {
       if (Now - C->second > CancelMemory) {
--- a/src/cells/cell_table.h
+++ b/src/cells/cell_table.h
@@ -40,6 +40,8 @@
 constexpr Duration SenderMemory = std::chrono::milliseconds(1700);
 /// An instance that has just started first hears of claims that exist.
 constexpr Duration JoinDelay = std::chrono::milliseconds(150);
+/// Time after the start in which peers are asked for the instances they know.
+constexpr Duration DiscoveryTime = std::chrono::milliseconds(2000);
 /// Pause before a cell is claimed again whose claim was fenced off.
 constexpr Duration ReclaimPause = std::chrono::milliseconds(3000);
 /// A longer gap between two ticks is a pause of this process, not silence of
--- a/src/directory/directory_base.h
+++ b/src/directory/directory_base.h
@@ -18,6 +18,7 @@
   StoreRevision At;
   uint32_t Failures = 0; ///< In a row.
   bool EverRead = false;
+  uint32_t Reads = 0; ///< Calls that were answered.
 };
 
 /// How far the registration of this instance is.
--- a/src/directory/directory_cmd.cpp
+++ b/src/directory/directory_cmd.cpp
@@ -71,6 +71,10 @@
   State.Configuration = Read;
 }
 
+Duration instancePeriod(const Feed &F) {
+  return F.Reads <= EarlyReads ? EarlyReadPeriod * F.Reads : InstanceReadPeriod;
+}
+
 void scheduleNext(DirectoryState &State, Collection What, SteadyTime Now,
                   InstanceEffects &Out) {
   Feed &F = feedOf(State, What);
@@ -79,7 +83,7 @@
     return;
   }
   F.Phase = FeedPhase::Pausing;
-  Duration Period = What == Collection::Instances ? InstanceReadPeriod
+  Duration Period = What == Collection::Instances ? instancePeriod(F)
                     : State.SendsOrders
                         ? State.DrainNotice / ReadsPerDrainNotice
                         : SpareReadPeriod;
@@ -134,6 +138,7 @@
   noteAnswer(F, Event.What, Out);
   F.At = Event.At;
   F.EverRead = true;
+  ++F.Reads;
   if (Event.Configuration)
     adoptConfiguration(State, *Event.Configuration, Event.At, Out);
   if (Event.What == Collection::Upstreams)
@@ -208,8 +213,10 @@
 
 void rereadNow(DirectoryState &State, Collection What, SteadyTime Now) {
   Feed &F = feedOf(State, What);
-  if (F.Phase == FeedPhase::Reading)
+  if (F.Phase == FeedPhase::Reading && What == Collection::Configuration)
     return;
+  // An answer to a call that is open may be older than the cause of this one.
+  ++F.Sequence;
   F.Phase = FeedPhase::Pausing;
   F.Due = Now;
 }
--- a/src/directory/directory_table.h
+++ b/src/directory/directory_table.h
@@ -18,6 +18,10 @@
 constexpr Duration SpareReadPeriod = std::chrono::milliseconds(8000);
 /// Pause between reads of the instances; peers also name each other.
 constexpr Duration InstanceReadPeriod = std::chrono::milliseconds(4000);
+/// The first reads of the instances follow each other sooner: fleets start
+/// together, and the first read misses those that start a moment later.
+constexpr uint32_t EarlyReads = 2;
+constexpr Duration EarlyReadPeriod = std::chrono::milliseconds(250);
 /// Pause after a call that failed, doubled up to the limit.
 constexpr Duration StoreRetry = std::chrono::milliseconds(150);
 constexpr Duration LongestStoreRetry = std::chrono::milliseconds(1200);
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -62,7 +62,11 @@
     if (OnPart)
       evhttp_request_set_chunked_cb(Request, handlePart);
     evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
-    evhttp_add_header(Headers, "Host", Name.Value.c_str());
+    bool NamesHost =
+        std::any_of(Call.Headers.begin(), Call.Headers.end(),
+                    [](const auto &Entry) { return Entry.first == "Host"; });
+    if (!NamesHost)
+      evhttp_add_header(Headers, "Host", Name.Value.c_str());
     if (!Call.Body.empty())
       evhttp_add_header(Headers, "Content-Type", "application/json");
     for (const auto &[Key, Value] : Call.Headers)
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -21,6 +21,9 @@
 
 // The balancer needs two misses, one second apart, to send callers elsewhere.
 constexpr Duration LeastDrain = std::chrono::milliseconds(2500);
+// The loop writes answers to their connections after the reducer has given
+// them; a slow caller takes some round trips.
+constexpr Duration AnswerFlush = std::chrono::milliseconds(300);
 // Time before SIGKILL at which the process ends by itself.
 constexpr Duration KillMargin = std::chrono::milliseconds(300);
 // A new owner whose orders are refused first waits for the news of another
@@ -207,8 +210,12 @@
   }
 
   void operator()(const CollectionRead &E) {
-    if (!applyCollection(State.Directory, E, Now, Out))
+    if (!applyCollection(State.Directory, E, Now, Out)) {
+      // Without the store, the list that was read last has to do.
+      if (E.What == Collection::Upstreams && E.Verdict != StoreVerdict::Done)
+        adoptListedUpstreams(State, false, Now, Out);
       return;
+    }
     if (E.Unreadable > 0)
       logInstance(Out, "entries that can't be read were left out, count=" +
                            std::to_string(E.Unreadable));
@@ -240,7 +247,8 @@
     State.Directory.SendsOrders = !State.Cells.Claims.empty();
     if (Changes.Gained.empty())
       return;
-    adoptListedUpstreams(State, false, Now, Out);
+    State.Sender.AwaitsList = true;
+    // The list read last may be seconds old, and upstreams may have left since.
     rereadNow(State.Directory, Collection::Upstreams, Now);
     advanceDirectory(State.Directory, State.Settings.Self, Now, Out);
   }
@@ -282,8 +290,9 @@
     if (!State.DrainStarted || State.Stopped)
       return;
     Duration Passed = Now - *State.DrainStarted;
-    bool Idle = Passed >= LeastDrain && State.Entry.Jobs.empty() &&
-                State.Sender.Jobs.empty();
+    if (!State.Entry.Jobs.empty() || !State.Sender.Jobs.empty())
+      State.LastBusy = Now;
+    bool Idle = Passed >= LeastDrain && Now - State.LastBusy >= AnswerFlush;
     if (!Idle && Passed < Duration(State.Settings.Bounds.Grace) - KillMargin)
       return;
     State.Stopped = true;
--- a/src/instance/instance_state.h
+++ b/src/instance/instance_state.h
@@ -20,6 +20,7 @@
   SenderState Sender;
   EntryState Entry;
   std::optional<SteadyTime> DrainStarted;
+  SteadyTime LastBusy{}; ///< Last time at which jobs were here.
   bool Stopped = false;
   SteadyTime LastEvent{};
   SteadyTime StartsAfter{}; ///< No task is started before.
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -52,7 +52,8 @@
 
 /// Whether any upstream of the cell could ever run a task of the order.
 bool fitsSomewhere(const SenderState &State, const JobOrder &Order) {
-  return std::any_of(State.Upstreams.begin(), State.Upstreams.end(),
+  return State.AwaitsList ||
+         std::any_of(State.Upstreams.begin(), State.Upstreams.end(),
                      [&](const auto &Entry) {
                        const OwnUpstream &U = Entry.second;
                        return U.Entry.Service == Order.Service &&
@@ -102,6 +103,7 @@
 
 /// What the usable upstreams have.
 struct Room {
+  bool Unknown = false; ///< The list of upstreams is being read.
   int64_t TotalCpu = 0;
   int64_t FreeCpu = 0;
   double RunningWork = 0; ///< Left of the runs, see `waitingWork`.
@@ -109,6 +111,7 @@
 
 Room measureRoom(const SenderState &State, SteadyTime Now) {
   Room R;
+  R.Unknown = State.AwaitsList;
   for (const auto &[Id, U] : State.Upstreams) {
     if (U.Phase == UpstreamPhase::Silent || U.Phase == UpstreamPhase::Fenced ||
         U.Entry.Draining)
@@ -129,6 +132,8 @@
 
 /// Expected time until a task starts that waits behind the given tasks.
 Duration delayBehind(const Room &R, int64_t Cpu, double Work) {
+  if (R.Unknown)
+    return Duration::zero();
   if (R.TotalCpu == 0)
     return NoRoomDelay;
   if (Cpu <= R.FreeCpu / 2)
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -174,6 +174,8 @@
   OfferedWork Offered;
   bool Draining = false;
   bool Changed = true; ///< Starts may have become possible.
+  /// The list of upstreams is being read for a cell that was just claimed.
+  bool AwaitsList = false;
   std::map<UpstreamId, OwnUpstream> Upstreams;
   std::unordered_map<JobId, SenderJob> Jobs;
   std::map<JobWaiter, JobId> ByWaiter;
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -334,6 +334,7 @@
                     const std::map<CellId, OwnClaim> &Claims,
                     const std::function<CellId(const UpstreamEntry &)> &CellOf,
                     bool Complete, SteadyTime Now, InstanceEffects &Out) {
+  State.AwaitsList = false;
   std::set<UpstreamId> Listed;
   for (const UpstreamEntry &Entry : List) {
     CellId Cell = CellOf(Entry);
--- /dev/null
+++ b/src/standins/cells_main.cpp
@@ -0,0 +1,77 @@
+/// \file `standin-cells`: a store and runners of the users' platform.
+#include "standins/runner_standin.h"
+#include "standins/store_standin.h"
+
+#include <getopt.h>
+
+#include <cstdio>
+#include <memory>
+
+namespace {
+
+constexpr int UsageError = 2;
+constexpr snipeshunt::Duration BeatPeriod = std::chrono::milliseconds(500);
+// One route, `jobs.example/jobs/`, whose tasks may fail twice.
+constexpr char Configuration[] =
+    R"({"version":1,"routes":[{"name":"jobs","host":"jobs.example",)"
+    R"("prefix":"/jobs/","kind":"unsafe","timeout_ms":5000,"slo_ms":60,)"
+    R"("priority":0,"service":"standin","max_attempts":3,"stretch":1.6}],)"
+    R"("services":[],"limits":{}})";
+
+void printUsage() {
+  fprintf(stderr, "Usage: standin-cells --listen IP:PORT --runners N "
+                  "[--centres N]\n");
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  using namespace snipeshunt;
+  const option Options[] = {{"listen", required_argument, nullptr, 'l'},
+                            {"runners", required_argument, nullptr, 'r'},
+                            {"centres", required_argument, nullptr, 'c'},
+                            {nullptr, 0, nullptr, 0}};
+  std::string Listen;
+  std::optional<int64_t> Runners;
+  std::optional<int64_t> Centres = 1;
+  for (int Option;
+       (Option = getopt_long(Argc, Argv, "l:r:c:", Options, nullptr)) != -1;) {
+    if (Option == 'l')
+      Listen = optarg;
+    else if (Option == 'r')
+      Runners = wholeNumber(optarg, 1, 500);
+    else if (Option == 'c')
+      Centres = wholeNumber(optarg, 1, 16);
+    else
+      return printUsage(), UsageError;
+  }
+  if (Listen.empty() || !Runners || !Centres)
+    return printUsage(), UsageError;
+  EventLoop Loop;
+  StoreStandin Store(Loop);
+  Store.put("op/config", Configuration);
+  std::vector<std::unique_ptr<RunnerStandin>> All;
+  std::string Ip = Listen.substr(0, Listen.find(':'));
+  for (int64_t I = 0; I < *Runners; ++I) {
+    All.push_back(std::make_unique<RunnerStandin>(
+        Loop, "runner-" + std::to_string(I),
+        "dc" + std::to_string(1 + I % *Centres)));
+    if (!All.back()->listen(Ip))
+      return 1;
+  }
+  uint64_t Sequence = 0;
+  auto Beat = [&] {
+    ++Sequence;
+    for (const auto &R : All)
+      Store.put("servers/" + R->id(), R->registration(Sequence));
+  };
+  Beat();
+  // An entry by another writer names no runner.
+  Store.put("servers/stray", "not an entry");
+  Timer Beats(Loop, Beat);
+  Beats.startPeriodic(BeatPeriod);
+  if (!Store.listen({Listen}))
+    return 1;
+  runUntilSignal(Loop);
+  return 0;
+}
--- a/src/standins/kv_codec.cpp
+++ b/src/standins/kv_codec.cpp
@@ -1,14 +1,13 @@
 /// \file etcd's JSON form of key-value requests and replies.
 #include "standins/kv_codec.h"
 
+#include "core/base64_func.h"
 #include "standins/standin_func.h"
 
 namespace snipeshunt {
 
 namespace {
 
-constexpr char Alphabet[] =
-    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 constexpr size_t MaxKey = 4096;
 // The platform's service accepts values up to 1 MB.
 constexpr size_t MaxValue = 1 << 20;
@@ -34,10 +33,11 @@
                size_t MaxBytes) {
   std::string Text;
   Reader.optionalString(Name, Text, encodedSize(MaxBytes));
-  std::optional<std::string> Bytes = decodeBase64(Text);
-  if (!Bytes)
+  Result<std::string> Bytes = decodeBase64(Text);
+  if (failed(Bytes))
     Reader.fail(Name, "base64 with padding");
-  Out = Bytes.value_or("");
+  else
+    Out = std::move(valueOf(Bytes));
 }
 
 void readKey(ObjectReader &Reader, std::string &Out) {
@@ -141,47 +141,6 @@
 
 } // namespace
 
-std::string encodeBase64(std::string_view Bytes) {
-  std::string Out;
-  Out.reserve(encodedSize(Bytes.size()));
-  for (size_t At = 0; At < Bytes.size(); At += 3) {
-    uint32_t Group = 0;
-    for (size_t I = 0; I < 3; ++I)
-      Group = Group << 8 |
-              (At + I < Bytes.size() ? static_cast<unsigned char>(Bytes[At + I])
-                                     : 0U);
-    for (size_t I = 0; I < 4; ++I)
-      Out += At + I > Bytes.size() ? '=' : Alphabet[Group >> (18 - 6 * I) & 63];
-  }
-  return Out;
-}
-
-std::optional<std::string> decodeBase64(std::string_view Text) {
-  if (Text.size() % 4 != 0)
-    return std::nullopt;
-  size_t Padding = 0;
-  while (Padding < 2 && !Text.empty() && Text.back() == '=') {
-    Text.remove_suffix(1);
-    ++Padding;
-  }
-  std::string Out;
-  Out.reserve(Text.size() / 4 * 3 + 2);
-  uint32_t Bits = 0;
-  int Held = 0;
-  for (char C : Text) {
-    size_t Digit = std::string_view(Alphabet, 64).find(C);
-    if (Digit == std::string_view::npos)
-      return std::nullopt;
-    Bits = Bits << 6 | static_cast<uint32_t>(Digit);
-    Held += 6;
-    if (Held < 8)
-      continue;
-    Held -= 8;
-    Out += static_cast<char>(Bits >> Held & 255);
-  }
-  return Out;
-}
-
 Result<KvOperation> readOperation(const Json::Value &Body,
                                   KvOperation::Type Kind) {
   KvOperation Out;
--- a/src/standins/kv_codec.h
+++ b/src/standins/kv_codec.h
@@ -13,9 +13,6 @@
 
 namespace snipeshunt {
 
-std::string encodeBase64(std::string_view Bytes);
-std::optional<std::string> decodeBase64(std::string_view Text);
-
 /// A transaction as requested.
 struct KvTxn {
   std::vector<KvCompare> Conditions;
--- /dev/null
+++ b/src/standins/runner_standin.cpp
@@ -0,0 +1,214 @@
+/// \file A stand-in for one runner of the users' platform.
+#include "standins/runner_standin.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace snipeshunt {
+
+namespace {
+
+constexpr Duration StepPeriod = std::chrono::milliseconds(2);
+constexpr int64_t MaxLeaseMs = 1000;
+constexpr int64_t DefaultWorkMs = 20;
+
+int64_t workMs(const std::string &Spec) {
+  size_t At = Spec.find("work_ms=");
+  return At == std::string::npos ? DefaultWorkMs
+                                 : std::atoll(Spec.c_str() + At + 8);
+}
+
+} // namespace
+
+RunnerStandin::RunnerStandin(EventLoop &Loop, std::string Id,
+                             std::string Centre)
+    : Id(std::move(Id)), Centre(std::move(Centre)), Server(Loop, {}),
+      Steps(Loop, [this] { advance(); }),
+      Started(std::chrono::steady_clock::now()),
+      Born(std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+               .count()) {
+  Server.RequestReceived.connect(
+      [this](const HttpRequest &Request) { receive(Request); });
+}
+
+bool RunnerStandin::listen(const std::string &Ip) {
+  Result<Address> Bound = Server.listen({Ip + ":0"});
+  if (failed(Bound))
+    return false;
+  Where = valueOf(Bound);
+  Steps.startPeriodic(StepPeriod);
+  return true;
+}
+
+std::string RunnerStandin::registration(uint64_t Sequence) const {
+  Json::Value Entry(Json::objectValue);
+  Entry["service"] = "standin";
+  Entry["address"] = Where.Value;
+  Entry["zone"] = Centre;
+  Entry["version"] = "v1";
+  Entry["slots"] = 8;
+  Entry["state"] = "ready";
+  Entry["cold_remaining_ms"] = 0;
+  Entry["capacity"]["cpu"] = 64000;
+  Entry["capacity"]["mem_mb"] = 262144;
+  Entry["capacity"]["gpu"] = 0;
+  Entry["labels"].append("a");
+  Entry["labels"].append("r1-1");
+  Entry["born"] = Json::Int64(Born);
+  Entry["sequence"] = Json::UInt64(Sequence);
+  return writeJson(Entry);
+}
+
+int64_t RunnerStandin::clockMs() const {
+  return toMilliseconds(std::chrono::steady_clock::now() - Started);
+}
+
+void RunnerStandin::receive(const HttpRequest &Request) {
+  Result<Json::Value> Parsed = parseJson(Request.Body);
+  if (failed(Parsed) || !valueOf(Parsed).isObject())
+    return Server.reply(Request.Id, {400, "{}"});
+  if (Request.header("X-Snipeshunt-Expect-Instance") != Id)
+    return Server.reply(Request.Id, {421, "{}"});
+  const Json::Value &Body = valueOf(Parsed);
+  if (fenced(Body)) {
+    Json::Value Refusal(Json::objectValue);
+    Refusal["clock_ms"] = Json::Int64(clockMs());
+    Refusal["reason"] = "fence";
+    return Server.reply(Request.Id, jsonReply(409, Refusal));
+  }
+  if (Request.Path == "/snipeshunt/run-start")
+    Server.reply(Request.Id, start(Body));
+  else if (Request.Path == "/snipeshunt/run-stop")
+    Server.reply(Request.Id, stop(Body));
+  else if (Request.Path == "/snipeshunt/hold")
+    hold(Request.Id, Body);
+  else
+    Server.reply(Request.Id, unknownPath());
+}
+
+bool RunnerStandin::fenced(const Json::Value &Body) {
+  uint64_t Given = Body["fencing_token"].asUInt64();
+  if (Given < Token)
+    return true;
+  Token = Given;
+  return false;
+}
+
+void RunnerStandin::prolong(const Json::Value &Body) {
+  if (Body.isMember("deadline_ms"))
+    LeaseEnd =
+        std::max(LeaseEnd, std::min<int64_t>(Body["deadline_ms"].asInt64(),
+                                             clockMs() + MaxLeaseMs));
+}
+
+HttpReply RunnerStandin::start(const Json::Value &Body) {
+  std::string Task = Body["task"].asString();
+  uint32_t Number = Body["run"].asUInt();
+  Json::Value Reply(Json::objectValue);
+  Reply["clock_ms"] = Json::Int64(clockMs());
+  auto Last = LastEnded.find(Task);
+  if (Body["deadline_ms"].asInt64() <= clockMs()) {
+    Reply["reason"] = "late";
+    return jsonReply(409, Reply);
+  }
+  if (Last != LastEnded.end() && Number <= Last->second) {
+    Reply["reason"] = "old";
+    return jsonReply(409, Reply);
+  }
+  prolong(Body);
+  if (Running.count(Task))
+    return jsonReply(200, Reply);
+  Running[Task] = {Number, std::chrono::steady_clock::now(),
+                   std::chrono::milliseconds(workMs(Body["spec"].asString()))};
+  printf("start %s %u %s\n", Task.c_str(), Number, Id.c_str());
+  return jsonReply(200, Reply);
+}
+
+HttpReply RunnerStandin::stop(const Json::Value &Body) {
+  std::string Task = Body["task"].asString();
+  uint32_t &Last = LastEnded[Task];
+  Last = std::max(Last, Body["run"].asUInt());
+  auto It = Running.find(Task);
+  if (It != Running.end() && It->second.Number <= Last)
+    end(Task, "stopped");
+  Json::Value Reply(Json::objectValue);
+  Reply["clock_ms"] = Json::Int64(clockMs());
+  return jsonReply(200, Reply);
+}
+
+void RunnerStandin::hold(RequestId Request, const Json::Value &Body) {
+  prolong(Body);
+  uint64_t Seen = Body["last_seen"].asUInt64();
+  Ends.erase(std::remove_if(Ends.begin(), Ends.end(),
+                            [Seen](const End &E) { return E.Number <= Seen; }),
+             Ends.end());
+  int64_t Wait = Body["wait_ms"].asInt64();
+  if (Wait == 0 || !Ends.empty()) {
+    Server.reply(Request, lists());
+    return;
+  }
+  Waiting.push_back({Request, std::chrono::steady_clock::now() +
+                                  std::chrono::milliseconds(Wait)});
+}
+
+void RunnerStandin::end(const std::string &Task, const char *How) {
+  auto It = Running.find(Task);
+  uint32_t Number = It->second.Number;
+  Running.erase(It);
+  uint32_t &Last = LastEnded[Task];
+  Last = std::max(Last, Number);
+  Ends.push_back({NextEnd++, Task, Number, How});
+  printf("end %s %u %s %s\n", Task.c_str(), Number, Id.c_str(), How);
+}
+
+void RunnerStandin::advance() {
+  SteadyTime Now = std::chrono::steady_clock::now();
+  bool Lapsed = clockMs() >= LeaseEnd;
+  std::vector<std::string> Done;
+  for (const auto &[Task, R] : Running)
+    if (Lapsed || Now - R.Began >= R.Work)
+      Done.push_back(Task);
+  for (const std::string &Task : Done)
+    end(Task, Lapsed ? "lapsed" : "done");
+  if (!Done.empty())
+    fflush(stdout);
+  std::vector<Held> Still;
+  for (const Held &H : Waiting) {
+    if (Ends.empty() && Now < H.Until)
+      Still.push_back(H);
+    else
+      Server.reply(H.Request, lists());
+  }
+  Waiting = std::move(Still);
+}
+
+HttpReply RunnerStandin::lists() const {
+  Json::Value Reply(Json::objectValue);
+  Reply["clock_ms"] = Json::Int64(clockMs());
+  Reply["born"] = Json::Int64(Born);
+  Reply["running"] = Json::Value(Json::arrayValue);
+  Reply["finished"] = Json::Value(Json::arrayValue);
+  SteadyTime Now = std::chrono::steady_clock::now();
+  for (const auto &[Task, R] : Running) {
+    Json::Value Row(Json::arrayValue);
+    Row.append(Task);
+    Row.append(R.Number);
+    Row.append("");
+    Row.append(static_cast<int>(100 * toSeconds(Now - R.Began) /
+                                std::max(1e-3, toSeconds(R.Work))));
+    Reply["running"].append(Row);
+  }
+  for (const End &E : Ends) {
+    Json::Value Row(Json::arrayValue);
+    Row.append(Json::UInt64(E.Number));
+    Row.append(E.Task);
+    Row.append(E.Run);
+    Row.append(E.How);
+    Row.append("");
+    Reply["finished"].append(Row);
+  }
+  return jsonReply(200, Reply);
+}
+
+} // namespace snipeshunt
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -310,6 +310,55 @@
     EXPECT_TRUE(R.Done) << runText(R.Key);
 }
 
+// Guards against an answer that the end of the process cuts off: it is written
+// to the connection by the loop, after the reducer has given it.
+TEST_F(CellTest, ProcessStaysAWhileAfterItsLastAnswer) {
+  World.shutDown(First);
+  World.run(milliseconds(2300));
+  size_t A = World.submit(First, "a", 2, milliseconds(300));
+  World.run(seconds(4));
+  ASSERT_TRUE(done(A));
+  EXPECT_FALSE(World.alive(First));
+  EXPECT_GE(World.ended(First) - World.caller(A).Answered, milliseconds(200));
+}
+
+// Guards against two instances that claim a cell because neither knows of the
+// other: all start at once and know only the first of them.
+TEST(CellDiscovery, InstancesThatStartTogetherKnowEachOtherSoon) {
+  CellWorld World;
+  World.addUpstream({"up-1"});
+  World.setSeedsOnly(true);
+  Address Seed = World.addInstance("seed", "centre-a", 0.9);
+  Address Second = World.addInstance("second", "centre-a", 0.8);
+  Address Third = World.addInstance("third", "centre-a", 0.7);
+  World.run(milliseconds(600));
+  for (auto [From, To] : {std::pair{Seed, Second}, std::pair{Second, Third},
+                          std::pair{Third, Second}}) {
+    const auto &Peers = World.state(From).Cells.Peers;
+    auto It = Peers.find(To);
+    ASSERT_NE(It, Peers.end());
+    EXPECT_NE(It->second.Heard, SteadyTime{});
+  }
+}
+
+// Guards against starts by a new sender whose list of upstreams is old.
+TEST_F(CellTest, NewSenderReadsTheListBeforeItStartsAnything) {
+  World.setDraining(Upstreams[0]);
+  World.run(milliseconds(2500));
+  World.setStoreTime(milliseconds(60));
+  World.kill(Strong);
+  SteadyTime From = World.now();
+  for (int I = 0; I < 20; ++I) {
+    World.submit(First, "job-" + std::to_string(I), 2, milliseconds(100));
+    World.run(milliseconds(50));
+  }
+  World.run(seconds(2));
+  for (const RunRecord &R : World.runs())
+    if (R.Began >= From) {
+      EXPECT_NE(R.Where, Upstreams[0]);
+    }
+}
+
 // A refusal says that nothing has run, and it comes at once.
 TEST_F(CellTest, JobThatCanNotEndInTimeIsRefusedAtOnce) {
   std::vector<size_t> Jobs;
--- /dev/null
+++ b/tests/process/cell_process_test.cpp
@@ -0,0 +1,153 @@
+/// \file The platform's interface on real processes.
+#include "cell_fleet.h"
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+namespace snipeshunt {
+namespace {
+
+std::string jobId(int Number) {
+  char Text[17];
+  snprintf(Text, sizeof(Text), "%016x", Number);
+  return Text;
+}
+
+// Guards against a break anywhere between a caller's request and the answer:
+// codec, store, cells, orders and ends.
+TEST(CellProcessTest, EachInstanceServesJobsWhole) {
+  CellFleet F(4, 2);
+  F.start(6);
+  ASSERT_TRUE(F.waitUntilReady()) << F.allLogs();
+  for (size_t I = 0; I < 4; ++I) {
+    std::string Id = jobId(static_cast<int>(I));
+    HttpReply Reply = F.submit(I, Id, 3, 40);
+    EXPECT_EQ(Reply.Status, 200) << F.logText("i" + std::to_string(I));
+    EXPECT_EQ(Reply.Body, "{\"state\":\"done\"}");
+    EXPECT_EQ(F.starts(Id).size(), 3U);
+  }
+}
+
+TEST(CellProcessTest, RequestsOutsideJobsAreAnswered) {
+  CellFleet F(2, 1);
+  F.start(2);
+  ASSERT_TRUE(F.waitUntilReady()) << F.allLogs();
+  EXPECT_EQ(F.get(0, "/jobs/").Status, 200);
+  EXPECT_EQ(F.get(0, "/jobs/").Body, "{\"pending\":0}");
+  EXPECT_EQ(F.get(0, "/jobs/" + jobId(1)).Status, 410);
+  EXPECT_EQ(F.get(0, "/other/").Status, 404);
+  EXPECT_EQ(F.get(0, "/jobs/", "other.example").Status, 404);
+}
+
+// Guards against a second run beside the first when the sender's process is
+// killed and the caller submits again elsewhere.
+TEST(CellProcessTest, JobsSurviveTheEndOfTheSenderOnASecondTry) {
+  CellFleet F(3, 1);
+  F.start(4);
+  ASSERT_TRUE(F.waitUntilReady()) << F.allLogs();
+  std::atomic<int> Lost{0};
+  std::vector<std::thread> Callers;
+  for (int C = 0; C < 6; ++C)
+    Callers.emplace_back([&, C] {
+      std::string Id = jobId(100 + C);
+      HttpReply Reply = F.submit(1 + C % 2, Id, 1, 1500);
+      if (Reply.Status == 200)
+        return;
+      ++Lost;
+      std::this_thread::sleep_for(std::chrono::milliseconds(1300));
+      for (int Try = 0; Try < 20 && Reply.Status != 200; ++Try) {
+        Reply = F.submit(1 + C % 2, Id, 1, 100);
+        if (Reply.Status != 200)
+          std::this_thread::sleep_for(std::chrono::seconds(1));
+      }
+      EXPECT_EQ(Reply.Status, 200);
+    });
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  // The first instance has the highest weight and is the sender.
+  F.process(0).kill();
+  for (std::thread &T : Callers)
+    T.join();
+  EXPECT_GT(Lost, 0);
+  EXPECT_TRUE(F.overlaps().empty()) << F.overlaps().front();
+}
+
+TEST(CellProcessTest, FrozenSenderIsReplaced) {
+  CellFleet F(3, 1);
+  F.start(4);
+  ASSERT_TRUE(F.waitUntilReady()) << F.allLogs();
+  F.process(0).signal(SIGSTOP);
+  bool Served = Fleet::waitUntil(
+      [&, Number = 200]() mutable {
+        return F.submit(1, jobId(Number++), 2, 50).Status == 200;
+      },
+      std::chrono::seconds(30));
+  EXPECT_TRUE(Served);
+  F.process(0).signal(SIGCONT);
+  EXPECT_TRUE(Fleet::waitUntil(
+      [&, Number = 300]() mutable {
+        return F.submit(0, jobId(Number++), 2, 50).Status == 200;
+      },
+      std::chrono::seconds(30)));
+  EXPECT_TRUE(F.overlaps().empty());
+}
+
+// Guards against a shutdown that breaks off jobs or takes beyond the grace.
+TEST(CellProcessTest, ShutdownUnderLoadBreaksNoJob) {
+  CellFleet F(3, 1);
+  F.start(6);
+  ASSERT_TRUE(F.waitUntilReady()) << F.allLogs();
+  std::atomic<bool> Stop{false};
+  std::atomic<int> Bad{0};
+  std::atomic<int> Good{0};
+  std::vector<std::thread> Callers;
+  for (int C = 0; C < 4; ++C)
+    Callers.emplace_back([&, C] {
+      for (int N = 0; !Stop; ++N) {
+        HttpReply Reply =
+            F.submit(1 + C % 2, jobId(1000 + C * 1000 + N), 2, 60);
+        ++(Reply.Status == 200 ? Good : Bad);
+      }
+    });
+  std::this_thread::sleep_for(std::chrono::milliseconds(800));
+  F.process(0).signal(SIGTERM);
+  std::optional<int> Ended = F.process(0).wait(std::chrono::seconds(20));
+  std::this_thread::sleep_for(std::chrono::milliseconds(800));
+  Stop = true;
+  for (std::thread &T : Callers)
+    T.join();
+  EXPECT_EQ(Ended, std::optional<int>(0));
+  EXPECT_GT(Good, 0);
+  EXPECT_EQ(Bad, 0) << F.allLogs();
+}
+
+// Guards against a process that a change of its settings file ends.
+TEST(CellProcessTest, HangUpSignalReloadsTheSettings) {
+  CellFleet F(1, 1);
+  F.start(2);
+  ASSERT_TRUE(F.waitUntilReady()) << F.allLogs();
+  F.process(0).signal(SIGHUP);
+  EXPECT_TRUE(Fleet::waitUntil(
+      [&] {
+        return F.logText("i0").find("settings read again") != std::string::npos;
+      },
+      std::chrono::seconds(20)));
+  EXPECT_EQ(F.submit(0, jobId(1), 2, 20).Status, 200);
+}
+
+// Guards against settings that are wrong and are taken nevertheless.
+TEST(CellProcessTest, WrongSettingsAreRefused) {
+  CellFleet F(1, 1);
+  std::ofstream(F.settings(0)) << R"({"name":"x","data_centre":"a"})";
+  Result<ChildProcess> Started =
+      ChildProcess::start({std::string(BINARY_DIR) + "/snipeshuntd", "--cells",
+                           "--check-settings", "--settings", F.settings(0)},
+                          F.log("check"));
+  ASSERT_FALSE(failed(Started));
+  EXPECT_EQ(valueOf(Started).wait(std::chrono::seconds(20)),
+            std::optional<int>(2));
+  EXPECT_NE(F.logText("check").find("front"), std::string::npos);
+}
+
+} // namespace
+} // namespace snipeshunt
--- a/tests/support/cell_world.cpp
+++ b/tests/support/cell_world.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr Duration Hop = std::chrono::milliseconds(1);
-constexpr Duration StoreTime = std::chrono::milliseconds(4);
 constexpr Duration TickPeriod = std::chrono::milliseconds(10);
 constexpr Duration PingLimit = std::chrono::milliseconds(350);
 constexpr Duration OrderLimit = std::chrono::milliseconds(150);
@@ -56,6 +55,8 @@
   FleetSettings Settings;
   Settings.Name = I.Name;
   Settings.Self = I.Entry;
+  if (SeedsOnly)
+    Settings.Seeds.push_back(Instances.begin()->first);
   I.State = startInstance(Settings, {NextIncarnation++}, Now);
   I.Alive = true;
   I.Frozen = false;
@@ -203,6 +204,7 @@
 
 void CellWorld::kill(const Address &Where) {
   Instance &I = Instances.at(Where);
+  I.Ended = Now;
   I.Alive = false;
   breakConnections(Where);
 }
@@ -314,7 +316,9 @@
                 }
               if (R.What == Collection::Instances)
                 for (const auto &[Where, Other] : Instances)
-                  if (Other.Alive)
+                  if (Other.Alive &&
+                      (!SeedsOnly ||
+                       Now - Other.State.Cells.Started > StoreTime * 2))
                     Event.Instances.push_back(Other.Entry);
               return Event;
             });
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -56,6 +56,10 @@
                       double Weight = 0.25);
   UpstreamId addUpstream(const UpstreamSetup &Setup);
 
+  /// Later instances know the first one, and the store names none that started
+  /// within the same moment.
+  void setSeedsOnly(bool Only) { SeedsOnly = Only; }
+
   /// Lets time pass.
   void run(Duration Time);
 
@@ -81,6 +85,8 @@
   void heal() { CutOff.clear(); }
 
   void setStoreUp(bool Up) { StoreUp = Up; }
+  /// Time that the store takes for an answer.
+  void setStoreTime(Duration Time) { StoreTime = Time; }
   UpstreamFaults &faults(const UpstreamId &Id) { return Upstreams[Id].Faults; }
   void setDraining(const UpstreamId &Id) { Upstreams[Id].Draining = true; }
   /// The upstream's process is replaced by a new one under the same id.
@@ -100,6 +106,10 @@
   std::vector<std::string> overlappingRuns() const;
   bool alive(const Address &Where) const { return Instances.at(Where).Alive; }
   /// Without power: callers are not told that it is gone.
+  /// When the process last ended by itself or was killed.
+  SteadyTime ended(const Address &Where) const {
+    return Instances.at(Where).Ended;
+  }
   bool silent(const Address &Where) const { return Instances.at(Where).Silent; }
 
 private:
@@ -111,6 +121,7 @@
     bool Frozen = false;
     bool Silent = false; ///< Without power: connections don't break.
     uint64_t Life = 0;
+    SteadyTime Ended{};
     std::vector<InstanceEventBody> WhileFrozen;
     /// Jobs received from peers: request to entry and forward.
     std::map<RequestId, std::pair<Address, RequestId>> Received;
@@ -170,7 +181,9 @@
   std::vector<RunRecord> Runs;
   std::set<Address> CutOff;
   FleetConfiguration Configuration;
+  bool SeedsOnly = false;
   bool StoreUp = true;
+  Duration StoreTime = std::chrono::milliseconds(4);
   uint64_t NextIncarnation = 1;
   uint64_t Revision = 1;
   int64_t NextPort = 1;
