directory: peers share what they have read while the store is away

Ruled out: the fence, since the former sender had handed over by itself. Change: only an instance with a list of upstreams claims a cell; one that lacks the configuration or the list while the store does not answer asks a peer.

--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -23,6 +23,7 @@
   bool PingPending = false;
   bool Refused = false; ///< No process listens there.
   bool Draining = false;
+  bool KnowsUpstreams = false;
   bool RefusesJobs = false; ///< It said that it is leaving.
   std::vector<CellClaim> Claims;
   SenderLoad Load;
@@ -49,6 +50,7 @@
   SteadyTime Started{};
   SteadyTime LastTick{};
   bool Draining = false;
+  bool KnowsUpstreams = false; ///< This instance can be a sender.
   std::map<Address, Peer> Peers;
   std::map<CellId, OwnClaim> Claims;
   /// Highest token seen for each cell.
--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -60,14 +60,14 @@
 
 bool isCandidate(const Peer &P, SteadyTime Now) {
   SteadyTime Last = std::max(P.Heard, P.PingedBy);
-  return !P.Refused && !P.Draining && Last != SteadyTime{} &&
-         Now - Last < CandidateMemory;
+  return !P.Refused && !P.Draining && P.KnowsUpstreams &&
+         Last != SteadyTime{} && Now - Last < CandidateMemory;
 }
 
 /// Instances of the own data centre that can be senders, strongest first.
 std::vector<Address> rankCandidates(const CellState &State, SteadyTime Now) {
   std::vector<const InstanceEntry *> Entries;
-  if (!State.Draining)
+  if (!State.Draining && State.KnowsUpstreams)
     Entries.push_back(&State.Self);
   for (const auto &[Where, P] : State.Peers)
     if (isNear(State, P) && isCandidate(P, Now))
@@ -216,6 +216,7 @@
     Peer &P = It->second;
     adoptIncarnation(P, Message.Incarnation);
     P.Entry = Message.From;
+    P.KnowsUpstreams = Message.KnowsUpstreams;
     P.PingedBy = P.PingedByRaw = Now;
     P.Refused = false;
     P.TheirSession = std::max(P.TheirSession, Message.Session);
@@ -230,6 +231,7 @@
   Reply.From = State.Self;
   Reply.Incarnation = State.Incarnation;
   Reply.Draining = State.Draining;
+  Reply.KnowsUpstreams = State.KnowsUpstreams;
   for (const auto &[Cell, Claim] : State.Claims)
     Reply.Claims.push_back({Cell, Claim.Token});
   Reply.Load = Report.Load;
@@ -268,6 +270,7 @@
   P.Refused = false;
   P.Heard = P.PingSent;
   P.Draining = Reply.Draining;
+  P.KnowsUpstreams = Reply.KnowsUpstreams;
   P.Held = std::set<UpstreamId>(Reply.Held.begin(), Reply.Held.end());
   P.Load = Reply.Load;
   P.ConfigurationVersion = Reply.ConfigurationVersion;
@@ -298,6 +301,7 @@
     Message.From = State.Self;
     Message.Incarnation = State.Incarnation;
     Message.Draining = State.Draining;
+    Message.KnowsUpstreams = State.KnowsUpstreams;
     Message.WantsKnown =
         P.Heard == SteadyTime{} || Now - State.Started < DiscoveryTime;
     Message.Session = P.Session;
@@ -372,6 +376,8 @@
       continue;
     if (Ranked.empty())
       Ranked = rankCandidates(State, Now);
+    if (Ranked.empty())
+      break;
     if (!isTurn(State, Cell, Ranked, Since, Now) ||
         !silenceIsConfirmed(State, Cell, Now))
       continue;
--- a/src/cells/cell_type.h
+++ b/src/cells/cell_type.h
@@ -47,7 +47,8 @@
   InstanceEntry From;
   IncarnationId Incarnation;
   bool Draining = false;
-  bool WantsKnown = false; ///< The answer should name other instances.
+  bool WantsKnown = false;     ///< The answer should name other instances.
+  bool KnowsUpstreams = false; ///< It has a list of upstreams to send to.
   /// Rises when the pinging instance has given up its jobs at the receiver.
   uint64_t Session = 0;
   std::vector<JobId> Cancelled; ///< Jobs of the session to stop.
@@ -59,6 +60,7 @@
   InstanceEntry From;
   IncarnationId Incarnation;
   bool Draining = false;
+  bool KnowsUpstreams = false; ///< It has a list of upstreams to send to.
   std::vector<CellClaim> Claims;
   SenderLoad Load;
   /// Upstreams that a draining sender still uses.
--- a/src/directory/directory_base.h
+++ b/src/directory/directory_base.h
@@ -38,6 +38,7 @@
   bool Leaving = false;
   std::optional<FleetConfiguration> Configuration;
   std::vector<UpstreamEntry> Upstreams;
+  SteadyTime NextSnapshot{}; ///< Earliest time to ask a peer.
 };
 
 } // namespace snipeshunt
--- a/src/directory/directory_cmd.cpp
+++ b/src/directory/directory_cmd.cpp
@@ -211,6 +211,27 @@
                                                      : LongestStoreRetry);
 }
 
+bool needsSnapshot(const DirectoryState &State, SteadyTime Now) {
+  const Feed &Configuration =
+      State.Feeds[static_cast<size_t>(Collection::Configuration)];
+  const Feed &Upstreams =
+      State.Feeds[static_cast<size_t>(Collection::Upstreams)];
+  bool Lacks = !State.Configuration || State.Upstreams.empty();
+  bool Fails = Configuration.Failures > 0 || Upstreams.Failures > 0;
+  return Lacks && Fails && Now >= State.NextSnapshot;
+}
+
+void applySnapshot(DirectoryState &State, const SnapshotFetched &Event,
+                   InstanceEffects &Out) {
+  if (Event.Configuration)
+    adoptConfiguration(State, *Event.Configuration, {}, Out);
+  if (!State.Upstreams.empty() || Event.Upstreams.empty())
+    return;
+  State.Upstreams = Event.Upstreams;
+  log(Out, "upstreams taken from a peer count=" +
+               std::to_string(State.Upstreams.size()));
+}
+
 void rereadNow(DirectoryState &State, Collection What, SteadyTime Now) {
   Feed &F = feedOf(State, What);
   if (F.Phase == FeedPhase::Reading && What == Collection::Configuration)
--- a/src/directory/directory_cmd.h
+++ b/src/directory/directory_cmd.h
@@ -26,6 +26,13 @@
 void applyLeaseRenewed(DirectoryState &State, const LeaseRenewed &Event,
                        SteadyTime Now);
 
+/// Whether this instance lacks what it needs and the store does not give it.
+bool needsSnapshot(const DirectoryState &State, SteadyTime Now);
+
+/// Adopts what a peer has read; it is replaced by the next answer of the store.
+void applySnapshot(DirectoryState &State, const SnapshotFetched &Event,
+                   InstanceEffects &Out);
+
 /// Reads a collection at once, instead of the call that is open.
 void rereadNow(DirectoryState &State, Collection What, SteadyTime Now);
 
--- a/src/directory/directory_table.h
+++ b/src/directory/directory_table.h
@@ -22,6 +22,8 @@
 /// together, and the first read misses those that start a moment later.
 constexpr uint32_t EarlyReads = 2;
 constexpr Duration EarlyReadPeriod = std::chrono::milliseconds(250);
+/// Pause between questions to peers while the store does not answer.
+constexpr Duration SnapshotPeriod = std::chrono::milliseconds(200);
 /// Pause after a call that failed, doubled up to the limit.
 constexpr Duration StoreRetry = std::chrono::milliseconds(150);
 constexpr Duration LongestStoreRetry = std::chrono::milliseconds(1200);
--- a/src/directory/directory_type.h
+++ b/src/directory/directory_type.h
@@ -83,8 +83,19 @@
   StoreLease Lease;
 };
 
+/// Ask a peer for what it has read, while the store does not answer.
+struct FetchSnapshot {
+  Address Where;
+};
+
 // Events.
 
+/// What a peer has read from the store.
+struct SnapshotFetched {
+  std::optional<FleetConfiguration> Configuration;
+  std::vector<UpstreamEntry> Upstreams;
+};
+
 /// How a call to the store ended.
 enum class StoreVerdict {
   Done,
--- a/src/instance/instance_effect.h
+++ b/src/instance/instance_effect.h
@@ -35,7 +35,7 @@
     std::variant<AnswerCaller, ForwardJob, AnswerJob, SendPing, AnswerPing,
                  StartRun, StopRun, RenewUpstream, ReadCollection,
                  WatchCollection, AcquireLease, PublishInstance, RenewLease,
-                 EndLease, LogDecision, StopProcess>;
+                 EndLease, FetchSnapshot, LogDecision, StopProcess>;
 
 using InstanceEffects = std::vector<InstanceEffect>;
 
--- a/src/instance/instance_event.h
+++ b/src/instance/instance_event.h
@@ -26,7 +26,7 @@
                  ForwardAnswered, JobArrived, JobAbandoned, PingArrived,
                  PingAnswered, StartAnswered, StopAnswered, RenewalAnswered,
                  CollectionRead, CollectionChanged, LeaseAnswered,
-                 InstancePublished, LeaseRenewed>;
+                 InstancePublished, LeaseRenewed, SnapshotFetched>;
 
 /// An event with the times at which it is handled.
 struct InstanceEvent {
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -4,6 +4,7 @@
 #include "cells/cell_cmd.h"
 #include "cells/cell_table.h"
 #include "directory/directory_cmd.h"
+#include "directory/directory_table.h"
 #include "entry/entry_cmd.h"
 #include "sender/job_cmd.h"
 #include "sender/placement_cmd.h"
@@ -91,6 +92,7 @@
   void operator()(const InstanceTick &) {
     discountPause(State.Cells, Now);
     advanceDirectory(State.Directory, State.Settings.Self, Now, Out);
+    askPeerForSnapshot();
     updateOwnCells();
     settleLapsedRuns(State.Sender, Now, Out);
     stopOrphans(
@@ -235,12 +237,32 @@
   void operator()(const InstancePublished &E) {
     applyPublished(State.Directory, E, Now);
   }
+  void operator()(const SnapshotFetched &E) {
+    applySnapshot(State.Directory, E, Out);
+    countCells(State);
+  }
   void operator()(const LeaseRenewed &E) {
     applyLeaseRenewed(State.Directory, E, Now);
   }
 
 private:
+  /// In a data centre that is cut off, a process that starts learns from its
+  /// peers what the store would tell it.
+  void askPeerForSnapshot() {
+    if (!needsSnapshot(State.Directory, Now))
+      return;
+    for (const auto &[Where, P] : State.Cells.Peers) {
+      if (!P.KnowsUpstreams || P.ConfigurationVersion == 0 ||
+          !isPresent(P, Now))
+        continue;
+      State.Directory.NextSnapshot = Now + SnapshotPeriod;
+      Out.push_back(FetchSnapshot{Where});
+      return;
+    }
+  }
+
   void updateOwnCells() {
+    State.Cells.KnowsUpstreams = !State.Directory.Upstreams.empty();
     ClaimChanges Changes = updateClaims(State.Cells, Now, Wall, Out);
     for (const CellId &Cell : Changes.Lost)
       releaseCell(State.Sender, Cell, Now, Out);
--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -103,12 +103,82 @@
     Reader.fail(*Problem);
 }
 
+void writeResources(Json::Value &V, const Resources &R) {
+  V["cpu"] = Json::Int64(R.CpuMillis);
+  V["memory_mb"] = Json::Int64(R.MemoryMb);
+  V["accelerators"] = Json::Int64(R.Accelerators);
+}
+
+void readResources(ObjectReader &Reader, Resources &Out) {
+  Reader.integer("cpu", Out.CpuMillis, 0, MaxCpu)
+      .integer("memory_mb", Out.MemoryMb, 0, MaxCpu)
+      .integer("accelerators", Out.Accelerators, 0, MaxCpu);
+}
+
+Json::Value encodeRoute(const Route &R) {
+  Json::Value V(Json::objectValue);
+  V["name"] = R.Name;
+  V["host"] = R.Host;
+  V["prefix"] = R.Prefix;
+  V["service"] = R.Service.Value;
+  V["priority"] = R.Priority;
+  V["max_attempts"] = R.MaxAttempts;
+  V["stretch"] = R.Stretch;
+  V["slack_ms"] = ms(R.Slack);
+  return V;
+}
+
+Result<Route> decodeRoute(const Json::Value &Value) {
+  ObjectReader Reader(Value, "route");
+  Route R;
+  int64_t Priority = 0;
+  Reader.string("name", R.Name, MaxTextLength)
+      .string("host", R.Host, MaxTextLength)
+      .string("prefix", R.Prefix, MaxSpec)
+      .string("service", R.Service.Value, MaxTextLength)
+      .integer("priority", Priority, INT32_MIN, INT32_MAX)
+      .optionalNumber("stretch", R.Stretch, 0, 1e6);
+  R.Priority = static_cast<int32_t>(Priority);
+  readCount(Reader, "max_attempts", R.MaxAttempts);
+  readDuration(Reader, "slack_ms", R.Slack);
+  return finishReading(Reader, std::move(R));
+}
+
+Json::Value encodeUpstream(const UpstreamEntry &U) {
+  Json::Value V(Json::objectValue);
+  V["id"] = U.Id.Value;
+  V["address"] = U.Where.Value;
+  V["data_centre"] = U.Centre.Value;
+  V["service"] = U.Service.Value;
+  V["kind"] = U.Kind;
+  V["rack"] = U.Rack;
+  V["draining"] = U.Draining;
+  V["born"] = Json::UInt64(U.Born);
+  writeResources(V, U.Capacity);
+  return V;
+}
+
+Result<UpstreamEntry> decodeUpstream(const Json::Value &Value) {
+  ObjectReader Reader(Value, "upstream");
+  UpstreamEntry U;
+  uint64_t Born = 0;
+  Reader.string("id", U.Id.Value, MaxTextLength)
+      .string("address", U.Where.Value, MaxTextLength)
+      .string("data_centre", U.Centre.Value, MaxTextLength)
+      .string("service", U.Service.Value, MaxTextLength)
+      .string("kind", U.Kind, MaxTextLength)
+      .string("rack", U.Rack, MaxTextLength)
+      .boolean("draining", U.Draining)
+      .unsignedId("born", Born);
+  U.Born = static_cast<int64_t>(Born);
+  readResources(Reader, U.Capacity);
+  return finishReading(Reader, std::move(U));
+}
+
 Json::Value encodeStep(const StepDemand &Step) {
   Json::Value V(Json::objectValue);
   V["count"] = Step.Count;
-  V["cpu"] = Json::Int64(Step.Each.CpuMillis);
-  V["memory_mb"] = Json::Int64(Step.Each.MemoryMb);
-  V["accelerators"] = Json::Int64(Step.Each.Accelerators);
+  writeResources(V, Step.Each);
   V["estimate_ms"] = ms(Step.Estimate);
   if (!Step.Rack.empty())
     V["rack"] = Step.Rack;
@@ -125,10 +195,8 @@
     return;
   ObjectReader Inner(*Value, "step");
   readCount(Inner, "count", Out.Count);
-  Inner.integer("cpu", Out.Each.CpuMillis, 0, MaxCpu)
-      .integer("memory_mb", Out.Each.MemoryMb, 0, MaxCpu)
-      .integer("accelerators", Out.Each.Accelerators, 0, MaxCpu)
-      .optionalString("rack", Out.Rack, MaxTextLength)
+  readResources(Inner, Out.Each);
+  Inner.optionalString("rack", Out.Rack, MaxTextLength)
       .optionalString("requirement", Out.Requirement, MaxTextLength);
   readDuration(Inner, "estimate_ms", Out.Estimate);
   int64_t MaxPerUpstream = 0;
@@ -146,6 +214,7 @@
   V["incarnation"] = Json::UInt64(Message.Incarnation.Value);
   V["draining"] = Message.Draining;
   V["wants_known"] = Message.WantsKnown;
+  V["knows_upstreams"] = Message.KnowsUpstreams;
   V["session"] = Json::UInt64(Message.Session);
   V["cancelled"] = encodeIds(Message.Cancelled);
   V["claims"] = encodeList(Message.Claims, encodeClaim);
@@ -159,6 +228,7 @@
   Reader.unsignedId("incarnation", Message.Incarnation.Value)
       .boolean("draining", Message.Draining)
       .boolean("wants_known", Message.WantsKnown)
+      .boolean("knows_upstreams", Message.KnowsUpstreams)
       .unsignedId("session", Message.Session);
   readIds(Reader, "cancelled", Message.Cancelled);
   readList(Reader, "claims", MaxClaims, Message.Claims, decodeClaim);
@@ -170,6 +240,7 @@
   V["from"] = encodeInstance(Message.From);
   V["incarnation"] = Json::UInt64(Message.Incarnation.Value);
   V["draining"] = Message.Draining;
+  V["knows_upstreams"] = Message.KnowsUpstreams;
   V["claims"] = encodeList(Message.Claims, encodeClaim);
   V["load"] = encodeLoad(Message.Load);
   V["held"] = encodeIds(Message.Held);
@@ -184,6 +255,7 @@
   readInstance(Reader, "from", Message.From);
   Reader.unsignedId("incarnation", Message.Incarnation.Value)
       .boolean("draining", Message.Draining)
+      .boolean("knows_upstreams", Message.KnowsUpstreams)
       .unsignedId("configuration", Message.ConfigurationVersion);
   readList(Reader, "claims", MaxClaims, Message.Claims, decodeClaim);
   readSenderLoad(Reader, Message.Load);
@@ -192,6 +264,29 @@
   return finishReading(Reader, std::move(Message));
 }
 
+Json::Value encodeSnapshot(const SnapshotFetched &Message) {
+  Json::Value V(Json::objectValue);
+  if (Message.Configuration) {
+    V["version"] = Json::UInt64(Message.Configuration->Version);
+    V["routes"] = encodeList(Message.Configuration->Routes, encodeRoute);
+  }
+  V["upstreams"] = encodeList(Message.Upstreams, encodeUpstream);
+  return V;
+}
+
+Result<SnapshotFetched> decodeSnapshot(const Json::Value &Value) {
+  ObjectReader Reader(Value, "snapshot");
+  SnapshotFetched Message;
+  if (Reader.has("version")) {
+    Message.Configuration.emplace();
+    Reader.unsignedId("version", Message.Configuration->Version);
+    readList(Reader, "routes", MaxIds, Message.Configuration->Routes,
+             decodeRoute);
+  }
+  readList(Reader, "upstreams", MaxIds, Message.Upstreams, decodeUpstream);
+  return finishReading(Reader, std::move(Message));
+}
+
 Json::Value encodeJobOrder(const JobOrder &Order) {
   Json::Value V(Json::objectValue);
   V["id"] = Order.Id.Value;
--- a/src/rpc/cell_codec.h
+++ b/src/rpc/cell_codec.h
@@ -15,6 +15,9 @@
 Json::Value encodePong(const PeerPong &Message);
 Result<PeerPong> decodePong(const Json::Value &Value);
 
+Json::Value encodeSnapshot(const SnapshotFetched &Message);
+Result<SnapshotFetched> decodeSnapshot(const Json::Value &Value);
+
 Json::Value encodeJobOrder(const JobOrder &Order);
 Result<JobOrder> decodeJobOrder(const Json::Value &Value);
 
--- a/src/runtime/cell_daemon.cpp
+++ b/src/runtime/cell_daemon.cpp
@@ -136,6 +136,10 @@
     dispatch(PingArrived{{}, std::move(valueOf(Decoded))});
     return std::move(LastPong);
   });
+  Rpc.bind("cell.snapshot", [this](const Json::Value &) {
+    return encodeSnapshot(
+        {State.Directory.Configuration, State.Directory.Upstreams});
+  });
   Server.RequestReceived.connect([this](const HttpRequest &Request) {
     if (Request.Path == "/rpc")
       Server.reply(Request.Id, {200, Rpc.handle(Request.Body)});
@@ -152,6 +156,8 @@
     Server.reply(E.Request, {200, writeJson(encodeJobResult(E.Result))});
   });
   Effects.on<SendPing>().connect([this](const SendPing &E) { ping(E); });
+  Effects.on<FetchSnapshot>().connect(
+      [this](const FetchSnapshot &E) { fetch(E); });
   Effects.on<ForwardJob>().connect([this](const ForwardJob &E) { forward(E); });
 }
 
@@ -198,6 +204,29 @@
   });
 }
 
+void CellDaemon::fetch(const FetchSnapshot &E) {
+  HttpCall Call;
+  Call.Target = E.Where;
+  Call.Method = "POST";
+  Call.Path = "/rpc";
+  Call.Body = encodeRpcRequest("cell.snapshot", Json::Value(Json::objectValue));
+  Call.Timeout = PingTimeout;
+  JobClient.send(std::move(Call), [this](const HttpOutcome &Outcome) {
+    const auto *Answer = std::get_if<HttpReply>(&Outcome);
+    if (!Answer)
+      return;
+    Result<Json::Value> Reply = decodeRpcResponse(Answer->Body);
+    Result<SnapshotFetched> Snapshot =
+        failed(Reply) ? Result<SnapshotFetched>(errorOf(Reply))
+                      : decodeSnapshot(valueOf(Reply));
+    if (failed(Snapshot))
+      SNIPESHUNT_LOG(WARNING, "directory")
+          << "a peer's snapshot can't be read: " << errorOf(Snapshot).Message;
+    else
+      dispatch(std::move(valueOf(Snapshot)));
+  });
+}
+
 void CellDaemon::forward(const ForwardJob &E) {
   HttpCall Call;
   Call.Target = E.Where;
--- a/src/runtime/cell_daemon.h
+++ b/src/runtime/cell_daemon.h
@@ -39,6 +39,7 @@
   void connectPeers();
   void ping(const SendPing &E);
   void forward(const ForwardJob &E);
+  void fetch(const FetchSnapshot &E);
   void receiveJob(const HttpRequest &Request);
 
   EventLoop &Loop;
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -278,6 +278,30 @@
   EXPECT_TRUE(done(A));
 }
 
+// Guards against a process that starts while the store is away and takes a cell
+// without knowing one upstream of it, or refuses callers for lack of routes.
+TEST_F(CellTest, ProcessThatStartsWithoutTheStoreLearnsFromItsPeers) {
+  World.setStoreUp(false);
+  World.kill(Strong);
+  World.run(milliseconds(1500));
+  World.restart(Strong);
+  World.run(milliseconds(800));
+  EXPECT_TRUE(isReady(World.state(Strong), World.now()));
+  size_t A = World.submit(Strong, "a", 2, milliseconds(100));
+  World.run(seconds(1));
+  EXPECT_TRUE(done(A));
+}
+
+TEST_F(CellTest, ProcessWithoutAListOfUpstreamsClaimsNothing) {
+  World.setStoreUp(false);
+  for (const Address &Where : {Strong, First, Second})
+    World.kill(Where);
+  World.run(milliseconds(200));
+  World.restart(Strong);
+  World.run(seconds(2));
+  EXPECT_TRUE(World.senders().empty());
+}
+
 // Guards against an instance that is cut off and takes the cell from a sender
 // that works.
 TEST_F(CellTest, InstanceThatIsCutOffClaimsNothing) {
--- a/tests/support/cell_world.cpp
+++ b/tests/support/cell_world.cpp
@@ -356,6 +356,15 @@
             });
           },
           [&](const EndLease &) {},
+          [&](const FetchSnapshot &F) {
+            auto Peer = Instances.find(F.Where);
+            if (Peer == Instances.end() || !Peer->second.Alive ||
+                !linked(Self, F.Where))
+              return;
+            SnapshotFetched Event{Peer->second.State.Directory.Configuration,
+                                  Peer->second.State.Directory.Upstreams};
+            at(Now + Hop * 2, [this, Self, Event] { deliver(Self, Event); });
+          },
           [&](const LogDecision &L) {
             if (std::getenv("CELL_WORLD_LOG"))
               std::cerr << toMilliseconds(Now.time_since_epoch()) - 3600000
