runtime: serve metrics of a fleet instance; bound the log

Change: counters, gauges and a histogram of job times by answer on the metrics address of the settings, which the deploy file names; at most 200 lines a second that come with requests, the rest is counted as dropped. Test: MetricsTellOfJobs.

--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -78,6 +78,7 @@
                      std::tie(L->Weight, R->Where);
             });
   std::vector<Address> Ranked;
+  Ranked.reserve(Entries.size());
   for (const InstanceEntry *E : Entries)
     Ranked.push_back(E->Where);
   return Ranked;
--- a/src/daemon/daemon_main.cpp
+++ b/src/daemon/daemon_main.cpp
@@ -3,6 +3,7 @@
 #include "daemon/log.h"
 #include "platform/platform_adapter.h"
 #include "runtime/cell_daemon.h"
+#include "runtime/cell_metrics.h"
 #include "runtime/settings_watch.h"
 #include "settings/fleet_settings_func.h"
 #include "settings/settings_func.h"
@@ -77,10 +78,13 @@
   SystemClock Time;
   CellDaemon Instance(Loop, Time, std::move(valueOf(Settings)));
   SettingsWatch Watch(Instance, Args.SettingsFile);
+  CellMetrics Measures(Instance);
   platform::PlatformAdapter Adapter(Instance);
   Result<Ok> Started = Instance.start();
   if (!failed(Started))
     Started = Adapter.Callers.start();
+  if (!failed(Started))
+    Started = Measures.start();
   if (failed(Started))
     return reportError("instance", errorOf(Started), 1);
   Loop.run();
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <iostream>
 #include <string>
 
@@ -26,6 +27,10 @@
 // Lines held while standard output takes none; about a second at full load.
 constexpr size_t MaxHeldBytes = 128 << 10;
 
+// Lines of a second that come with requests; each costs about 10 us, so that
+// they take at most 0.2 % of a core.
+constexpr int FrequentLinesPerSecond = 200;
+
 /// Lines for standard output that have not been written yet.
 struct HeldLines {
   std::string Text;
@@ -92,6 +97,20 @@
     Text.erase(0, static_cast<size_t>(Written));
 }
 
+bool admitFrequentLine() {
+  static std::chrono::steady_clock::time_point Second{};
+  static int Lines = 0;
+  auto Now = std::chrono::steady_clock::now();
+  if (Now - Second >= std::chrono::seconds(1)) {
+    Second = Now;
+    Lines = 0;
+  }
+  if (++Lines <= FrequentLinesPerSecond)
+    return true;
+  ++heldLines().Dropped;
+  return false;
+}
+
 uint64_t droppedLogLines() { return heldLines().Dropped; }
 
 } // namespace snipeshunt
--- a/src/daemon/log.h
+++ b/src/daemon/log.h
@@ -22,7 +22,11 @@
 /// Writes lines that are still held. Called once in each round of the loop.
 void flushLog();
 
-/// Lines that found no room so far.
+/// Whether one more line of a kind that comes with each request may be logged
+/// in the current second; if not, it counts as dropped.
+bool admitFrequentLine();
+
+/// Lines that were dropped so far.
 uint64_t droppedLogLines();
 
 } // namespace snipeshunt
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -2,14 +2,10 @@
 #ifndef SNIPESHUNT_DAEMON_METRICS_H
 #define SNIPESHUNT_DAEMON_METRICS_H
 
+#include "daemon/metric_registry.h"
 #include "reducer/state_base.h"
 #include "timeline/timeline_ring.h"
 
-#include <prometheus/counter.h>
-#include <prometheus/gauge.h>
-#include <prometheus/registry.h>
-
-#include <map>
 #include <string>
 
 namespace snipeshunt {
@@ -24,18 +20,12 @@
 /// Copies the reducer's counts into a registry when they are asked for.
 class Metrics {
 public:
-  Metrics();
   void update(const InstanceState &State, const TimelineRing &Timeline,
               const PeerTraffic &Traffic);
-  std::string text() const;
+  std::string text() const { return Values.text(); }
 
 private:
-  void count(const std::string &Name, const std::string &Help, uint64_t Total);
-  void measure(const std::string &Name, const std::string &Help, double Value);
-
-  prometheus::Registry Registry;
-  std::map<std::string, prometheus::Counter *> Counters;
-  std::map<std::string, prometheus::Gauge *> Gauges;
+  MetricRegistry Values;
 };
 
 } // namespace snipeshunt
--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -34,12 +34,14 @@
 }
 
 void answerCaller(EntryState &State, RequestId Caller, CallerVerdict Verdict,
-                  Duration RetryAfter, InstanceEffects &Out) {
+                  Duration RetryAfter, InstanceEffects &Out,
+                  Duration Took = Duration::zero()) {
   AnswerCaller Effect;
   Effect.Request = Caller;
   Effect.Verdict = Verdict;
   Effect.RetryAfter = std::chrono::ceil<std::chrono::seconds>(RetryAfter);
   Effect.Close = State.Draining;
+  Effect.Took = Took;
   Out.push_back(Effect);
 }
 
@@ -90,7 +92,7 @@
                " queue=" + J.Order.Queue + " sender=" + J.Where.Value +
                " took_ms=" + std::to_string(toMilliseconds(Now - J.Arrived)) +
                " reason=\"" + Reason + "\"");
-  answerCaller(State, J.Caller, Verdict, RetryAfter, Out);
+  answerCaller(State, J.Caller, Verdict, RetryAfter, Out, Now - J.Arrived);
 }
 
 SenderLoad &loadOf(const EntryContext &Context, const Address &Where,
--- a/src/entry/entry_type.h
+++ b/src/entry/entry_type.h
@@ -32,6 +32,7 @@
   std::chrono::seconds RetryAfter{0}; ///< When to come back, if not run.
   uint64_t Count = 0;                 ///< Of waiting jobs.
   bool Close = false; ///< Close the connection after the answer.
+  Duration Took{0};   ///< Since the request came in.
 };
 
 /// Hand a job to its sender.
--- a/src/runtime/cell_daemon.cpp
+++ b/src/runtime/cell_daemon.cpp
@@ -56,6 +56,8 @@
 }
 
 void writeLog(const LogDecision &E) {
+  if (E.Frequent && !admitFrequentLine())
+    return;
   if (E.Job.empty())
     SNIPESHUNT_LOG(INFO, partName(E.Part)) << E.Message;
   else
--- /dev/null
+++ b/src/runtime/cell_metrics.cpp
@@ -0,0 +1,114 @@
+/// \file Metrics of a fleet instance.
+#include "runtime/cell_metrics.h"
+
+#include "daemon/log.h"
+#include "sender/job_cmd.h"
+
+namespace snipeshunt {
+
+namespace {
+
+HttpServerLimits metricsLimits() {
+  HttpServerLimits Limits;
+  Limits.CountPeriod = {}; // Only the operators' collector connects here.
+  return Limits;
+}
+
+const char *verdictName(CallerVerdict Verdict) {
+  switch (Verdict) {
+  case CallerVerdict::Done:
+    return "done";
+  case CallerVerdict::Failed:
+    return "failed";
+  case CallerVerdict::NotRun:
+    return "not_run";
+  case CallerVerdict::Lost:
+    return "lost";
+  case CallerVerdict::Expired:
+    return "expired";
+  default:
+    return "other";
+  }
+}
+
+} // namespace
+
+CellMetrics::CellMetrics(CellDaemon &Owner)
+    : Owner(Owner), Server(Owner.loop(), metricsLimits()) {
+  Server.RequestReceived.connect([this](const HttpRequest &Request) {
+    if (Request.Path != "/metrics")
+      return Server.reply(Request.Id, {404, "{}"});
+    Server.reply(Request.Id, {200, text(), "text/plain; version=0.0.4", {}});
+  });
+  Owner.effects().on<AnswerCaller>().connect([this](const AnswerCaller &E) {
+    if (E.Took > Duration::zero())
+      Values.observe("job_seconds", "Time from a job's request to its answer.",
+                     "answer", verdictName(E.Verdict), toSeconds(E.Took));
+  });
+}
+
+Result<Ok> CellMetrics::start() {
+  const Address &Where = Owner.state().Settings.Metrics;
+  if (Where.Value.empty())
+    return Ok{};
+  Result<Address> Bound = Server.listen(Where);
+  if (failed(Bound))
+    return errorOf(Bound);
+  return Ok{};
+}
+
+std::string CellMetrics::text() {
+  const FleetInstance &State = Owner.state();
+  const EntryCounters &E = State.Entry.Counts;
+  Values.count("entry_jobs_total", "Jobs that callers submitted here.",
+               E.Submitted);
+  Values.count("entry_done_total", "Jobs answered as done.", E.Done);
+  Values.count("entry_failed_total", "Jobs answered as failed.", E.Failed);
+  Values.count("entry_refused_total", "Jobs refused; nothing was started.",
+               E.Refused);
+  Values.count("entry_lost_total", "Jobs given up after a start.", E.Lost);
+  Values.count("entry_expired_total", "Jobs whose caller's deadline passed.",
+               E.Expired);
+  Values.count("entry_hung_up_total", "Callers that left before the answer.",
+               E.HungUp);
+  Values.count("entry_forwards_total", "Jobs handed to senders.", E.Forwarded);
+  const SenderCounters &S = State.Sender.Counts;
+  Values.count("sender_jobs_total", "Jobs admitted by this sender.",
+               S.JobsAccepted);
+  Values.count("sender_refused_total", "Jobs refused by this sender.",
+               S.JobsRefused);
+  Values.count("sender_lost_total", "Jobs given up by this sender.",
+               S.JobsLost);
+  Values.count("runs_started_total", "Runs ordered.", S.RunsStarted);
+  Values.count("runs_done_total", "Runs that succeeded.", S.RunsDone);
+  Values.count("runs_failed_total", "Runs that failed.", S.RunsFailed);
+  Values.count("runs_rejected_total", "Starts that were not accepted.",
+               S.RunsRejected);
+  Values.count("runs_stuck_total", "Runs stopped because they stood still.",
+               S.RunsStuck);
+  Values.count("renewals_total", "Lease renewals sent.", S.Renewals);
+  Values.count("log_dropped_total", "Log lines that found no room.",
+               droppedLogLines());
+  SenderLoad Load = senderLoad(State.Sender, Owner.clock().steadyNow());
+  Values.measure("queue_delay_seconds", "Expected wait of a new job here.",
+                 toSeconds(Load.Delay));
+  Values.measure("free_cpu_millis", "Free thousandths of a core.",
+                 static_cast<double>(Load.FreeCpu));
+  Values.measure("jobs_waiting", "Jobs with tasks that wait.", Load.Waiting);
+  Values.measure("upstreams", "Upstreams that this instance sends to.",
+                 static_cast<double>(State.Sender.Upstreams.size()));
+  Values.measure("cells", "Cells that this instance is the sender of.",
+                 static_cast<double>(State.Cells.Claims.size()));
+  Values.measure("peers", "Instances that this one knows.",
+                 static_cast<double>(State.Cells.Peers.size()));
+  Values.measure(
+      "configuration_version", "Version of the configuration in force.",
+      State.Directory.Configuration
+          ? static_cast<double>(State.Directory.Configuration->Version)
+          : 0);
+  Values.measure("ready", "1 if callers should be sent here.",
+                 Owner.ready() ? 1 : 0);
+  return Values.text();
+}
+
+} // namespace snipeshunt
--- a/tests/cell_load_test.cpp
+++ b/tests/cell_load_test.cpp
@@ -64,6 +64,7 @@
 // late anyway must not have later jobs refused that could still end in time.
 TEST_F(CellLoadTest, BacklogOfLateJobsHoldsUpNoLaterJobs) {
   std::vector<size_t> Crowd;
+  Crowd.reserve(300);
   for (int I = 0; I < 300; ++I)
     Crowd.push_back(submit(2, milliseconds(150)));
   World.run(milliseconds(100));
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -386,6 +386,7 @@
 // A refusal says that nothing has run, and it comes at once.
 TEST_F(CellTest, JobThatCanNotEndInTimeIsRefusedAtOnce) {
   std::vector<size_t> Jobs;
+  Jobs.reserve(60);
   for (int I = 0; I < 60; ++I)
     Jobs.push_back(
         World.submit(First, "job-" + std::to_string(I), 4, milliseconds(500)));
--- a/tests/process/cell_fleet.h
+++ b/tests/process/cell_fleet.h
@@ -5,8 +5,9 @@
 #include "fleet/child_process.h"
 #include "fleet/fleet.h"
 
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
+
+#include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -25,7 +26,8 @@
   Where.sin_family = AF_INET;
   inet_pton(AF_INET, Ip.c_str(), &Where.sin_addr);
   socklen_t Size = sizeof(Where);
-  bind(Socket, reinterpret_cast<sockaddr *>(&Where), Size);
+  if (bind(Socket, reinterpret_cast<sockaddr *>(&Where), Size) != 0)
+    ADD_FAILURE() << "no free port of " << Ip;
   getsockname(Socket, reinterpret_cast<sockaddr *>(&Where), &Size);
   close(Socket);
   return ntohs(Where.sin_port);
@@ -44,6 +46,7 @@
       Fronts.push_back(address(Ip));
       Readies.push_back(address(Ip));
       Peers.push_back(address(Ip));
+      Metrics.push_back(address(Ip));
       Processes.emplace_back();
     }
   }
@@ -73,8 +76,9 @@
          << R"("name":"i)" << I << R"(","data_centre":"dc)" << 1 + I % Centres
          << R"(","weight":0.)" << 9 - I % 9 << R"(,"front":")"
          << Fronts[I].Value << R"(","ready":")" << Readies[I].Value
-         << R"(","peers":")" << Peers[I].Value << R"(","store":")"
-         << Store.Value << R"(","seeds":[")" << Peers[0].Value << R"("]})";
+         << R"(","peers":")" << Peers[I].Value << R"(","metrics":")"
+         << Metrics[I].Value << R"(","store":")" << Store.Value
+         << R"(","seeds":[")" << Peers[0].Value << R"("]})";
     File.close();
     Result<ChildProcess> Started =
         ChildProcess::start({std::string(BINARY_DIR) + "/snipeshuntd",
@@ -130,6 +134,11 @@
     return replyOf(callOnce(std::move(Call)));
   }
 
+  std::string metrics(size_t I) const {
+    Result<std::string> Text = getText(Metrics[I], "/metrics");
+    return failed(Text) ? errorOf(Text).Message : valueOf(Text);
+  }
+
   ChildProcess &process(size_t I) { return *Processes[I]; }
   std::string settings(size_t I) const {
     return (WorkDir / ("i" + std::to_string(I) + ".json")).string();
@@ -200,7 +209,7 @@
   size_t Centres;
   std::filesystem::path WorkDir;
   Address Store;
-  std::vector<Address> Fronts, Readies, Peers;
+  std::vector<Address> Fronts, Readies, Peers, Metrics;
   std::unique_ptr<ChildProcess> Platform;
   std::vector<std::unique_ptr<ChildProcess>> Processes;
 };
--- a/tests/process/cell_process_test.cpp
+++ b/tests/process/cell_process_test.cpp
@@ -40,6 +40,20 @@
   EXPECT_EQ(F.get(0, "/jobs/", "other.example").Status, 404);
 }
 
+// Guards against counters that operators look for and don't find.
+TEST(CellProcessTest, MetricsTellOfJobs) {
+  CellFleet F(1, 1);
+  F.start(2);
+  ASSERT_TRUE(F.waitUntilReady()) << F.allLogs();
+  EXPECT_EQ(F.submit(0, jobId(1), 2, 20).Status, 200);
+  std::string Text = F.metrics(0);
+  EXPECT_NE(Text.find("snipeshunt_entry_done_total 1"), std::string::npos)
+      << Text;
+  EXPECT_NE(Text.find("snipeshunt_runs_done_total 2"), std::string::npos);
+  EXPECT_NE(Text.find("snipeshunt_job_seconds_count{answer=\"done\"} 1"),
+            std::string::npos);
+}
+
 // Guards against a second run beside the first when the sender's process is
 // killed and the caller submits again elsewhere.
 TEST(CellProcessTest, JobsSurviveTheEndOfTheSenderOnASecondTry) {
@@ -48,6 +62,7 @@
   ASSERT_TRUE(F.waitUntilReady()) << F.allLogs();
   std::atomic<int> Lost{0};
   std::vector<std::thread> Callers;
+  Callers.reserve(6);
   for (int C = 0; C < 6; ++C)
     Callers.emplace_back([&, C] {
       std::string Id = jobId(100 + C);
@@ -101,6 +116,7 @@
   std::atomic<int> Bad{0};
   std::atomic<int> Good{0};
   std::vector<std::thread> Callers;
+  Callers.reserve(4);
   for (int C = 0; C < 4; ++C)
     Callers.emplace_back([&, C] {
       for (int N = 0; !Stop; ++N) {
