--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -26,6 +26,7 @@
 // An answer after this many objectives is of no use to the caller.
 constexpr double LateLimit = 3.0;
 // Pause for callers that find no sender; one is back after about a second.
+constexpr const char *NoSender = "no sender is present";
 constexpr Duration NoSenderRetry = std::chrono::seconds(2);
 
 void logJob(InstanceEffects &Out, const JobId &Id, std::string Message) {
@@ -184,7 +185,9 @@
   EntryJob &J = State.Jobs.at(Forward);
   bool SenderPresent = !presentSenders(Context.Cells, Now).empty();
   if (SenderPresent || Now >= waitLimit(J))
-    endJob(State, Context, Forward, CallerVerdict::NotRun, RetryAfter, Reason,
+    endJob(State, Context, Forward, CallerVerdict::NotRun, RetryAfter,
+           SenderPresent && Reason == NoSender ? "all senders are too busy"
+                                               : Reason,
            Now, Out);
 }
 
@@ -241,8 +244,7 @@
   J.Order.Step = Event.Job.Step;
   State.ByCaller[J.Caller] = Forward;
   State.ByJob[J.Order.Id] = Forward;
-  forwardOrWait(State, Context, Forward, NoSenderRetry, "no sender is present",
-                Now, Out);
+  forwardOrWait(State, Context, Forward, NoSenderRetry, NoSender, Now, Out);
 }
 
 void queryJob(EntryState &State, const JobQueried &Event,
@@ -362,8 +364,7 @@
     Ended.emplace_back(Forward, false);
   }
   for (RequestId Forward : Waiting)
-    forwardOrWait(State, Context, Forward, NoSenderRetry,
-                  "no sender is present", Now, Out);
+    forwardOrWait(State, Context, Forward, NoSenderRetry, NoSender, Now, Out);
   for (const Address &Where : Gone) {
     auto P = Context.Cells.Peers.find(Where);
     if (P == Context.Cells.Peers.end())
