--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -145,6 +145,23 @@
   P.Claims = std::move(Claims);
 }
 
+Duration pingPeriod(const CellState &State, const Peer &P, SteadyTime Now) {
+  if (P.Draining && !P.Held.empty() && isNear(State, P) &&
+      !State.Claims.empty())
+    return HandoverPingPeriod;
+  if (P.OpenJobs > 0 || (isNear(State, P) && !P.Claims.empty()))
+    return SenderPingPeriod;
+  if (isNear(State, P))
+    return Now - State.Started < DiscoveryTime ? SenderPingPeriod
+                                               : NearIdlePeriod;
+  return P.Claims.empty() ? IdlePingPeriod : FarPingPeriod;
+}
+
+/// Brings the next ping forward when what was learned of \p P asks for it.
+void hastenNextPing(const CellState &State, Peer &P, SteadyTime Now) {
+  P.NextPing = std::min(P.NextPing, Now + pingPeriod(State, P, Now));
+}
+
 /// Forgets what belonged to an earlier process at the same address.
 void adoptIncarnation(Peer &P, IncarnationId Incarnation) {
   if (P.Incarnation == Incarnation)
@@ -161,18 +178,6 @@
   P.TheirSession = 0;
 }
 
-Duration pingPeriod(const CellState &State, const Peer &P, SteadyTime Now) {
-  if (P.Draining && !P.Held.empty() && isNear(State, P) &&
-      !State.Claims.empty())
-    return HandoverPingPeriod;
-  if (P.OpenJobs > 0 || (isNear(State, P) && !P.Claims.empty()))
-    return SenderPingPeriod;
-  if (isNear(State, P))
-    return Now - State.Started < DiscoveryTime ? SenderPingPeriod
-                                               : NearIdlePeriod;
-  return P.Claims.empty() ? IdlePingPeriod : FarPingPeriod;
-}
-
 } // namespace
 
 void addPeer(CellState &State, const InstanceEntry &Entry, SteadyTime Now) {
@@ -223,6 +228,7 @@
     P.TheirSession = std::max(P.TheirSession, Message.Session);
     bool NewClaims = P.Claims.size() != Message.Claims.size();
     adoptClaims(State, P, Message.Claims);
+    hastenNextPing(State, P, Now);
     // Its answer says which upstreams it still uses.
     if ((Message.Draining && !P.Draining) || NewClaims ||
         P.Heard == SteadyTime{})
@@ -278,6 +284,7 @@
   for (auto C = P.Cancelled.begin(); C != P.Cancelled.end();)
     C = C->second <= P.PingSent ? P.Cancelled.erase(C) : std::next(C);
   adoptClaims(State, P, Reply.Claims);
+  hastenNextPing(State, P, Now);
   for (const InstanceEntry &Known : Reply.Known)
     addPeer(State, Known, Now);
   if (!WasHeard)
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -375,6 +375,24 @@
   }
 }
 
+// Guards against an instance that knows the sender by its address only and then
+// asks it too rarely to see that it works.
+TEST(CellDiscovery, RestartedInstanceLeavesTheCellToTheSender) {
+  CellWorld World;
+  World.addUpstream({"up-1"});
+  World.setSeedsOnly(true);
+  Address Seed = World.addInstance("seed", "centre-a", 0.2);
+  World.run(seconds(1));
+  Address Second = World.addInstance("second", "centre-a", 0.9);
+  World.addInstance("third", "centre-a", 0.1);
+  World.run(seconds(3));
+  World.kill(Second);
+  World.run(milliseconds(500));
+  World.restart(Second);
+  World.run(seconds(3));
+  EXPECT_EQ(World.senders(), std::vector<Address>{Seed});
+}
+
 // Guards against starts by a new sender whose list of upstreams is old.
 TEST_F(CellTest, NewSenderReadsTheListBeforeItStartsAnything) {
   World.setDraining(Upstreams[0]);
