--- a/src/directory/directory_cmd.cpp
+++ b/src/directory/directory_cmd.cpp
@@ -118,8 +118,8 @@
 
 } // namespace
 
-void advanceDirectory(DirectoryState &State, const InstanceEntry &,
-                      SteadyTime Now, InstanceEffects &Out) {
+void advanceDirectory(DirectoryState &State, SteadyTime Now,
+                      InstanceEffects &Out) {
   for (Collection What : {Collection::Configuration, Collection::Upstreams,
                           Collection::Instances})
     advanceFeed(State, What, Now, Out);
--- a/src/directory/directory_cmd.h
+++ b/src/directory/directory_cmd.h
@@ -8,8 +8,8 @@
 namespace snipeshunt {
 
 /// Makes the calls that are due.
-void advanceDirectory(DirectoryState &State, const InstanceEntry &Self,
-                      SteadyTime Now, InstanceEffects &Out);
+void advanceDirectory(DirectoryState &State, SteadyTime Now,
+                      InstanceEffects &Out);
 
 /// Adopts a collection. Gives false when it is outdated or could not be read.
 bool applyCollection(DirectoryState &State, const CollectionRead &Event,
--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -3,6 +3,7 @@
 
 #include "cells/cell_cmd.h"
 #include "cells/cell_table.h"
+#include "sender/sender_table.h"
 
 #include <algorithm>
 
@@ -23,8 +24,6 @@
 // A job waits this long for a sender to appear; a take-over takes about a
 // second, and one that follows a shutdown a few milliseconds.
 constexpr Duration SenderWait = std::chrono::milliseconds(1000);
-// An answer after this many objectives is of no use to the caller.
-constexpr double LateLimit = 3.0;
 // Pause for callers that find no sender; one is back after about a second.
 constexpr const char *NoSender = "no sender is present";
 constexpr Duration NoSenderRetry = std::chrono::seconds(2);
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -91,7 +91,7 @@
 
   void operator()(const InstanceTick &) {
     discountPause(State.Cells, Now);
-    advanceDirectory(State.Directory, State.Settings.Self, Now, Out);
+    advanceDirectory(State.Directory, Now, Out);
     askPeerForSnapshot();
     updateOwnCells();
     settleLapsedRuns(State.Sender, Now, Out);
@@ -272,7 +272,7 @@
     State.Sender.AwaitsList = true;
     // The list read last may be seconds old, and upstreams may have left since.
     rereadNow(State.Directory, Collection::Upstreams, Now);
-    advanceDirectory(State.Directory, State.Settings.Self, Now, Out);
+    advanceDirectory(State.Directory, Now, Out);
   }
 
   void stopCancelled(const PeerPing &Message) {
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -27,7 +27,6 @@
   SteadyTime Ordered{}; ///< When the start was sent.
   SteadyTime Accepted{};
   Duration Expected{0}; ///< Run time expected on this upstream.
-  Duration Estimate{0}; ///< Declared run time.
   int32_t Percent = 0;
   SteadyTime Progressed{}; ///< When the progress last changed.
   bool StopWanted = false;
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -14,12 +14,6 @@
 // Stops are repeated until they are answered.
 constexpr Duration StopRepeat = std::chrono::milliseconds(200);
 
-void log(InstanceEffects &Out, const OwnUpstream &U, std::string Message) {
-  Out.push_back(
-      LogDecision{DecisionPart::Upstreams, "",
-                  "upstream=" + U.Entry.Id.Value + " " + std::move(Message)});
-}
-
 int64_t steadyMs(SteadyTime T) { return toMilliseconds(T.time_since_epoch()); }
 
 int64_t driftSince(SteadyTime Since, SteadyTime Now) {
@@ -83,10 +77,10 @@
       U.Probing ? std::min(U.ProbeDelay * 2, LongestProbePause) : ProbePause;
   U.Probing = true;
   U.BlockedUntil = Now + U.ProbeDelay;
-  log(Out, U,
-      std::string("gets one run at a time: ") + Why +
-          " failures=" + std::to_string(U.Failures) +
-          " pause_ms=" + std::to_string(toMilliseconds(U.ProbeDelay)));
+  logUpstream(Out, U,
+              std::string("gets one run at a time: ") + Why +
+                  " failures=" + std::to_string(U.Failures) +
+                  " pause_ms=" + std::to_string(toMilliseconds(U.ProbeDelay)));
 }
 
 void noteFailure(OwnUpstream &U, const JobId &Job, SteadyTime Now,
@@ -99,12 +93,6 @@
     startProbing(U, "runs fail", Now, Out);
 }
 
-void noteSuccess(OwnUpstream &U) {
-  U.Failures = 0;
-  U.Probing = false;
-  U.BlockedUntil = {};
-}
-
 /// Marks a run as one that this sender no longer wants.
 void withdraw(OwnUpstream &U, OwnRun &Run, SteadyTime Now,
               InstanceEffects &Out) {
@@ -211,7 +199,8 @@
   ++U.Unanswered;
   if (U.Phase == UpstreamPhase::Ready && (U.Unanswered >= 2 || Refused)) {
     U.Phase = UpstreamPhase::Silent;
-    log(Out, U, "does not answer, runs=" + std::to_string(U.Runs.size()));
+    logUpstream(Out, U,
+                "does not answer, runs=" + std::to_string(U.Runs.size()));
   }
   Duration Pause = std::min<Duration>(
       RetryPause * (1U << std::min(U.Unanswered, 4U)) / 2, LongestRetryPause);
@@ -219,25 +208,6 @@
   U.NextRenewal = U.Runs.empty() ? Now + Pause : Now + RetryPause / 3;
 }
 
-void beginLooking(OwnUpstream &U, SteadyTime Now) {
-  U.Phase = UpstreamPhase::Looking;
-  U.NextRenewal = Now;
-}
-
-/// Forgets a process that was replaced by another one. Its runs stay until a
-/// report shows that the new process does not run them: a start that is under
-/// way may reach it.
-void resetLife(OwnUpstream &U, int64_t Born, InstanceEffects &Out) {
-  log(Out, U, "was restarted, runs=" + std::to_string(U.Runs.size()));
-  U.Foreign.clear();
-  U.AcknowledgeUpTo = 0;
-  U.AcknowledgedUpTo = 0;
-  U.ClockOffset.reset();
-  U.Born = Born;
-  U.Slowness = 0;
-  noteSuccess(U);
-}
-
 OwnUpstream *findUpstream(SenderState &State, const UpstreamId &Id,
                           FencingToken Token) {
   auto It = State.Upstreams.find(Id);
@@ -306,7 +276,6 @@
   Run.Need = J.Order.Step.Each;
   Run.Ordered = Now;
   Run.Expected = Expected;
-  Run.Estimate = J.Order.Step.Estimate;
   U.Free -= Run.Need;
   U.Runs[Key] = Run;
   U.LapseBy = lapseAfter(Bounds, Now);
@@ -330,92 +299,6 @@
   Out.push_back(StopRun{U.Entry.Id, U.Entry.Where, U.Token, Run.Key});
 }
 
-void adoptUpstreams(SenderState &State, const std::vector<UpstreamEntry> &List,
-                    const std::map<CellId, OwnClaim> &Claims,
-                    const std::function<CellId(const UpstreamEntry &)> &CellOf,
-                    bool Complete, SteadyTime Now, InstanceEffects &Out) {
-  State.AwaitsList = false;
-  std::set<UpstreamId> Listed;
-  for (const UpstreamEntry &Entry : List) {
-    CellId Cell = CellOf(Entry);
-    auto Claim = Claims.find(Cell);
-    if (Claim == Claims.end())
-      continue;
-    Listed.insert(Entry.Id);
-    auto [It, Added] = State.Upstreams.try_emplace(Entry.Id);
-    OwnUpstream &U = It->second;
-    U.MissingSince = {};
-    if (Added) {
-      U.Entry = Entry;
-      U.Cell = Cell;
-      U.Token = Claim->second.Token;
-      U.Free = Entry.Capacity;
-      U.Born = Entry.Born;
-      continue;
-    }
-    // A draining sender keeps what it still uses under the earlier token.
-    if (U.Token != Claim->second.Token && U.Runs.empty()) {
-      U.Token = Claim->second.Token;
-      U.RenewalPending = false;
-      beginLooking(U, Now);
-    }
-    bool NewLife = Entry.Born != 0 && U.Born != 0 && Entry.Born > U.Born;
-    if (NewLife || (Entry.Where != U.Entry.Where && Entry.Born >= U.Born)) {
-      U.Entry = Entry;
-      resetLife(U, Entry.Born, Out);
-      U.RenewalPending = false;
-      beginLooking(U, Now);
-    }
-    if (Entry.Draining && !U.Entry.Draining)
-      log(Out, U, "is leaving, gets no more starts");
-    Resources Grown = Entry.Capacity - U.Entry.Capacity;
-    U.Free += Grown;
-    U.Entry = Entry;
-    if (Grown.CpuMillis > 0)
-      State.Changed = true;
-  }
-  if (!Complete)
-    return;
-  for (auto It = State.Upstreams.begin(); It != State.Upstreams.end();) {
-    OwnUpstream &U = It->second;
-    if (Listed.count(It->first)) {
-      ++It;
-      continue;
-    }
-    if (U.MissingSince == SteadyTime{})
-      U.MissingSince = Now;
-    if (Now - U.MissingSince < MissingTime || !U.Runs.empty()) {
-      ++It;
-      continue;
-    }
-    log(Out, U, "has left the list and is dropped");
-    It = State.Upstreams.erase(It);
-  }
-}
-
-void releaseCell(SenderState &State, const CellId &Cell, SteadyTime Now,
-                 InstanceEffects &Out) {
-  std::set<JobId> Lost;
-  for (auto It = State.Upstreams.begin(); It != State.Upstreams.end();) {
-    OwnUpstream &U = It->second;
-    if (!(U.Cell == Cell) || (State.Draining && !U.Runs.empty())) {
-      ++It;
-      continue;
-    }
-    for (const auto &[Key, Run] : U.Runs) {
-      Lost.insert(Key.Job);
-      auto Remnant = State.Remnants.find(Key.Job);
-      if (Remnant != State.Remnants.end() && --Remnant->second == 0)
-        State.Remnants.erase(Remnant);
-    }
-    It = State.Upstreams.erase(It);
-  }
-  // The new sender stops these runs; they can't be followed from here.
-  for (const JobId &Id : Lost)
-    finishJob(State, Id, JobOutcome::Lost, "its cell has a newer sender", Now,
-              Out);
-}
-
 void renewUpstreams(SenderState &State,
                     const std::function<bool(const UpstreamId &)> &Held,
                     SteadyTime Now, InstanceEffects &Out) {
@@ -442,7 +325,8 @@
   for (auto &[Id, U] : State.Upstreams) {
     if (U.Runs.empty() || Now <= U.LapseBy)
       continue;
-    log(Out, U, "leases have lapsed, runs=" + std::to_string(U.Runs.size()));
+    logUpstream(Out, U,
+                "leases have lapsed, runs=" + std::to_string(U.Runs.size()));
     settleAllRuns(State, U, Now, Out);
   }
 }
@@ -581,25 +465,17 @@
     return;
   if (U->Foreign.empty()) {
     if (U->Phase == UpstreamPhase::Silent)
-      log(Out, *U, "answers again");
+      logUpstream(Out, *U, "answers again");
     U->Phase = UpstreamPhase::Ready;
     State.Changed = true;
     return;
   }
   if (U->Phase != UpstreamPhase::Clearing)
-    log(Out, *U,
-        "has runs of an earlier sender, stopped=" +
-            std::to_string(U->Foreign.size()));
+    logUpstream(Out, *U,
+                "has runs of an earlier sender, stopped=" +
+                    std::to_string(U->Foreign.size()));
   U->Phase = UpstreamPhase::Clearing;
   U->NextRenewal = Now + Duration(State.Bounds.StopTimeout) / 2;
 }
 
-std::vector<UpstreamId> usedUpstreams(const SenderState &State) {
-  std::vector<UpstreamId> Used;
-  for (const auto &[Id, U] : State.Upstreams)
-    if (!U.Runs.empty())
-      Used.push_back(Id);
-  return Used;
-}
-
 } // namespace snipeshunt
--- a/src/sender/upstream_cmd.h
+++ b/src/sender/upstream_cmd.h
@@ -51,6 +51,19 @@
 void orderStop(OwnUpstream &U, OwnRun &Run, SteadyTime Now,
                InstanceEffects &Out);
 
+/// Logs a decision on an upstream.
+void logUpstream(InstanceEffects &Out, const OwnUpstream &U,
+                 std::string Message);
+
+/// Takes an upstream as healthy.
+void noteSuccess(OwnUpstream &U);
+
+/// Has the lists of an upstream read before anything is started on it.
+void beginLooking(OwnUpstream &U, SteadyTime Now);
+
+/// Forgets the process of an upstream that was replaced by another one.
+void resetLife(OwnUpstream &U, int64_t Born, InstanceEffects &Out);
+
 /// Upstreams that run something of this sender.
 std::vector<UpstreamId> usedUpstreams(const SenderState &State);
 
--- /dev/null
+++ b/tests/cell_chaos_test.cpp
@@ -0,0 +1,225 @@
+/// \file Random faults that overlap in a fleet of cells, on a fake clock.
+#include "support/cell_world.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace snipeshunt;
+using namespace snipeshunt::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+// A caller's pause before it submits a job again elsewhere.
+constexpr milliseconds CallerRetry{1300};
+// Time that callers wait.
+constexpr seconds Patience{4};
+
+/// A fleet under random faults, with callers that submit again after a loss.
+class ChaosRun {
+public:
+  explicit ChaosRun(uint64_t Seed) : Random(Seed) {
+    for (const char *Centre : {"centre-a", "centre-b"})
+      for (int I = 0; I < 5; ++I)
+        Upstreams.push_back(World.addUpstream(
+            {std::string("up-") + Centre + std::to_string(I), Centre}));
+    for (int I = 0; I < 6; ++I)
+      Instances.push_back(World.addInstance("i" + std::to_string(I),
+                                            I % 2 ? "centre-b" : "centre-a",
+                                            0.1 * (I + 1)));
+    World.run(seconds(2));
+  }
+
+  void play() {
+    for (int Step = 0; Step < 300; ++Step) {
+      submitSome();
+      retryLost();
+      if (Random() % 20 == 0)
+        breakSomething();
+      World.run(milliseconds(30));
+    }
+    repairAll();
+    World.run(seconds(4));
+    for (const Address &Where : Instances)
+      for (int I = 0; I < 3; ++I)
+        AfterRepair.push_back(
+            World.submit(Where, "late-" + std::to_string(AfterRepair.size()), 1,
+                         milliseconds(50)));
+    World.run(seconds(5));
+  }
+
+  void check() const {
+    std::vector<std::string> Overlaps = World.overlappingRuns();
+    EXPECT_TRUE(Overlaps.empty()) << Overlaps.front();
+    std::map<std::string, std::set<uint32_t>> DoneTasks;
+    std::set<std::string> Ran;
+    for (const RunRecord &R : World.runs()) {
+      Ran.insert(R.Key.Job.Value);
+      if (R.Done)
+        DoneTasks[R.Key.Job.Value].insert(R.Key.Index);
+    }
+    for (const auto &[Job, J] : Jobs) {
+      const auto &Last = World.caller(J.Attempts.back()).Answer;
+      if (Last && Last->Verdict == CallerVerdict::Done) {
+        EXPECT_EQ(DoneTasks[Job].size(), J.Tasks) << Job;
+      }
+      bool AllRefused = true;
+      for (size_t A : J.Attempts) {
+        const auto &Answer = World.caller(A).Answer;
+        AllRefused =
+            AllRefused && Answer && Answer->Verdict == CallerVerdict::NotRun;
+      }
+      if (AllRefused) {
+        EXPECT_EQ(Ran.count(Job), 0U) << Job << " was said not to have run";
+      }
+    }
+    for (size_t Caller : AfterRepair) {
+      const auto &Answer = World.caller(Caller).Answer;
+      EXPECT_TRUE(Answer && Answer->Verdict == CallerVerdict::Done)
+          << "not served after the repair";
+    }
+  }
+
+private:
+  struct CallerJob {
+    size_t Tasks = 1;
+    Duration Time{};
+    std::vector<size_t> Attempts;
+    Address Entry;
+    SteadyTime RetryAt = SteadyTime::max();
+  };
+
+  const Address &anyAlive() {
+    for (;;) {
+      const Address &Where = Instances[Random() % Instances.size()];
+      if (World.alive(Where))
+        return Where;
+    }
+  }
+
+  void submitSome() {
+    std::string Name = "job-" + std::to_string(Jobs.size());
+    CallerJob &J = Jobs[Name];
+    J.Tasks = 1 + Random() % 4;
+    J.Time = milliseconds(20 + Random() % (Random() % 8 ? 200 : 2500));
+    send(Name, J);
+  }
+
+  void send(const std::string &Name, CallerJob &J) {
+    J.Entry = anyAlive();
+    J.RetryAt = SteadyTime::max();
+    J.Attempts.push_back(World.submit(
+        J.Entry, Name, static_cast<uint32_t>(J.Tasks), J.Time, Patience));
+  }
+
+  /// Callers submit again after a loss or a broken connection.
+  void retryLost() {
+    for (auto &[Name, J] : Jobs) {
+      const auto &Answer = World.caller(J.Attempts.back()).Answer;
+      // The connection to a machine without power stays open, so that its
+      // caller notices nothing before its own deadline.
+      bool Broken = !World.alive(J.Entry) && !World.silent(J.Entry);
+      bool Expired =
+          World.now() - World.caller(J.Attempts.back()).Sent >= Patience;
+      bool Lost = (Answer && Answer->Verdict == CallerVerdict::Lost) ||
+                  (!Answer && (Broken || Expired));
+      if (!Lost || J.Attempts.size() > 2)
+        continue;
+      if (J.RetryAt == SteadyTime::max()) {
+        J.RetryAt = World.now() + CallerRetry;
+        if (Expired && World.alive(J.Entry))
+          World.hangUp(J.Attempts.back());
+      } else if (World.now() >= J.RetryAt)
+        send(Name, J);
+    }
+  }
+
+  void note(const std::string &What) const {
+    if (std::getenv("CELL_WORLD_LOG"))
+      std::cerr << toMilliseconds(World.now().time_since_epoch()) - 3600000
+                << " FAULT " << What << "\n";
+  }
+
+  void breakSomething() {
+    const Address &Where = Instances[Random() % Instances.size()];
+    const UpstreamId &Up = Upstreams[Random() % Upstreams.size()];
+    uint64_t Kind = Random() % 9;
+    note(std::to_string(Kind) + " " + Where.Value + " " + Up.Value);
+    switch (Kind) {
+    case 0:
+      if (aliveCount() > 2 && World.alive(Where))
+        World.kill(Where);
+      break;
+    case 1:
+      if (aliveCount() > 2 && World.alive(Where))
+        World.powerOff(Where);
+      break;
+    case 2:
+      World.freeze(Where);
+      Frozen.insert(Where);
+      break;
+    case 3:
+      World.cut({Where});
+      break;
+    case 4:
+      World.faults(Up).Hangs = true;
+      break;
+    case 5:
+      World.faults(Up).Unreachable = true;
+      break;
+    case 6:
+      World.faults(Up).AppliesLate = milliseconds(100 + Random() % 3000);
+      break;
+    case 7:
+      World.restartUpstream(Up);
+      break;
+    case 8:
+      repairAll();
+      break;
+    }
+  }
+
+  size_t aliveCount() const {
+    size_t Count = 0;
+    for (const Address &Where : Instances)
+      Count += World.alive(Where) ? 1 : 0;
+    return Count;
+  }
+
+  void repairAll() {
+    for (const Address &Where : Instances)
+      if (!World.alive(Where))
+        World.restart(Where);
+    for (const Address &Where : Frozen)
+      World.thaw(Where);
+    Frozen.clear();
+    World.heal();
+    for (const UpstreamId &Up : Upstreams)
+      World.faults(Up) = {};
+  }
+
+  std::mt19937_64 Random;
+  CellWorld World;
+  std::vector<Address> Instances;
+  std::vector<UpstreamId> Upstreams;
+  std::set<Address> Frozen;
+  std::map<std::string, CallerJob> Jobs;
+  std::vector<size_t> AfterRepair;
+};
+
+class CellChaos : public ::testing::TestWithParam<uint64_t> {};
+
+} // namespace
+
+// Guards against two runs of a task at a time, refusals of jobs that have run
+// and answers that are not whole, under faults that overlap.
+TEST_P(CellChaos, KeepsThePromises) {
+  ChaosRun Run(GetParam());
+  Run.play();
+  Run.check();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, CellChaos, ::testing::Range<uint64_t>(1, 121));
