--- a/tests/process/cell_process_test.cpp
+++ b/tests/process/cell_process_test.cpp
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <csignal>
+#include <cstring>
 #include <thread>
 
 namespace snipeshunt {
@@ -151,6 +152,51 @@
   EXPECT_EQ(F.submit(0, jobId(1), 2, 20).Status, 200);
 }
 
+/// The template with each placeholder replaced as the platform does it.
+std::string renderTemplate() {
+  std::ifstream File(std::string(SOURCE_DIR) +
+                     "/deploy/settings.json.template");
+  std::stringstream Text;
+  Text << File.rdbuf();
+  std::string Rendered = Text.str();
+  const std::pair<const char *, const char *> Fields[] = {
+      {"{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}",
+       "\"10.1.0.13:8166\",\"10.2.0.30:8166\""},
+      {"{{node_name|json}}", "\"edge-1\""},
+      {"{{zone|json}}", "\"zone-1\""},
+      {"{{limits.cpu_share|json}}", "0.19"},
+      {"{{listen.front|json}}", "\"10.1.0.13:8161\""},
+      {"{{listen.ready|json}}", "\"10.1.0.13:8167\""},
+      {"{{listen.control|json}}", "\"10.1.0.13:8166\""},
+      {"{{ip}}", "10.1.0.13"},
+      {"{{platform.address|json}}", "\"10.200.1.7:8169\""},
+      {"{{bounds.max_hold_ms|json}}", "1000"},
+      {"{{bounds.stop_timeout_ms|json}}", "50"},
+      {"{{bounds.drain_ms|json}}", "2000"},
+      {"{{bounds.grace_s|json}}", "6"},
+      {"{{bounds.retry_ms|json}}", "1300"}};
+  for (const auto &[Name, Value] : Fields)
+    for (size_t At; (At = Rendered.find(Name)) != std::string::npos;)
+      Rendered.replace(At, strlen(Name), Value);
+  return Rendered;
+}
+
+// Guards against a template that gives settings which the daemon refuses.
+TEST(CellProcessTest, TemplateOfTheDeployFileGivesValidSettings) {
+  CellFleet F(1, 1);
+  std::string Text = renderTemplate();
+  EXPECT_EQ(Text.find("{{"), std::string::npos) << Text;
+  std::ofstream(F.settings(0)) << Text;
+  Result<ChildProcess> Started =
+      ChildProcess::start({std::string(BINARY_DIR) + "/snipeshuntd", "--cells",
+                           "--check-settings", "--settings", F.settings(0)},
+                          F.log("check"));
+  ASSERT_FALSE(failed(Started));
+  EXPECT_EQ(valueOf(Started).wait(std::chrono::seconds(20)),
+            std::optional<int>(0))
+      << F.logText("check");
+}
+
 // Guards against settings that are wrong and are taken nevertheless.
 TEST(CellProcessTest, WrongSettingsAreRefused) {
   CellFleet F(1, 1);
