entry: refuse new jobs late in a shutdown

A process that shuts down ended only after 300 ms without a job; callers went on sending on open connections, so it ran to the end of its grace and was cut off with requests under way. Change: from 2.5 s after SIGTERM on new jobs are refused at once, not run, with a closed connection. Ruled out: a longer flush, which makes it busy for longer. Test: RequestsLateInAShutdownAreRefusedAndTheProcessEnds, failed before.

--- a/src/entry/entry_base.h
+++ b/src/entry/entry_base.h
@@ -34,6 +34,7 @@
 
 struct EntryState {
   bool Draining = false;
+  bool Closing = false; ///< Late in a shutdown; new jobs are refused.
   uint64_t NextForward = 1;
   /// By the number of the forward.
   std::unordered_map<RequestId, EntryJob> Jobs;
--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -25,6 +25,8 @@
 // second, and one that follows a shutdown a few milliseconds.
 constexpr Duration SenderWait = std::chrono::milliseconds(1000);
 // Pause for callers that find no sender; one is back after about a second.
+// A refused caller finds another instance as soon as it connects again.
+constexpr Duration ClosingRetry = std::chrono::seconds(1);
 constexpr const char *NoSender = "no sender is present";
 constexpr Duration NoSenderRetry = std::chrono::seconds(2);
 
@@ -215,6 +217,14 @@
                  Out);
     return;
   }
+  if (State.Closing) {
+    ++State.Counts.Refused;
+    logJob(Out, Event.Job.Id,
+           "refused, nothing was started: this instance ends");
+    answerCaller(State, Event.Request, CallerVerdict::NotRun, ClosingRetry,
+                 Out);
+    return;
+  }
   auto Known = State.ByJob.find(Event.Job.Id);
   if (Known != State.ByJob.end()) {
     EntryJob &J = State.Jobs.at(Known->second);
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -312,6 +312,8 @@
     if (!State.DrainStarted || State.Stopped)
       return;
     Duration Passed = Now - *State.DrainStarted;
+    // Callers go on sending on open connections; answers close these.
+    State.Entry.Closing = Passed >= LeastDrain;
     if (!State.Entry.Jobs.empty() || !State.Sender.Jobs.empty())
       State.LastBusy = Now;
     bool Idle = Passed >= LeastDrain && Now - State.LastBusy >= AnswerFlush;
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -388,6 +388,25 @@
   EXPECT_EQ(World.senders(), std::vector<Address>{Seed});
 }
 
+// Guards against requests that come to the end on open connections, keep a
+// process that shuts down busy, and are cut off with it.
+TEST_F(CellTest, RequestsLateInAShutdownAreRefusedAndTheProcessEnds) {
+  World.shutDown(First);
+  std::vector<size_t> Jobs;
+  for (int I = 0; World.alive(First) && I < 400; ++I) {
+    Jobs.push_back(
+        World.submit(First, "job-" + std::to_string(I), 1, milliseconds(100)));
+    World.run(milliseconds(20));
+  }
+  EXPECT_FALSE(World.alive(First));
+  // The last requests may meet a process that is gone already.
+  Jobs.resize(Jobs.size() - 2);
+  for (size_t J : Jobs) {
+    ASSERT_TRUE(World.caller(J).Answer) << J;
+    EXPECT_TRUE(done(J) || ended(J, CallerVerdict::NotRun)) << J;
+  }
+}
+
 // Guards against starts by a new sender whose list of upstreams is old.
 TEST_F(CellTest, NewSenderReadsTheListBeforeItStartsAnything) {
   World.setDraining(Upstreams[0]);
