--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -24,11 +24,12 @@
 // A job waits this long for a sender to appear; a take-over takes about a
 // second, and one that follows a shutdown a few milliseconds.
 constexpr Duration SenderWait = std::chrono::milliseconds(1000);
-// Pause for callers that find no sender; one is back after about a second.
-// A refused caller finds another instance as soon as it connects again.
+// A caller that an ending process refuses finds another instance as soon as it
+// connects again.
 constexpr Duration ClosingRetry = std::chrono::seconds(1);
-constexpr const char *NoSender = "no sender is present";
+// Pause for callers that find no sender; one is back after about a second.
 constexpr Duration NoSenderRetry = std::chrono::seconds(2);
+constexpr const char *NoSender = "no sender is present";
 
 void logJob(InstanceEffects &Out, const JobId &Id, std::string Message) {
   Out.push_back(LogDecision{DecisionPart::Entry, Id.Value, std::move(Message),
