--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -89,7 +89,8 @@
             if (Done)
               complete(Outcome, /*Reusable=*/false);
           },
-          {!BytesHandedOver, true, "can't open a connection to " + Name.Value});
+          {!BytesHandedOver, "can't open a connection to " + Name.Value,
+           /*Refused=*/true});
       return;
     }
     watchSilence();
@@ -131,8 +132,8 @@
                            : Self->BytesHandedOver ? "connection lost to "
                                                    : "can't connect to ";
       Self->complete(HttpFailure{!Self->BytesHandedOver,
-                                 !Self->BytesHandedOver && !Self->TimedOut,
-                                 Reason + Self->Name.Value},
+                                 Reason + Self->Name.Value,
+                                 !Self->BytesHandedOver && !Self->TimedOut},
                      /*Reusable=*/false);
       return;
     }
@@ -171,9 +172,9 @@
     TimedOut = true;
     // Cancelling does not call back.
     evhttp_cancel_request(std::exchange(Request, nullptr));
-    complete(HttpFailure{!BytesHandedOver, false,
-                         "no answer in time from " + Name.Value},
-             /*Reusable=*/false);
+    complete(
+        HttpFailure{!BytesHandedOver, "no answer in time from " + Name.Value},
+        /*Reusable=*/false);
   }
 
   void complete(const HttpOutcome &Outcome, bool Reusable) {
@@ -206,7 +207,7 @@
   Target &T = Targets[Name];
   if (T.Queue.size() >= Options.MaxWaitingPerTarget) {
     failLater(std::move(Done),
-              {true, false, "too many requests wait for " + Name.Value});
+              {true, "too many requests wait for " + Name.Value});
     return;
   }
   T.Queue.push_back(
@@ -226,7 +227,7 @@
     } else {
       Result<HostPort> Parts = parseAddress(Name);
       if (failed(Parts)) {
-        failLater(std::move(Next.Done), {true, false, errorOf(Parts).Message});
+        failLater(std::move(Next.Done), {true, errorOf(Parts).Message});
         continue;
       }
       C = std::make_unique<Connection>(*this, Name, valueOf(Parts));
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -57,8 +57,8 @@
   /// No byte of the request was handed to a connection, so the other side
   /// can't have seen it.
   bool NothingSent = false;
-  bool Refused = false; ///< The connection could not be opened, at once.
   std::string Message;  ///< What happened.
+  bool Refused = false; ///< The connection could not be opened, at once.
 };
 
 using HttpOutcome = std::variant<HttpReply, HttpFailure>;
