fleet: a test fleet has started once all instances know the upstreams

Fleet::start() waited for the roster and for a usable sender of each upstream. With nine instances and six upstreams at least three instances own none, and such an instance may not have read the list yet; it then refuses with "no upstream is known".

Ruled out: quota, patience and stretch. The queue is empty when the wave begins, an instance without slots takes its patience as the expected wait, and copies of one ticket count once.

Before and after: the new test ResubmissionTest.FleetIsSettledOnceAllInstancesKnowTheUpstreams cuts one instance without upstreams off from the platform and restarts it: settled() was true and the job came back as not_run; now it is false until the list is read.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -370,6 +370,9 @@
     if (failed(Text))
       return false;
     Result<Json::Value> Parsed = parseJson(valueOf(Text));
+    // An instance without the list refuses jobs, though others could run them.
+    if (valueOf(Parsed)["upstreams"].size() < upstreams())
+      return false;
     for (const Json::Value &Entry : valueOf(Parsed)["upstreams"])
       if (Entry["sender"].asString() == instance(I).Value &&
           Entry["state"].asString() == "usable")
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -52,6 +52,9 @@
   Result<Ok> start();
   /// Whether every instance counts all others as live.
   bool rosterComplete() const;
+  /// Whether the roster is complete, every instance knows the upstreams and
+  /// every upstream has a sender that has read its status.
+  bool settled() const;
 
   size_t instances() const;
   size_t upstreams() const;
@@ -92,7 +95,6 @@
   std::vector<std::string> command(FleetRole Role, size_t I) const;
   Result<Ok> startOne(FleetRole Role, size_t I);
   void writeSettings(size_t I) const;
-  bool settled() const;
   size_t count(FleetRole Role) const;
 
   FleetOptions Options;
--- a/tests/process/resubmission_process_test.cpp
+++ b/tests/process/resubmission_process_test.cpp
@@ -89,6 +89,33 @@
   }
 }
 
+// Guards against a fleet that counts as started while an instance has not read
+// the list of upstreams: such an instance refuses the first jobs.
+TEST(ResubmissionTest, FleetIsSettledOnceAllInstancesKnowTheUpstreams) {
+  FleetOptions Options = fleetOptions(3, 3, 2);
+  Options.PlatformRelay = true;
+  FaultedFleet Fleet(Options);
+  ASSERT_TRUE(Fleet.Running);
+  std::set<size_t> Senders;
+  for (size_t U = 0; U < Fleet.F.upstreams(); ++U)
+    Senders.insert(Fleet.senderOf(U));
+  size_t Spare = 0;
+  while (Senders.count(Spare))
+    ++Spare;
+  ASSERT_LT(Spare, Fleet.F.instances());
+  EXPECT_FALSE(failed(Fleet.F.setPlatformRules(R"([{"action":"cut"}])")));
+  EXPECT_FALSE(failed(Fleet.F.restart(FleetRole::Instance, Spare)));
+  ASSERT_TRUE(Fleet.waitForRoster());
+  RecordedJob Job = Fleet.Caller.makeJob(4, "run_ms=20");
+  CallerAnswer Refused = Fleet.submit(Spare, Fleet.ticket(Spare), Job);
+  EXPECT_EQ(Refused.Outcome, "not_run") << Refused.Body.toStyledString();
+  EXPECT_FALSE(Fleet.F.settled());
+  EXPECT_FALSE(failed(Fleet.F.setPlatformRules("[]")));
+  ASSERT_TRUE(Fleet::waitUntil([&] { return Fleet.F.settled(); }, Deadline));
+  CallerAnswer Served = Fleet.submit(Spare, Fleet.ticket(Spare), Job);
+  EXPECT_EQ(Served.Outcome, "complete") << Served.Body.toStyledString();
+}
+
 // Guards against copies that arrive at the same moment starting the job twice
 // or getting different answers.
 TEST(ResubmissionTest, WaveOfCopiesGetsOneAnswer) {
