sender: let a task wait for a faster upstream that is soon free

A task took a slow upstream whenever the fast ones of its cell were in use, though these come free within some tens of milliseconds.

Change: earliest-finish list scheduling (src/sender/forecast.*): a task for which only a slower upstream has room goes on waiting when an expected end of a run on a faster one promises to end it 15 % earlier. Each expected end is kept for one task, in the order of the queue, so a long queue still uses all upstreams.

--- a/src/sender/estimate.cpp
+++ b/src/sender/estimate.cpp
@@ -51,11 +51,15 @@
 
 Duration expectedOn(const LearnedTimes &Learned, const JobOrder &Order,
                     const OwnUpstream &U) {
-  double Factor = lookUp(Learned.Queues, Order.Queue) -
-                  speedOf(Learned, U.Entry.Kind) + std::max(0.0, U.Slowness);
+  double Factor =
+      lookUp(Learned.Queues, Order.Queue) + logRunFactor(Learned, U);
   return fromSeconds(declared(Order) * std::exp(Factor));
 }
 
+double logRunFactor(const LearnedTimes &Learned, const OwnUpstream &U) {
+  return std::max(0.0, U.Slowness) - speedOf(Learned, U.Entry.Kind);
+}
+
 Duration expectedAnywhere(const LearnedTimes &Learned, const JobOrder &Order) {
   return fromSeconds(declared(Order) *
                      std::exp(lookUp(Learned.Queues, Order.Queue)));
--- a/src/sender/estimate_func.h
+++ b/src/sender/estimate_func.h
@@ -10,6 +10,10 @@
 Duration expectedOn(const LearnedTimes &Learned, const JobOrder &Order,
                     const OwnUpstream &U);
 
+/// Run time on \p U against that on an upstream of middle speed, as a
+/// logarithm.
+double logRunFactor(const LearnedTimes &Learned, const OwnUpstream &U);
+
 /// Expected run time of a task of \p Order on an upstream of middle speed.
 Duration expectedAnywhere(const LearnedTimes &Learned, const JobOrder &Order);
 
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -115,7 +115,7 @@
       continue;
     // Upstreams of a cell that has just been claimed are ready soon.
     R.TotalCpu += U.Entry.Capacity.CpuMillis;
-    if (U.Phase == UpstreamPhase::Ready && Now >= U.BlockedUntil)
+    if (takesStarts(U, Now))
       R.FreeCpu += U.Free.CpuMillis;
     for (const auto &[Key, Run] : U.Runs) {
       Duration Left =
--- a/src/sender/placement_cmd.cpp
+++ b/src/sender/placement_cmd.cpp
@@ -2,6 +2,7 @@
 #include "sender/placement_cmd.h"
 
 #include "sender/estimate_func.h"
+#include "sender/forecast.h"
 #include "sender/job_cmd.h"
 #include "sender/sender_table.h"
 #include "sender/upstream_cmd.h"
@@ -16,15 +17,13 @@
 // fills best is taken, so that large tasks still find room.
 constexpr double AlikeFactor = 1.15;
 
-bool acceptsStart(const OwnUpstream &U, const JobOrder &Order,
-                  const SenderTask &T, SteadyTime Now) {
-  if (U.Phase != UpstreamPhase::Ready || U.Entry.Draining ||
-      U.MissingSince != SteadyTime{} || Now < U.BlockedUntil ||
+/// Whether the task may run on the upstream once there is room.
+bool mayRunOn(const OwnUpstream &U, const JobOrder &Order, const SenderTask &T,
+              SteadyTime Now) {
+  if (!takesStarts(U, Now) || U.MissingSince != SteadyTime{} ||
       !U.ClockOffset || U.Unanswered > 0)
     return false;
-  if (U.Probing && !U.Runs.empty())
-    return false;
-  if (U.Entry.Service != Order.Service || !U.Free.covers(Order.Step.Each))
+  if (U.Entry.Service != Order.Service)
     return false;
   if (!Order.Step.Requirement.empty() &&
       Order.Step.Requirement != U.Entry.Kind &&
@@ -40,6 +39,13 @@
   return !T.Avoid.count(U.Entry.Id);
 }
 
+bool acceptsStart(const OwnUpstream &U, const JobOrder &Order,
+                  const SenderTask &T, SteadyTime Now) {
+  if (U.Probing && !U.Runs.empty())
+    return false;
+  return U.Free.covers(Order.Step.Each) && mayRunOn(U, Order, T, Now);
+}
+
 /// The upstream on which the task is expected to end first.
 OwnUpstream *choosePlace(SenderState &State, const SenderJob &J,
                          const SenderTask &T, SteadyTime Now,
@@ -63,8 +69,10 @@
   return Best;
 }
 
-/// Starts the waiting tasks of one job as far as there is room.
-void startTasksOf(SenderState &State, SenderJob &J, SteadyTime Now,
+/// Starts the waiting tasks of one job as far as there is room. A task for
+/// which only a slow upstream has room may go on waiting for a faster one.
+void startTasksOf(SenderState &State, SenderJob &J,
+                  std::optional<PlaceForecast> &Forecast, SteadyTime Now,
                   InstanceEffects &Out) {
   for (uint32_t Index = 0; Index < J.Tasks.size() && J.Waiting > 0; ++Index) {
     SenderTask &T = J.Tasks[Index];
@@ -85,6 +93,12 @@
         return;
       continue;
     }
+    if (!Forecast)
+      Forecast.emplace(State, Now);
+    if (Forecast->reserveBetter(J, Expected, [&](const OwnUpstream &Other) {
+          return mayRunOn(Other, J.Order, T, Now);
+        }))
+      continue;
     T.State = SenderTaskState::Started;
     T.Where = U->Entry.Id;
     ++T.Run;
@@ -104,9 +118,10 @@
   if (!State.Changed)
     return;
   State.Changed = false;
+  std::optional<PlaceForecast> Forecast; // Most passes need none.
   for (const auto &[Rank, J] : rankedQueue(State, Now))
     if (!State.Remnants.count(J->Order.Id) && Wanted(*J))
-      startTasksOf(State, *J, Now, Out);
+      startTasksOf(State, *J, Forecast, Now, Out);
 }
 
 } // namespace snipeshunt
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -77,6 +77,12 @@
   SteadyTime MissingSince{};
 };
 
+/// Whether an upstream takes starts, room or not.
+inline bool takesStarts(const OwnUpstream &U, SteadyTime Now) {
+  return U.Phase == UpstreamPhase::Ready && !U.Entry.Draining &&
+         Now >= U.BlockedUntil;
+}
+
 /// Where a task of a job is.
 enum class SenderTaskState { Waiting, Started, Done };
 
--- a/tests/cell_load_test.cpp
+++ b/tests/cell_load_test.cpp
@@ -121,3 +121,48 @@
       shareWithin(Jobs, milliseconds(900)) * static_cast<double>(Jobs.size());
   EXPECT_GE(Served, 0.95 * 107 * 3);
 }
+
+// Pattern: earliest-finish scheduling. While the fast upstream is busy for a
+// moment, tasks wait for it rather than take a slow one on which they would end
+// later.
+TEST(CellSpeedTest, TasksWaitForAFastUpstreamThatIsSoonFree) {
+  CellWorld World;
+  for (int I = 0; I < 5; ++I)
+    World.addUpstream(
+        {"u" + std::to_string(I), "centre-a", 64000, I == 0 ? 3.0 : 1.0});
+  Address Entry = World.addInstance("i", "centre-a");
+  World.run(seconds(2));
+  size_t Count = 0;
+  auto submitEach = [&](Duration Pause, Duration For) {
+    std::vector<size_t> Jobs;
+    for (SteadyTime End = World.now() + For; World.now() < End;) {
+      Jobs.push_back(World.submit(Entry, "job-" + std::to_string(++Count), 1,
+                                  milliseconds(300)));
+      World.run(Pause);
+    }
+    return Jobs;
+  };
+  // The speeds are learned while all places are in use.
+  submitEach(milliseconds(20), seconds(1));
+  World.run(seconds(2));
+  // The fast upstream serves two tasks in 100 ms, and three come at once.
+  std::vector<size_t> Jobs;
+  for (int I = 0; I < 20; ++I) {
+    for (size_t J : submitEach(milliseconds(1), milliseconds(3)))
+      Jobs.push_back(J);
+    World.run(milliseconds(227));
+  }
+  // A crowd that it can't serve in time goes to the others as well.
+  std::vector<size_t> Crowd = submitEach(milliseconds(5), milliseconds(50));
+  World.run(seconds(2));
+  size_t Fast = 0;
+  for (size_t J : Jobs) {
+    const CallerRecord &R = World.caller(J);
+    ASSERT_TRUE(R.Answer && R.Answer->Verdict == CallerVerdict::Done);
+    Fast += R.Answered - R.Sent < milliseconds(250) ? 1 : 0;
+  }
+  EXPECT_GE(Fast, Jobs.size() * 9 / 10) << Jobs.size();
+  for (size_t J : Crowd)
+    EXPECT_LE(World.caller(J).Answered - World.caller(J).Sent,
+              milliseconds(400));
+}
