settings: let a fleet instance listen for its peers behind another address

Cause: a fault soak of real processes needs something in between that delays, resets and cuts the connections of instances; an instance listened on the very address that it told its peers.

Change: `peers_listen`, by default the address of `peers`.

Ruled out: a proxy in front of each caller and upstream only; the take-over of a cell is decided by what instances hear of each other.

--- a/src/runtime/cell_daemon.cpp
+++ b/src/runtime/cell_daemon.cpp
@@ -98,7 +98,7 @@
 
 HttpClientOptions CellDaemon::clientOptions(size_t MaxConnections) const {
   HttpClientOptions Options;
-  Result<HostPort> Own = parseAddress(State.Settings.Self.Where);
+  Result<HostPort> Own = parseAddress(State.Settings.PeersListen);
   if (!failed(Own))
     Options.LocalIp = valueOf(Own).Host;
   Options.MaxConnectionsPerTarget = MaxConnections;
@@ -108,7 +108,7 @@
 }
 
 Result<Ok> CellDaemon::start() {
-  Result<Address> Bound = Server.listen(State.Settings.Self.Where);
+  Result<Address> Bound = Server.listen(State.Settings.PeersListen);
   if (failed(Bound))
     return errorOf(Bound);
   SNIPESHUNT_LOG(INFO, "instance")
--- a/src/settings/fleet_settings.cpp
+++ b/src/settings/fleet_settings.cpp
@@ -60,6 +60,8 @@
   readRequiredAddress(Top, "front", S.Front);
   readRequiredAddress(Top, "ready", S.Ready);
   readRequiredAddress(Top, "peers", S.Self.Where);
+  S.PeersListen = S.Self.Where;
+  readAddress(Top, "peers_listen", S.PeersListen);
   readRequiredAddress(Top, "store", S.Store);
   readAddress(Top, "metrics", S.Metrics);
   readSeeds(Top, S.Seeds);
