cells: start no job of an entry that was silent before it has answered

Cause: a job that a cut link has held up reached its sender when the link healed, after the entry had given it up and the caller's second try ran elsewhere; both ran at once. Pings that the cut had held came with it, so the entry looked present, and its new session number had not arrived.

Change: the first message of a peer after 1 s of silence puts it in doubt; its jobs wait until it has answered a ping that was sent since, and the answer tells the session of its jobs. In calm times entries ping the senders of their jobs each 250 ms, so nothing waits.

An order that one connection alone holds back, while the pings of its entry pass, is not covered; the entry's session covers it only when the entry has given the sender up.

--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -17,6 +17,9 @@
   SteadyTime PingedBy{}; ///< Arrival of its last ping.
   /// As above, but with pauses of this process counted as its silence.
   SteadyTime PingedByRaw{};
+  /// Since when what comes from it may be old: a link that was cut delivers
+  /// what it has held up. Zero once it has answered a ping that was sent since.
+  SteadyTime DoubtedSince{};
   SteadyTime NextPing{};
   SteadyTime PingSent{};
   SteadyTime Known{}; ///< When this instance learned of it.
--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -176,6 +176,7 @@
   P.Held.clear();
   P.Claims.clear();
   P.TheirSession = 0;
+  P.DoubtedSince = {};
 }
 
 } // namespace
@@ -204,6 +205,16 @@
   State.RegisteredRead = Now;
 }
 
+void noteMessage(Peer &P, SteadyTime Now) {
+  // An entry gives its jobs up before it has been silent for this long, and a
+  // caller then has them run elsewhere.
+  if (Now - P.PingedByRaw >= OrphanAfter) {
+    P.DoubtedSince = Now;
+    P.NextPing = Now;
+  }
+  P.PingedBy = P.PingedByRaw = Now;
+}
+
 bool isPresent(const Peer &P, SteadyTime Now) {
   SteadyTime Last = std::max(P.Heard, P.PingedBy);
   return !P.Refused && Last != SteadyTime{} && Now - Last < SuspectAfter;
@@ -223,7 +234,7 @@
     adoptIncarnation(P, Message.Incarnation);
     P.Entry = Message.From;
     P.KnowsUpstreams = Message.KnowsUpstreams;
-    P.PingedBy = P.PingedByRaw = Now;
+    noteMessage(P, Now);
     P.Refused = false;
     P.TheirSession = std::max(P.TheirSession, Message.Session);
     bool NewClaims = P.Claims.size() != Message.Claims.size();
@@ -245,6 +256,8 @@
   if (State.Draining)
     Reply.Held = Report.Held;
   Reply.ConfigurationVersion = Report.ConfigurationVersion;
+  if (It != State.Peers.end())
+    Reply.Session = It->second.Session;
   if (Message.WantsKnown)
     for (const auto &[Where, P] : State.Peers)
       if (Reply.Known.size() < MaxNamedPeers && P.Heard != SteadyTime{} &&
@@ -276,6 +289,11 @@
   P.Entry = Reply.From;
   P.Refused = false;
   P.Heard = P.PingSent;
+  P.TheirSession = std::max(P.TheirSession, Reply.Session);
+  if (P.PingSent >= P.DoubtedSince)
+    P.DoubtedSince = {};
+  else
+    P.NextPing = Now;
   P.Draining = Reply.Draining;
   P.KnowsUpstreams = Reply.KnowsUpstreams;
   P.Held = std::set<UpstreamId>(Reply.Held.begin(), Reply.Held.end());
--- a/src/cells/cell_cmd.h
+++ b/src/cells/cell_cmd.h
@@ -53,6 +53,10 @@
 /// Gives up a cell whose upstreams obey a newer sender.
 void yieldClaim(CellState &State, const CellId &Cell, SteadyTime Now);
 
+/// Notes a message of a peer. After a silence, it and those that come with it
+/// may be old, until the peer has answered.
+void noteMessage(Peer &P, SteadyTime Now);
+
 /// Whether \p P has answered or pinged lately.
 bool isPresent(const Peer &P, SteadyTime Now);
 
--- a/src/cells/cell_type.h
+++ b/src/cells/cell_type.h
@@ -67,6 +67,7 @@
   std::vector<UpstreamId> Held;
   std::vector<InstanceEntry> Known;
   uint64_t ConfigurationVersion = 0;
+  uint64_t Session = 0; ///< Of the answering instance's jobs at the other.
 };
 
 // Effects.
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -82,6 +82,13 @@
          Now - P->second.PingedByRaw >= OrphanAfter;
 }
 
+/// Whether the entry of a job is known to wait for it.
+bool isWanted(const CellState &Cells, const JobOrder &Order, SteadyTime Now) {
+  auto P = Cells.Peers.find(Order.Entry);
+  return P != Cells.Peers.end() && P->second.DoubtedSince == SteadyTime{} &&
+         !isOrphaned(Cells, Order, Now);
+}
+
 /// Passes one event to the parts that it concerns.
 struct Router {
   FleetInstance &State;
@@ -172,7 +179,7 @@
       if (P->second.Incarnation == IncarnationId{})
         P->second.Incarnation = E.Order.Incarnation;
       if (P->second.Incarnation == E.Order.Incarnation)
-        P->second.PingedBy = P->second.PingedByRaw = Now;
+        noteMessage(P->second, Now);
     }
     acceptJob(State.Sender, E.Order, {E.Request, /*Local=*/false}, Now, Out);
   }
@@ -187,6 +194,8 @@
   }
   void operator()(const PingAnswered &E) {
     applyPong(State.Cells, E, Now, Out);
+    // Its jobs may be known to be wanted now.
+    State.Sender.Changed = true;
     uint64_t Own = State.Directory.Configuration
                        ? State.Directory.Configuration->Version
                        : 0;
@@ -396,7 +405,7 @@
         State.Sender,
         [&](const SenderJob &J) {
           return E.Now < J.Deadline &&
-                 (J.Waiter.Local || !isOrphaned(State.Cells, J.Order, E.Now));
+                 (J.Waiter.Local || isWanted(State.Cells, J.Order, E.Now));
         },
         E.Now, Pending);
   renewUpstreams(
--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -246,6 +246,7 @@
   V["held"] = encodeIds(Message.Held);
   V["known"] = encodeList(Message.Known, encodeInstance);
   V["configuration"] = Json::UInt64(Message.ConfigurationVersion);
+  V["session"] = Json::UInt64(Message.Session);
   return V;
 }
 
@@ -256,7 +257,8 @@
   Reader.unsignedId("incarnation", Message.Incarnation.Value)
       .boolean("draining", Message.Draining)
       .boolean("knows_upstreams", Message.KnowsUpstreams)
-      .unsignedId("configuration", Message.ConfigurationVersion);
+      .unsignedId("configuration", Message.ConfigurationVersion)
+      .unsignedId("session", Message.Session);
   readList(Reader, "claims", MaxClaims, Message.Claims, decodeClaim);
   readSenderLoad(Reader, Message.Load);
   readIds(Reader, "held", Message.Held);
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -54,6 +54,45 @@
 
 } // namespace
 
+// Guards against a second run beside the first: a job that a cut has held up
+// reaches its sender after the entry has given it up and the caller's second
+// try runs elsewhere.
+TEST(CellHeldMessages, JobThatArrivesLateIsNotStarted) {
+  for (bool EntryDies : {false, true}) {
+    CellWorld World;
+    World.setCutsHold(true);
+    for (const char *Centre : {"centre-b", "centre-c"})
+      World.addUpstream({std::string("up-") + Centre, Centre});
+    Address Entry = World.addInstance("entry", "centre-a");
+    Address Other = World.addInstance("other", "centre-a");
+    Address B = World.addInstance("b", "centre-b");
+    Address C = World.addInstance("c", "centre-c");
+    World.run(seconds(2));
+    // Both senders are cut off at first, so that either may be the one.
+    World.cut({B, C});
+    size_t First = World.submit(Entry, "a", 1, milliseconds(900), seconds(3));
+    ASSERT_EQ(World.state(Entry).Entry.Jobs.size(), 1U);
+    Address Late = World.state(Entry).Entry.Jobs.begin()->second.Where;
+    World.run(milliseconds(200));
+    if (EntryDies)
+      World.kill(Entry);
+    World.run(milliseconds(900));
+    EXPECT_FALSE(World.caller(First).Answer &&
+                 World.caller(First).Answer->Verdict == CallerVerdict::Done);
+    World.run(CallerRetry);
+    World.cut({Late});
+    World.run(milliseconds(1500));
+    size_t Again = World.submit(Other, "a", 1, milliseconds(900), seconds(3));
+    World.run(milliseconds(100));
+    World.heal();
+    World.run(seconds(3));
+    ASSERT_TRUE(World.caller(Again).Answer);
+    EXPECT_EQ(World.caller(Again).Answer->Verdict, CallerVerdict::Done);
+    EXPECT_TRUE(World.overlappingRuns().empty());
+    EXPECT_EQ(World.runs().size(), 1U);
+  }
+}
+
 // Guards against two senders, which would prolong each other's leases.
 TEST_F(CellTest, StrongestInstanceBecomesTheOnlySender) {
   EXPECT_EQ(World.senders(), std::vector<Address>{Strong});
--- a/tests/support/cell_world.cpp
+++ b/tests/support/cell_world.cpp
@@ -232,6 +232,27 @@
 
 void CellWorld::cut(const std::set<Address> &Group) { CutOff = Group; }
 
+void CellWorld::heal() {
+  CutOff.clear();
+  for (std::function<void()> &Message : Held)
+    at(Now + Hop, std::move(Message));
+  Held.clear();
+}
+
+void CellWorld::pass(const Address &From, const Address &To,
+                     std::function<void()> Message) {
+  auto Arrive = [this, From, To, Message] {
+    if (linked(From, To))
+      Message();
+    else if (CutsHold)
+      Held.push_back(Message);
+  };
+  if (linked(From, To))
+    at(Now + Hop, Arrive);
+  else
+    Arrive();
+}
+
 std::vector<Address> CellWorld::senders() const {
   std::vector<Address> Found;
   for (const auto &[Where, I] : Instances)
@@ -394,12 +415,10 @@
         P->second.PingPending && P->second.PingSent == Sent)
       deliver(From, PingAnswered{To, std::nullopt, false});
   });
-  if (!linked(From, To))
-    return;
   PeerPing Message = E.Message;
-  at(Now + Hop, [this, From, To, Message] {
+  pass(From, To, [this, From, To, Message] {
     auto Peer = Instances.find(To);
-    if (Peer == Instances.end() || !Peer->second.Alive || !linked(From, To))
+    if (Peer == Instances.end() || !Peer->second.Alive)
       return;
     RequestId Request{Peer->second.NextRequest++};
     Peer->second.Pings[Request] = From;
@@ -424,11 +443,9 @@
     });
     return;
   }
-  if (!linked(From, To))
-    return;
-  at(Now + Hop, [this, From, To, E] {
+  pass(From, To, [this, From, To, E] {
     auto Peer = Instances.find(To);
-    if (Peer == Instances.end() || !Peer->second.Alive || !linked(From, To))
+    if (Peer == Instances.end() || !Peer->second.Alive)
       return;
     RequestId Request{Peer->second.NextRequest++};
     Peer->second.Received[Request] = {From, E.Request};
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -83,7 +83,10 @@
   void shutDown(const Address &Where);
   /// Cuts or heals the links between two groups of addresses.
   void cut(const std::set<Address> &Group);
-  void heal() { CutOff.clear(); }
+  void heal();
+  /// What instances send each other through a cut arrives when it heals, as
+  /// bytes do that are sent again; without, it is lost.
+  void setCutsHold(bool Hold) { CutsHold = Hold; }
 
   void setStoreUp(bool Up) { StoreUp = Up; }
   /// Time that the store takes for an answer.
@@ -165,6 +168,9 @@
   void order(Instance &I, const RenewUpstream &E);
   void breakConnections(const Address &Where);
   bool linked(const Address &A, const Address &B) const;
+  /// Delivers a message between instances, or has the cut hold or lose it.
+  void pass(const Address &From, const Address &To,
+            std::function<void()> Message);
   bool reachable(const Address &From, const Upstream &U) const;
   int64_t clockOf(const Upstream &U) const;
   OrderVerdict applyStart(Upstream &U, const StartRun &E);
@@ -181,6 +187,8 @@
   std::map<JobId, Duration> TaskTimes;
   std::vector<RunRecord> Runs;
   std::set<Address> CutOff;
+  bool CutsHold = false;
+  std::vector<std::function<void()>> Held;
   FleetConfiguration Configuration;
   bool SeedsOnly = false;
   bool StoreUp = true;
