entry: hand a job over again when its sender does not have it

Cause: a connection between instances that has fallen silent swallows a job or its answer, while pings pass on another one.

Change: jobs handed to a sender are numbered. An answer to a ping names the numbers of the jobs that are there; a job that two such answers lack, 150 ms apart, is handed over again to the same sender, which gives the kept answer if the job has ended there. A ping and its answer tell the lowest number that the entry still waits for; a job below it is not started, and stopped if it runs. This replaces the session number, which covered only the loss of a whole sender.

Ruled out: handing the job to another sender, since the first may run it yet.

--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -32,12 +32,11 @@
   SenderLoad Load;
   std::set<UpstreamId> Held; ///< Still used while it drains.
   uint64_t ConfigurationVersion = 0;
-  uint32_t OpenJobs = 0; ///< Jobs of this instance that it runs.
-  /// Of this instance's jobs there; rises when they are given up.
-  uint64_t Session = 0;
+  std::set<uint64_t> OpenJobs; ///< Numbers of this instance's jobs there.
+  uint64_t NextJob = 0;        ///< Above all numbers that it was given.
   std::map<JobId, SteadyTime> Cancelled; ///< To be told; by time of the cancel.
-  /// Of its jobs here.
-  uint64_t TheirSession = 0;
+  /// Lowest number of its jobs here that it still waits for.
+  uint64_t TheirOldestJob = 0;
 };
 
 /// This instance's claim to a cell.
--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -149,7 +149,7 @@
   if (P.Draining && !P.Held.empty() && isNear(State, P) &&
       !State.Claims.empty())
     return HandoverPingPeriod;
-  if (P.OpenJobs > 0 || (isNear(State, P) && !P.Claims.empty()))
+  if (!P.OpenJobs.empty() || (isNear(State, P) && !P.Claims.empty()))
     return SenderPingPeriod;
   if (isNear(State, P))
     return Now - State.Started < DiscoveryTime ? SenderPingPeriod
@@ -157,6 +157,10 @@
   return P.Claims.empty() ? IdlePingPeriod : FarPingPeriod;
 }
 
+uint64_t oldestJob(const Peer &P) {
+  return P.OpenJobs.empty() ? P.NextJob : *P.OpenJobs.begin();
+}
+
 /// Brings the next ping forward when what was learned of \p P asks for it.
 void hastenNextPing(const CellState &State, Peer &P, SteadyTime Now) {
   P.NextPing = std::min(P.NextPing, Now + pingPeriod(State, P, Now));
@@ -166,16 +170,14 @@
 void adoptIncarnation(Peer &P, IncarnationId Incarnation) {
   if (P.Incarnation == Incarnation)
     return;
-  if (P.Incarnation != IncarnationId{}) {
-    ++P.Session;
+  if (P.Incarnation != IncarnationId{})
     P.Cancelled.clear();
-  }
   P.Incarnation = Incarnation;
   P.Draining = false;
   P.RefusesJobs = false;
   P.Held.clear();
   P.Claims.clear();
-  P.TheirSession = 0;
+  P.TheirOldestJob = 0;
   P.DoubtedSince = {};
 }
 
@@ -188,8 +190,6 @@
   if (Added) {
     It->second.Known = Now;
     It->second.Entry = Entry;
-    // Numbers of sessions rise over restarts of this process.
-    It->second.Session = 1;
   } else if (It->second.Entry.Centre.Value.empty()) {
     It->second.Entry = Entry;
   }
@@ -236,7 +236,7 @@
     P.KnowsUpstreams = Message.KnowsUpstreams;
     noteMessage(P, Now);
     P.Refused = false;
-    P.TheirSession = std::max(P.TheirSession, Message.Session);
+    P.TheirOldestJob = std::max(P.TheirOldestJob, Message.OldestJob);
     bool NewClaims = P.Claims.size() != Message.Claims.size();
     adoptClaims(State, P, Message.Claims);
     hastenNextPing(State, P, Now);
@@ -257,7 +257,8 @@
     Reply.Held = Report.Held;
   Reply.ConfigurationVersion = Report.ConfigurationVersion;
   if (It != State.Peers.end())
-    Reply.Session = It->second.Session;
+    Reply.OldestJob = oldestJob(It->second);
+  Reply.Jobs = Report.Jobs;
   if (Message.WantsKnown)
     for (const auto &[Where, P] : State.Peers)
       if (Reply.Known.size() < MaxNamedPeers && P.Heard != SteadyTime{} &&
@@ -289,7 +290,7 @@
   P.Entry = Reply.From;
   P.Refused = false;
   P.Heard = P.PingSent;
-  P.TheirSession = std::max(P.TheirSession, Reply.Session);
+  P.TheirOldestJob = std::max(P.TheirOldestJob, Reply.OldestJob);
   if (P.PingSent >= P.DoubtedSince)
     P.DoubtedSince = {};
   else
@@ -330,7 +331,7 @@
     Message.KnowsUpstreams = State.KnowsUpstreams;
     Message.WantsKnown =
         P.Heard == SteadyTime{} || Now - State.Started < DiscoveryTime;
-    Message.Session = P.Session;
+    Message.OldestJob = oldestJob(P);
     for (auto C = P.Cancelled.begin(); C != P.Cancelled.end();) {
       if (Now - C->second > CancelMemory) {
         C = P.Cancelled.erase(C);
--- a/src/cells/cell_type.h
+++ b/src/cells/cell_type.h
@@ -49,9 +49,10 @@
   bool Draining = false;
   bool WantsKnown = false;     ///< The answer should name other instances.
   bool KnowsUpstreams = false; ///< It has a list of upstreams to send to.
-  /// Rises when the pinging instance has given up its jobs at the receiver.
-  uint64_t Session = 0;
-  std::vector<JobId> Cancelled; ///< Jobs of the session to stop.
+  /// The pinging instance waits for none of its jobs at the receiver with a
+  /// lower number. Numbers rise with each job that is handed over.
+  uint64_t OldestJob = 0;
+  std::vector<JobId> Cancelled; ///< Further jobs to stop.
   std::vector<CellClaim> Claims;
 };
 
@@ -67,7 +68,9 @@
   std::vector<UpstreamId> Held;
   std::vector<InstanceEntry> Known;
   uint64_t ConfigurationVersion = 0;
-  uint64_t Session = 0; ///< Of the answering instance's jobs at the other.
+  uint64_t OldestJob = 0; ///< As in a ping, of the answering instance.
+  /// Numbers of the asking instance's jobs that are here.
+  std::vector<uint64_t> Jobs;
 };
 
 // Effects.
--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -21,6 +21,9 @@
 // The sender gives up at the caller's deadline; its answer comes a little
 // later.
 constexpr Duration AnswerSlack = std::chrono::milliseconds(150);
+// An order or an answer has arrived after this time if it ever does; they take
+// a few milliseconds, and some tens on an instance short of processor time.
+constexpr Duration TravelTime = std::chrono::milliseconds(150);
 // A job waits this long for a sender to appear; a take-over takes about a
 // second, and one that follows a shutdown a few milliseconds.
 constexpr Duration SenderWait = std::chrono::milliseconds(1000);
@@ -70,10 +73,10 @@
 
 /// Counts a job in or out at its sender, whose silence is watched closely while
 /// it has jobs.
-void countOpen(const EntryContext &Context, const Address &Where, int Change) {
-  auto P = Context.Cells.Peers.find(Where);
+void closeAtSender(const EntryContext &Context, const EntryJob &J) {
+  auto P = Context.Cells.Peers.find(J.Where);
   if (P != Context.Cells.Peers.end())
-    P->second.OpenJobs += Change;
+    P->second.OpenJobs.erase(J.Order.Number);
 }
 
 /// Takes a job out of the state, if it is there.
@@ -86,7 +89,7 @@
   State.Jobs.erase(It);
   State.ByCaller.erase(J.Caller);
   State.ByJob.erase(J.Order.Id);
-  countOpen(Context, J.Where, -1);
+  closeAtSender(Context, J);
   return J;
 }
 
@@ -135,12 +138,35 @@
   return std::min(latestUsefulStart(J), J.Arrived + SenderWait);
 }
 
+/// Sends the job to the sender that it has.
+void handOver(EntryState &State, const EntryContext &Context, RequestId Forward,
+              SteadyTime Now, InstanceEffects &Out) {
+  EntryJob &J = State.Jobs.at(Forward);
+  J.Forwarded = Now;
+  J.Order.Number = State.NextNumber++;
+  J.Order.Remaining = J.Deadline - Now;
+  J.Order.Age = Now - J.Arrived;
+  auto P = Context.Cells.Peers.find(J.Where);
+  if (P != Context.Cells.Peers.end()) {
+    J.SenderIncarnation = P->second.Incarnation;
+    P->second.OpenJobs.insert(J.Order.Number);
+    P->second.NextJob = J.Order.Number + 1;
+    P->second.Cancelled.erase(J.Order.Id);
+    P->second.NextPing = std::min(P->second.NextPing, Now + SenderPingPeriod);
+    P->second.Load.FreeCpu -=
+        J.Order.Step.Each.CpuMillis * static_cast<int64_t>(J.Order.Step.Count);
+  }
+  ++State.Counts.Forwarded;
+  Out.push_back(
+      ForwardJob{J.Where, Forward, J.Order, J.Order.Remaining + AnswerSlack});
+}
+
 /// Hands the job to the best sender that has not been asked. Gives false when
 /// there is none.
 bool forward(EntryState &State, const EntryContext &Context, RequestId Forward,
              SteadyTime Now, InstanceEffects &Out) {
   EntryJob &J = State.Jobs.at(Forward);
-  countOpen(Context, J.Where, -1);
+  closeAtSender(Context, J);
   J.Where = {};
   if (J.Tried.size() >= MaxSendersAsked)
     return false;
@@ -160,21 +186,7 @@
     return false;
   J.Tried.insert(Best);
   J.Where = Best;
-  J.Forwarded = Now;
-  countOpen(Context, Best, 1);
-  J.Order.Remaining = J.Deadline - Now;
-  J.Order.Age = Now - J.Arrived;
-  auto P = Context.Cells.Peers.find(Best);
-  if (P != Context.Cells.Peers.end()) {
-    J.Order.Session = P->second.Session;
-    P->second.Cancelled.erase(J.Order.Id);
-    P->second.NextPing = std::min(P->second.NextPing, Now + SenderPingPeriod);
-    P->second.Load.FreeCpu -=
-        J.Order.Step.Each.CpuMillis * static_cast<int64_t>(J.Order.Step.Count);
-  }
-  ++State.Counts.Forwarded;
-  Out.push_back(
-      ForwardJob{Best, Forward, J.Order, J.Order.Remaining + AnswerSlack});
+  handOver(State, Context, Forward, Now, Out);
   return true;
 }
 
@@ -351,6 +363,51 @@
   }
 }
 
+void resendLostJobs(EntryState &State, const EntryContext &Context,
+                    const Address &Sender, const std::vector<uint64_t> &Known,
+                    SteadyTime Now, InstanceEffects &Out) {
+  auto P = Context.Cells.Peers.find(Sender);
+  if (P == Context.Cells.Peers.end())
+    return;
+  std::set<uint64_t> There(Known.begin(), Known.end());
+  std::vector<RequestId> Lost;
+  for (auto &[Forward, J] : State.Jobs) {
+    bool Sent =
+        J.Where == Sender && J.Forwarded + TravelTime <= P->second.Heard;
+    if (!Sent || There.count(J.Order.Number)) {
+      J.Missed = {};
+      continue;
+    }
+    if (J.Missed == SteadyTime{})
+      J.Missed = Now;
+    else if (Now - J.Missed >= TravelTime)
+      Lost.push_back(Forward);
+  }
+  for (RequestId Forward : Lost) {
+    EntryJob &J = State.Jobs.at(Forward);
+    if (J.SenderIncarnation != P->second.Incarnation) {
+      endJob(State, Context, Forward, CallerVerdict::Lost, Duration::zero(),
+             "the sender was restarted", Now, Out);
+      continue;
+    }
+    logJob(Out, J.Order.Id,
+           "sender=" + Sender.Value +
+               " does not have it, handed over again after_ms=" +
+               std::to_string(toMilliseconds(Now - J.Forwarded)));
+    closeAtSender(Context, J);
+    // A late answer to the first call must not end the second.
+    RequestId Again{State.NextForward++};
+    EntryJob Moved = std::move(J);
+    State.Jobs.erase(Forward);
+    Moved.Missed = {};
+    Moved.Order.Resent = true;
+    State.ByCaller[Moved.Caller] = Again;
+    State.ByJob[Moved.Order.Id] = Again;
+    State.Jobs.emplace(Again, std::move(Moved));
+    handOver(State, Context, Again, Now, Out);
+  }
+}
+
 void expireEntryJobs(EntryState &State, const EntryContext &Context,
                      SteadyTime Now, InstanceEffects &Out) {
   std::set<Address> Gone;
@@ -378,8 +435,6 @@
     auto P = Context.Cells.Peers.find(Where);
     if (P == Context.Cells.Peers.end())
       continue;
-    // Tells the sender, once it hears again, that its jobs were given up.
-    ++P->second.Session;
     Out.push_back(LogDecision{DecisionPart::Entry, "",
                               "sender=" + Where.Value +
                                   " is silent, its jobs are given up"});
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -40,13 +40,17 @@
   return {State.Cells, [&State, Now] { return senderLoad(State.Sender, Now); }};
 }
 
-OwnReport ownReport(const FleetInstance &State, SteadyTime Now) {
+OwnReport ownReport(const FleetInstance &State, const Address &Asking,
+                    SteadyTime Now) {
   OwnReport Report;
   Report.Load = senderLoad(State.Sender, Now);
   Report.Held = usedUpstreams(State.Sender);
   Report.ConfigurationVersion = State.Directory.Configuration
                                     ? State.Directory.Configuration->Version
                                     : 0;
+  for (const auto &[Id, J] : State.Sender.Jobs)
+    if (!J.Waiter.Local && J.Order.Entry == Asking)
+      Report.Jobs.push_back(J.Order.Number);
   return Report;
 }
 
@@ -78,7 +82,7 @@
   if (P == Cells.Peers.end())
     return true;
   return P->second.Incarnation != Order.Incarnation ||
-         Order.Session < P->second.TheirSession ||
+         Order.Number < P->second.TheirOldestJob ||
          Now - P->second.PingedByRaw >= OrphanAfter;
 }
 
@@ -188,7 +192,8 @@
   }
 
   void operator()(const PingArrived &E) {
-    applyPing(State.Cells, E, ownReport(State, Now), Now, Out);
+    applyPing(State.Cells, E, ownReport(State, E.Message.From.Where, Now), Now,
+              Out);
     stopCancelled(E.Message);
     updateOwnCells();
   }
@@ -196,6 +201,9 @@
     applyPong(State.Cells, E, Now, Out);
     // Its jobs may be known to be wanted now.
     State.Sender.Changed = true;
+    if (E.Reply)
+      resendLostJobs(State.Entry, entryContext(State, Now), E.Where,
+                     E.Reply->Jobs, Now, Out);
     uint64_t Own = State.Directory.Configuration
                        ? State.Directory.Configuration->Version
                        : 0;
--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -215,7 +215,7 @@
   V["draining"] = Message.Draining;
   V["wants_known"] = Message.WantsKnown;
   V["knows_upstreams"] = Message.KnowsUpstreams;
-  V["session"] = Json::UInt64(Message.Session);
+  V["oldest_job"] = Json::UInt64(Message.OldestJob);
   V["cancelled"] = encodeIds(Message.Cancelled);
   V["claims"] = encodeList(Message.Claims, encodeClaim);
   return V;
@@ -229,7 +229,7 @@
       .boolean("draining", Message.Draining)
       .boolean("wants_known", Message.WantsKnown)
       .boolean("knows_upstreams", Message.KnowsUpstreams)
-      .unsignedId("session", Message.Session);
+      .unsignedId("oldest_job", Message.OldestJob);
   readIds(Reader, "cancelled", Message.Cancelled);
   readList(Reader, "claims", MaxClaims, Message.Claims, decodeClaim);
   return finishReading(Reader, std::move(Message));
@@ -246,7 +246,7 @@
   V["held"] = encodeIds(Message.Held);
   V["known"] = encodeList(Message.Known, encodeInstance);
   V["configuration"] = Json::UInt64(Message.ConfigurationVersion);
-  V["session"] = Json::UInt64(Message.Session);
+  V["oldest_job"] = Json::UInt64(Message.OldestJob);
   return V;
 }
 
@@ -258,7 +258,7 @@
       .boolean("draining", Message.Draining)
       .boolean("knows_upstreams", Message.KnowsUpstreams)
       .unsignedId("configuration", Message.ConfigurationVersion)
-      .unsignedId("session", Message.Session);
+      .unsignedId("oldest_job", Message.OldestJob);
   readList(Reader, "claims", MaxClaims, Message.Claims, decodeClaim);
   readSenderLoad(Reader, Message.Load);
   readIds(Reader, "held", Message.Held);
@@ -294,7 +294,8 @@
   V["id"] = Order.Id.Value;
   V["entry"] = Order.Entry.Value;
   V["incarnation"] = Json::UInt64(Order.Incarnation.Value);
-  V["session"] = Json::UInt64(Order.Session);
+  V["number"] = Json::UInt64(Order.Number);
+  V["resent"] = Order.Resent;
   V["queue"] = Order.Queue;
   V["service"] = Order.Service.Value;
   V["priority"] = Order.Priority;
@@ -315,7 +316,8 @@
   Reader.string("id", Order.Id.Value, MaxTextLength)
       .string("entry", Order.Entry.Value, MaxTextLength)
       .unsignedId("incarnation", Order.Incarnation.Value)
-      .unsignedId("session", Order.Session)
+      .unsignedId("number", Order.Number)
+      .boolean("resent", Order.Resent)
       .string("queue", Order.Queue, MaxTextLength)
       .string("service", Order.Service.Value, MaxTextLength)
       .integer("priority", Priority, INT32_MIN, INT32_MAX)
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -206,7 +206,7 @@
   J.Waiter = Waiter;
   J.Order.Entry = Order.Entry;
   J.Order.Incarnation = Order.Incarnation;
-  J.Order.Session = Order.Session;
+  J.Order.Number = Order.Number;
   J.Deadline = std::max(J.Deadline, Now + Order.Remaining);
   State.ByWaiter[Waiter] = Order.Id;
   logJob(Out, Order.Id, "a second copy came in and waits for the running job");
@@ -225,7 +225,9 @@
   auto Kept = State.Results.find(Order.Id);
   bool HasResult =
       Kept != State.Results.end() && Now - Kept->second.Ended <= ResultMemory;
-  if (HasResult && Kept->second.Outcome != JobOutcome::Lost) {
+  // A caller's second try may run a lost job again; the entry's may not, since
+  // it comes before all runs of the first are over.
+  if (HasResult && (Kept->second.Outcome != JobOutcome::Lost || Order.Resent)) {
     JobResult Result;
     Result.Outcome = Kept->second.Outcome;
     Result.Reason = "answered before";
--- a/src/sender/sender_type.h
+++ b/src/sender/sender_type.h
@@ -24,8 +24,10 @@
   JobId Id;
   Address Entry;             ///< Instance that waits for the result.
   IncarnationId Incarnation; ///< Process of the entry.
-  uint64_t Session = 0;      ///< Of the entry with this sender.
-  std::string Queue;         ///< Name of the route.
+  uint64_t Number = 0;       ///< Among the entry's jobs; rises.
+  /// It was handed over before, and the sender did not seem to have it.
+  bool Resent = false;
+  std::string Queue; ///< Name of the route.
   ServiceName Service;
   int32_t Priority = 0;
   uint32_t MaxAttempts = 1;
