rpc: send the list of jobs in the answer to a ping

Cause: the list that tells an entry which of its jobs a sender has was not encoded, so each entry read an empty list and handed every job over again that took more than 400 ms. The tests on a fake clock pass messages without their JSON form.

Ruled out: a real loss; each sender answered that the job was running.

Before and after: CellCodecTest.PongKeepsItsFields failed, passes; the new tests compare every field of the four messages between instances.

--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -81,6 +81,13 @@
            });
 }
 
+Result<uint64_t> decodeNumber(const Json::Value &Value) {
+  if (!Value.isUInt64())
+    return Error{ErrorKind::InvalidField, "a number of a job is not a number",
+                 "give a list of whole numbers"};
+  return Value.asUInt64();
+}
+
 Json::Value encodeLoad(const SenderLoad &Load) {
   Json::Value V(Json::objectValue);
   V["delay_ms"] = ms(Load.Delay);
@@ -247,6 +254,9 @@
   V["known"] = encodeList(Message.Known, encodeInstance);
   V["configuration"] = Json::UInt64(Message.ConfigurationVersion);
   V["oldest_job"] = Json::UInt64(Message.OldestJob);
+  V["jobs"] = encodeList(Message.Jobs, [](uint64_t Number) {
+    return Json::Value(Json::UInt64(Number));
+  });
   return V;
 }
 
@@ -261,6 +271,7 @@
       .unsignedId("oldest_job", Message.OldestJob);
   readList(Reader, "claims", MaxClaims, Message.Claims, decodeClaim);
   readSenderLoad(Reader, Message.Load);
+  readList(Reader, "jobs", MaxIds, Message.Jobs, decodeNumber);
   readIds(Reader, "held", Message.Held);
   readList(Reader, "known", MaxIds, Message.Known, decodeInstance);
   return finishReading(Reader, std::move(Message));
--- /dev/null
+++ b/tests/cell_codec_test.cpp
@@ -0,0 +1,137 @@
+/// \file Messages between instances of a fleet of cells keep every field.
+#include "rpc/cell_codec.h"
+
+#include <gtest/gtest.h>
+
+using namespace snipeshunt;
+using std::chrono::milliseconds;
+
+namespace {
+
+template <typename T> T decoded(Result<T> R) {
+  EXPECT_FALSE(failed(R)) << errorOf(R).Message;
+  return std::move(valueOf(R));
+}
+
+const InstanceEntry Instance{{"10.0.0.1:7000"}, {"centre-a"}, 0.25};
+const CellClaim Claim{{{"centre-a"}, 2}, {77}};
+
+SenderLoad someLoad() {
+  SenderLoad Load;
+  Load.Delay = milliseconds(12);
+  Load.FreeCpu = 3000;
+  Load.TotalCpu = 64000;
+  Load.Waiting = 5;
+  return Load;
+}
+
+void expectSame(const SenderLoad &L, const SenderLoad &R) {
+  EXPECT_EQ(L.Delay, R.Delay);
+  EXPECT_EQ(L.FreeCpu, R.FreeCpu);
+  EXPECT_EQ(L.TotalCpu, R.TotalCpu);
+  EXPECT_EQ(L.Waiting, R.Waiting);
+}
+
+void expectSame(const InstanceEntry &L, const InstanceEntry &R) {
+  EXPECT_EQ(L.Where, R.Where);
+  EXPECT_EQ(L.Centre, R.Centre);
+  EXPECT_EQ(L.Weight, R.Weight);
+}
+
+void expectSame(const std::vector<CellClaim> &L,
+                const std::vector<CellClaim> &R) {
+  ASSERT_EQ(L.size(), R.size());
+  for (size_t I = 0; I < L.size(); ++I) {
+    EXPECT_EQ(L[I].Cell, R[I].Cell);
+    EXPECT_EQ(L[I].Token, R[I].Token);
+  }
+}
+
+} // namespace
+
+// Guards against a field that is not sent: the receiver would take its default,
+// for instance an empty list of jobs, as the sender's word.
+TEST(CellCodecTest, PingKeepsItsFields) {
+  PeerPing In{Instance, {9}, true, true, true, 41, {{"job-1"}}, {Claim}};
+  PeerPing Out = decoded(decodePing(encodePing(In)));
+  expectSame(Out.From, In.From);
+  EXPECT_EQ(Out.Incarnation, In.Incarnation);
+  EXPECT_EQ(Out.Draining, In.Draining);
+  EXPECT_EQ(Out.WantsKnown, In.WantsKnown);
+  EXPECT_EQ(Out.KnowsUpstreams, In.KnowsUpstreams);
+  EXPECT_EQ(Out.OldestJob, In.OldestJob);
+  EXPECT_EQ(Out.Cancelled, In.Cancelled);
+  expectSame(Out.Claims, In.Claims);
+}
+
+TEST(CellCodecTest, PongKeepsItsFields) {
+  PeerPong In{Instance,   {9},        true, true, {Claim}, someLoad(),
+              {{"up-1"}}, {Instance}, 13,   41,   {42, 43}};
+  PeerPong Out = decoded(decodePong(encodePong(In)));
+  expectSame(Out.From, In.From);
+  EXPECT_EQ(Out.Incarnation, In.Incarnation);
+  EXPECT_EQ(Out.Draining, In.Draining);
+  EXPECT_EQ(Out.KnowsUpstreams, In.KnowsUpstreams);
+  expectSame(Out.Claims, In.Claims);
+  expectSame(Out.Load, In.Load);
+  EXPECT_EQ(Out.Held, In.Held);
+  ASSERT_EQ(Out.Known.size(), 1U);
+  expectSame(Out.Known.front(), Instance);
+  EXPECT_EQ(Out.ConfigurationVersion, In.ConfigurationVersion);
+  EXPECT_EQ(Out.OldestJob, In.OldestJob);
+  EXPECT_EQ(Out.Jobs, In.Jobs);
+}
+
+TEST(CellCodecTest, OrderKeepsItsFields) {
+  JobOrder In;
+  In.Id = {"job-1"};
+  In.Entry = Instance.Where;
+  In.Incarnation = {9};
+  In.Number = 44;
+  In.Resent = true;
+  In.Queue = "queue";
+  In.Service = {"service"};
+  In.Priority = 2;
+  In.MaxAttempts = 3;
+  In.Stretch = 1.6;
+  In.Slack = milliseconds(60);
+  In.Remaining = milliseconds(1500);
+  In.Age = milliseconds(20);
+  In.Spec = "spec";
+  In.Step = {8, {14000, 64, 1}, milliseconds(51), "r1-1", "b", 2};
+  JobOrder Out = decoded(decodeJobOrder(encodeJobOrder(In)));
+  EXPECT_EQ(Out.Id, In.Id);
+  EXPECT_EQ(Out.Entry, In.Entry);
+  EXPECT_EQ(Out.Incarnation, In.Incarnation);
+  EXPECT_EQ(Out.Number, In.Number);
+  EXPECT_EQ(Out.Resent, In.Resent);
+  EXPECT_EQ(Out.Queue, In.Queue);
+  EXPECT_EQ(Out.Service, In.Service);
+  EXPECT_EQ(Out.Priority, In.Priority);
+  EXPECT_EQ(Out.MaxAttempts, In.MaxAttempts);
+  EXPECT_EQ(Out.Stretch, In.Stretch);
+  EXPECT_EQ(Out.Slack, In.Slack);
+  EXPECT_EQ(Out.Remaining, In.Remaining);
+  EXPECT_EQ(Out.Age, In.Age);
+  EXPECT_EQ(Out.Spec, In.Spec);
+  EXPECT_EQ(Out.Step.Count, In.Step.Count);
+  EXPECT_EQ(Out.Step.Each.CpuMillis, In.Step.Each.CpuMillis);
+  EXPECT_EQ(Out.Step.Each.MemoryMb, In.Step.Each.MemoryMb);
+  EXPECT_EQ(Out.Step.Each.Accelerators, In.Step.Each.Accelerators);
+  EXPECT_EQ(Out.Step.Estimate, In.Step.Estimate);
+  EXPECT_EQ(Out.Step.Rack, In.Step.Rack);
+  EXPECT_EQ(Out.Step.Requirement, In.Step.Requirement);
+  EXPECT_EQ(Out.Step.MaxPerUpstream, In.Step.MaxPerUpstream);
+}
+
+TEST(CellCodecTest, ResultKeepsItsFields) {
+  JobResult In{JobOutcome::NotRun, "reason", milliseconds(1200), true, true,
+               someLoad()};
+  JobResult Out = decoded(decodeJobResult(encodeJobResult(In)));
+  EXPECT_EQ(Out.Outcome, In.Outcome);
+  EXPECT_EQ(Out.Reason, In.Reason);
+  EXPECT_EQ(Out.RetryAfter, In.RetryAfter);
+  EXPECT_EQ(Out.Moved, In.Moved);
+  EXPECT_EQ(Out.Leaving, In.Leaving);
+  expectSame(Out.Load, In.Load);
+}
