soak: real processes of a fleet of cells under faults from outside

Cause: the soak of real processes knew the ticket mode only; the users ask for one of what runs on their platform.

Runners' clocks are 2 % slow.

--- /dev/null
+++ b/src/fleet/cell_fleet.cpp
@@ -0,0 +1,270 @@
+/// \file Real instances of a fleet of cells, with a stand-in for the platform.
+#include "fleet/cell_fleet.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace snipeshunt {
+
+namespace {
+
+// Generous, so that a loaded machine decides nothing.
+constexpr Duration StartLimit = std::chrono::seconds(30);
+constexpr std::chrono::milliseconds Patience{20000};
+constexpr Duration AnswerSlack = std::chrono::seconds(5);
+constexpr size_t ShownPlatformLog = 2000;
+constexpr std::string_view TimeField = "at=";
+
+/// A port of \p Ip that was free a moment ago; 0 if there is none.
+uint16_t freePort(const std::string &Ip) {
+  int Socket = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Where{};
+  Where.sin_family = AF_INET;
+  inet_pton(AF_INET, Ip.c_str(), &Where.sin_addr);
+  socklen_t Size = sizeof(Where);
+  if (bind(Socket, reinterpret_cast<sockaddr *>(&Where), Size) == 0)
+    getsockname(Socket, reinterpret_cast<sockaddr *>(&Where), &Size);
+  close(Socket);
+  return ntohs(Where.sin_port);
+}
+
+Address freeAddress(const std::string &Ip) {
+  return {Ip + ":" + std::to_string(freePort(Ip))};
+}
+
+HttpReply replyOf(const HttpOutcome &Outcome) {
+  if (const auto *Reply = std::get_if<HttpReply>(&Outcome))
+    return *Reply;
+  return {0, std::get<HttpFailure>(Outcome).Message};
+}
+
+} // namespace
+
+CellFleet::CellFleet(CellFleetOptions Given) : Options(std::move(Given)) {
+  std::string Template =
+      (std::filesystem::temp_directory_path() / "snipeshunt-cells-XXXXXX")
+          .string();
+  WorkDir = mkdtemp(Template.data());
+  Store = freeAddress("127.0.90.1");
+  for (size_t I = 0; I < Options.Instances; ++I) {
+    std::string Ip = "127.0.91." + std::to_string(I + 1);
+    Fronts.push_back(freeAddress(Ip));
+    Readies.push_back(freeAddress(Ip));
+    Peers.push_back(freeAddress(Ip));
+    Metrics.push_back(freeAddress(Ip));
+    Processes.emplace_back();
+  }
+  PeersLinks = Peers;
+  StoreLinks.assign(Options.Instances, Store);
+}
+
+CellFleet::~CellFleet() {
+  Processes.clear();
+  Platform.reset();
+  std::error_code Ignored;
+  if (!Options.KeepWorkDir)
+    std::filesystem::remove_all(WorkDir, Ignored);
+}
+
+void CellFleet::setLinks(size_t I, const Address &PeersLink,
+                         const Address &StoreLink) {
+  PeersLinks[I] = PeersLink;
+  StoreLinks[I] = StoreLink;
+}
+
+void CellFleet::setRunnerLinks(std::vector<Address> Links) {
+  RunnerLinks = std::move(Links);
+}
+
+Result<Ok> CellFleet::startPlatform() {
+  std::vector<std::string> Command = {Options.BinaryDir + "/standin-cells",
+                                      "--listen",
+                                      Store.Value,
+                                      "--runners",
+                                      std::to_string(Options.Runners),
+                                      "--centres",
+                                      std::to_string(Options.Centres)};
+  for (const Address &Link : RunnerLinks) {
+    Command.emplace_back("--announce");
+    Command.push_back(Link.Value);
+  }
+  Result<ChildProcess> Started = ChildProcess::start(Command, log("platform"));
+  if (failed(Started))
+    return errorOf(Started);
+  Platform = std::make_unique<ChildProcess>(std::move(valueOf(Started)));
+  return Ok{};
+}
+
+Result<Ok> CellFleet::start() {
+  Result<Ok> Done = startPlatform();
+  for (size_t I = 0; I < instances() && !failed(Done); ++I)
+    Done = startInstance(I);
+  return Done;
+}
+
+Result<Ok> CellFleet::startInstance(size_t I) {
+  std::ofstream File(settings(I));
+  File << "{ // Instance " << I << " of a test.\n"
+       << R"("name":"i)" << I << R"(","data_centre":"dc)"
+       << 1 + I % Options.Centres << R"(","weight":0.)" << 9 - I % 9
+       << R"(,"front":")" << Fronts[I].Value << R"(","ready":")"
+       << Readies[I].Value << R"(","peers":")" << PeersLinks[I].Value
+       << R"(","peers_listen":")" << Peers[I].Value << R"(","metrics":")"
+       << Metrics[I].Value << R"(","store":")" << StoreLinks[I].Value
+       << R"(","seeds":[")" << PeersLinks[0].Value << R"("]})";
+  File.close();
+  Result<ChildProcess> Started =
+      ChildProcess::start({Options.BinaryDir + "/snipeshuntd", "--cells",
+                           "--settings", settings(I)},
+                          log("i" + std::to_string(I)));
+  if (failed(Started))
+    return errorOf(Started);
+  Processes[I] = std::make_unique<ChildProcess>(std::move(valueOf(Started)));
+  return Ok{};
+}
+
+std::vector<Address> CellFleet::runnerAddresses() const {
+  std::vector<Address> Found(Options.Runners);
+  size_t Known = 0;
+  std::istringstream Lines(logText("platform"));
+  for (std::string Kind; Lines >> Kind;) {
+    size_t Number = 0;
+    std::string Rest;
+    if (Kind == "runner" && Lines >> Number && Number < Found.size() &&
+        Lines >> Found[Number].Value)
+      ++Known;
+    std::getline(Lines, Rest);
+  }
+  return Known == Found.size() ? Found : std::vector<Address>();
+}
+
+bool CellFleet::isReady(size_t I) const {
+  HttpCall Call;
+  Call.Target = Readies[I];
+  Call.Path = "/snipeshunt/ready";
+  return replyOf(callOnce(std::move(Call))).Status == 200;
+}
+
+bool CellFleet::waitUntilReady() const {
+  return Fleet::waitUntil(
+      [this] {
+        for (size_t I = 0; I < instances(); ++I)
+          if (!isReady(I))
+            return false;
+        return true;
+      },
+      StartLimit);
+}
+
+HttpCall CellFleet::submission(size_t I, const std::string &Id, int Tasks,
+                               int WorkMs,
+                               std::chrono::milliseconds Wait) const {
+  HttpCall Call = makeCall(I, "POST", "/jobs/" + Id, Wait);
+  Call.Body = R"({"spec":"work_ms=)" + std::to_string(WorkMs) +
+              R"(","best_effort":true,"steps":[{"count":)" +
+              std::to_string(Tasks) +
+              R"(,"cpu":27000,"mem_mb":64,"estimate_ms":)" +
+              std::to_string(WorkMs) + "}]}";
+  return Call;
+}
+
+HttpReply CellFleet::submit(size_t I, const std::string &Id, int Tasks,
+                            int WorkMs) const {
+  return replyOf(callOnce(submission(I, Id, Tasks, WorkMs, Patience)));
+}
+
+HttpReply CellFleet::get(size_t I, const std::string &Path,
+                         const std::string &Host) const {
+  HttpCall Call = makeCall(I, "GET", Path, Patience);
+  Call.Headers[0].second = Host;
+  return replyOf(callOnce(std::move(Call)));
+}
+
+HttpCall CellFleet::makeCall(size_t I, const char *Method,
+                             const std::string &Path,
+                             std::chrono::milliseconds Wait) const {
+  HttpCall Call;
+  Call.Target = Fronts[I];
+  Call.Method = Method;
+  Call.Path = Path;
+  Call.Headers.emplace_back("Host", "jobs.example");
+  Call.Headers.emplace_back("X-Snipeshunt-Deadline-Ms",
+                            std::to_string(Wait.count()));
+  Call.Timeout = Wait + AnswerSlack;
+  return Call;
+}
+
+std::string CellFleet::metrics(size_t I) const {
+  Result<std::string> Text = getText(Metrics[I], "/metrics");
+  return failed(Text) ? errorOf(Text).Message : valueOf(Text);
+}
+
+std::string CellFleet::settings(size_t I) const {
+  return (WorkDir / ("i" + std::to_string(I) + ".json")).string();
+}
+
+std::string CellFleet::log(const std::string &Name) const {
+  return (WorkDir / (Name + ".log")).string();
+}
+
+std::string CellFleet::logText(const std::string &Name) const {
+  std::ifstream File(log(Name));
+  std::stringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+std::string CellFleet::allLogs() const {
+  std::string Text;
+  for (size_t I = 0; I < instances(); ++I)
+    Text += logText("i" + std::to_string(I));
+  return Text + logText("platform").substr(0, ShownPlatformLog);
+}
+
+std::vector<RunEvent> CellFleet::history() const {
+  std::vector<RunEvent> Found;
+  std::istringstream Lines(logText("platform"));
+  for (std::string Line; std::getline(Lines, Line);) {
+    std::istringstream Words(Line);
+    std::string Kind;
+    RunEvent E;
+    Words >> Kind >> E.Task >> E.Run >> E.Runner;
+    E.IsStart = Kind == "start";
+    if (!E.IsStart && Kind != "end")
+      continue;
+    std::string Word;
+    while (Words >> Word)
+      if (Word.rfind(TimeField, 0) == 0)
+        E.At = SteadyTime(std::chrono::microseconds(
+            std::strtoll(Word.c_str() + TimeField.size(), nullptr, 10)));
+      else
+        E.How = Word;
+    Found.push_back(std::move(E));
+  }
+  return Found;
+}
+
+std::map<std::string, int> CellFleet::starts(const std::string &Job) const {
+  std::map<std::string, int> Found;
+  for (const RunEvent &E : history())
+    if (E.IsStart && E.Task.rfind(Job + ".", 0) == 0)
+      ++Found[E.Task];
+  return Found;
+}
+
+std::vector<std::string> CellFleet::overlaps() const {
+  std::map<std::string, int> Open;
+  std::vector<std::string> Found;
+  for (const RunEvent &E : history()) {
+    Open[E.Task] += E.IsStart ? 1 : -1;
+    if (Open[E.Task] > 1)
+      Found.push_back(E.Task);
+  }
+  return Found;
+}
+
+} // namespace snipeshunt
--- a/src/standins/cells_main.cpp
+++ b/src/standins/cells_main.cpp
@@ -20,7 +20,9 @@
 
 void printUsage() {
   fprintf(stderr, "Usage: standin-cells --listen IP:PORT --runners N "
-                  "[--centres N]\n");
+                  "[--centres N] [--announce IP:PORT]...\n"
+                  "With --announce, which is given for each runner, the "
+                  "runners register these addresses.\n");
 }
 
 } // namespace
@@ -30,22 +32,27 @@
   const option Options[] = {{"listen", required_argument, nullptr, 'l'},
                             {"runners", required_argument, nullptr, 'r'},
                             {"centres", required_argument, nullptr, 'c'},
+                            {"announce", required_argument, nullptr, 'a'},
                             {nullptr, 0, nullptr, 0}};
   std::string Listen;
   std::optional<int64_t> Runners;
   std::optional<int64_t> Centres = 1;
-  for (int Option;
-       (Option = getopt_long(Argc, Argv, "l:r:c:", Options, nullptr)) != -1;) {
+  std::vector<Address> Announced;
+  for (int Option; (Option = getopt_long(Argc, Argv, "l:r:c:a:", Options,
+                                         nullptr)) != -1;) {
     if (Option == 'l')
       Listen = optarg;
     else if (Option == 'r')
       Runners = wholeNumber(optarg, 1, 500);
     else if (Option == 'c')
       Centres = wholeNumber(optarg, 1, 16);
+    else if (Option == 'a')
+      Announced.push_back({optarg});
     else
       return printUsage(), UsageError;
   }
-  if (Listen.empty() || !Runners || !Centres)
+  if (Listen.empty() || !Runners || !Centres ||
+      (!Announced.empty() && Announced.size() != static_cast<size_t>(*Runners)))
     return printUsage(), UsageError;
   EventLoop Loop;
   StoreStandin Store(Loop);
@@ -58,7 +65,17 @@
         "dc" + std::to_string(1 + I % *Centres)));
     if (!All.back()->listen(Ip))
       return 1;
+    if (!Announced.empty())
+      All.back()->announce(Announced[static_cast<size_t>(I)]);
+    // Leases end by the clock, however late this process gets to it.
+    All.back()->BeforeRequest.connect([&All] {
+      for (const auto &R : All)
+        R->advance();
+    });
+    printf("runner %lld %s\n", static_cast<long long>(I),
+           All.back()->where().Value.c_str());
   }
+  fflush(stdout);
   uint64_t Sequence = 0;
   auto Beat = [&] {
     ++Sequence;
--- a/src/standins/runner_standin.cpp
+++ b/src/standins/runner_standin.cpp
@@ -11,6 +11,8 @@
 constexpr Duration StepPeriod = std::chrono::milliseconds(2);
 constexpr int64_t MaxLeaseMs = 1000;
 constexpr int64_t DefaultWorkMs = 20;
+// The platform's runners may have clocks that are 2 % slow.
+constexpr double ClockSpeed = 0.98;
 
 int64_t workMs(const std::string &Spec) {
   size_t At = Spec.find("work_ms=");
@@ -18,6 +20,13 @@
                                  : std::atoll(Spec.c_str() + At + 8);
 }
 
+/// Of the machine's steady clock, which all processes share.
+long long steadyMicroseconds() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
 } // namespace
 
 RunnerStandin::RunnerStandin(EventLoop &Loop, std::string Id,
@@ -44,7 +53,7 @@
 std::string RunnerStandin::registration(uint64_t Sequence) const {
   Json::Value Entry(Json::objectValue);
   Entry["service"] = "standin";
-  Entry["address"] = Where.Value;
+  Entry["address"] = (Announced.Value.empty() ? Where : Announced).Value;
   Entry["zone"] = Centre;
   Entry["version"] = "v1";
   Entry["slots"] = 8;
@@ -61,10 +70,13 @@
 }
 
 int64_t RunnerStandin::clockMs() const {
-  return toMilliseconds(std::chrono::steady_clock::now() - Started);
+  auto Passed = std::chrono::duration_cast<Duration>(
+      (std::chrono::steady_clock::now() - Started) * ClockSpeed);
+  return toMilliseconds(Passed);
 }
 
 void RunnerStandin::receive(const HttpRequest &Request) {
+  BeforeRequest.emit();
   Result<Json::Value> Parsed = parseJson(Request.Body);
   if (failed(Parsed) || !valueOf(Parsed).isObject())
     return Server.reply(Request.Id, {400, "{}"});
@@ -121,7 +133,8 @@
     return jsonReply(200, Reply);
   Running[Task] = {Number, std::chrono::steady_clock::now(),
                    std::chrono::milliseconds(workMs(Body["spec"].asString()))};
-  printf("start %s %u %s\n", Task.c_str(), Number, Id.c_str());
+  printf("start %s %u %s at=%lld\n", Task.c_str(), Number, Id.c_str(),
+         steadyMicroseconds());
   return jsonReply(200, Reply);
 }
 
@@ -159,7 +172,8 @@
   uint32_t &Last = LastEnded[Task];
   Last = std::max(Last, Number);
   Ends.push_back({NextEnd++, Task, Number, How});
-  printf("end %s %u %s %s\n", Task.c_str(), Number, Id.c_str(), How);
+  printf("end %s %u %s %s at=%lld\n", Task.c_str(), Number, Id.c_str(), How,
+         steadyMicroseconds());
 }
 
 void RunnerStandin::advance() {
--- a/src/standins/runner_standin.h
+++ b/src/standins/runner_standin.h
@@ -4,6 +4,8 @@
 
 #include "standins/standin_func.h"
 
+#include <sigc++/sigc++.h>
+
 #include <map>
 #include <string>
 #include <vector>
@@ -19,6 +21,13 @@
 
   /// Listens on a free port of \p Ip. False on failure.
   bool listen(const std::string &Ip);
+  const Address &where() const { return Where; }
+  /// Registers another address than that which it listens on.
+  void announce(const Address &Other) { Announced = Other; }
+  /// Ends the runs whose work or lease is over.
+  void advance();
+  /// Emitted before each request is handled.
+  sigc::signal<void()> BeforeRequest;
   /// What the runner registers in the store.
   std::string registration(uint64_t Sequence) const;
   const std::string &id() const { return Id; }
@@ -47,13 +56,13 @@
   bool fenced(const Json::Value &Body);
   void prolong(const Json::Value &Body);
   void end(const std::string &Task, const char *How);
-  void advance();
   HttpReply lists() const;
   int64_t clockMs() const;
 
   std::string Id;
   std::string Centre;
   Address Where;
+  Address Announced; ///< Empty for `Where`.
   HttpServer Server;
   Timer Steps;
   SteadyTime Started;
--- a/tests/cell_load_test.cpp
+++ b/tests/cell_load_test.cpp
@@ -133,7 +133,7 @@
   Address Entry = World.addInstance("i", "centre-a");
   World.run(seconds(2));
   size_t Count = 0;
-  auto submitEach = [&](Duration Pause, Duration For) {
+  auto SubmitEach = [&](Duration Pause, Duration For) {
     std::vector<size_t> Jobs;
     for (SteadyTime End = World.now() + For; World.now() < End;) {
       Jobs.push_back(World.submit(Entry, "job-" + std::to_string(++Count), 1,
@@ -143,17 +143,17 @@
     return Jobs;
   };
   // The speeds are learned while all places are in use.
-  submitEach(milliseconds(20), seconds(1));
+  SubmitEach(milliseconds(20), seconds(1));
   World.run(seconds(2));
   // The fast upstream serves two tasks in 100 ms, and three come at once.
   std::vector<size_t> Jobs;
   for (int I = 0; I < 20; ++I) {
-    for (size_t J : submitEach(milliseconds(1), milliseconds(3)))
+    for (size_t J : SubmitEach(milliseconds(1), milliseconds(3)))
       Jobs.push_back(J);
     World.run(milliseconds(227));
   }
   // A crowd that it can't serve in time goes to the others as well.
-  std::vector<size_t> Crowd = submitEach(milliseconds(5), milliseconds(50));
+  std::vector<size_t> Crowd = SubmitEach(milliseconds(5), milliseconds(50));
   World.run(seconds(2));
   size_t Fast = 0;
   for (size_t J : Jobs) {
--- a/tests/process/cell_process_test.cpp
+++ b/tests/process/cell_process_test.cpp
@@ -1,14 +1,22 @@
 /// \file The platform's interface on real processes.
-#include "cell_fleet.h"
+#include "fleet/cell_fleet.h"
+
+#include <gtest/gtest.h>
 
 #include <atomic>
 #include <csignal>
 #include <cstring>
+#include <fstream>
+#include <sstream>
 #include <thread>
 
 namespace snipeshunt {
 namespace {
 
+CellFleetOptions cellOptions(size_t Instances, size_t Centres, size_t Runners) {
+  return {BINARY_DIR, Instances, Centres, Runners};
+}
+
 std::string jobId(int Number) {
   char Text[17];
   snprintf(Text, sizeof(Text), "%016x", Number);
@@ -18,8 +26,8 @@
 // Guards against a break anywhere between a caller's request and the answer:
 // codec, store, cells, orders and ends.
 TEST(CellProcessTest, EachInstanceServesJobsWhole) {
-  CellFleet F(4, 2);
-  F.start(6);
+  CellFleet F(cellOptions(4, 2, 6));
+  ASSERT_FALSE(failed(F.start()));
   ASSERT_TRUE(F.waitUntilReady()) << F.allLogs();
   for (size_t I = 0; I < 4; ++I) {
     std::string Id = jobId(static_cast<int>(I));
@@ -31,8 +39,8 @@
 }
 
 TEST(CellProcessTest, RequestsOutsideJobsAreAnswered) {
-  CellFleet F(2, 1);
-  F.start(2);
+  CellFleet F(cellOptions(2, 1, 2));
+  ASSERT_FALSE(failed(F.start()));
   ASSERT_TRUE(F.waitUntilReady()) << F.allLogs();
   EXPECT_EQ(F.get(0, "/jobs/").Status, 200);
   EXPECT_EQ(F.get(0, "/jobs/").Body, "{\"pending\":0}");
@@ -43,8 +51,8 @@
 
 // Guards against counters that operators look for and don't find.
 TEST(CellProcessTest, MetricsTellOfJobs) {
-  CellFleet F(1, 1);
-  F.start(2);
+  CellFleet F(cellOptions(1, 1, 2));
+  ASSERT_FALSE(failed(F.start()));
   ASSERT_TRUE(F.waitUntilReady()) << F.allLogs();
   EXPECT_EQ(F.submit(0, jobId(1), 2, 20).Status, 200);
   std::string Text = F.metrics(0);
@@ -58,8 +66,8 @@
 // Guards against a second run beside the first when the sender's process is
 // killed and the caller submits again elsewhere.
 TEST(CellProcessTest, JobsSurviveTheEndOfTheSenderOnASecondTry) {
-  CellFleet F(3, 1);
-  F.start(4);
+  CellFleet F(cellOptions(3, 1, 4));
+  ASSERT_FALSE(failed(F.start()));
   ASSERT_TRUE(F.waitUntilReady()) << F.allLogs();
   std::atomic<int> Lost{0};
   std::vector<std::thread> Callers;
@@ -89,8 +97,8 @@
 }
 
 TEST(CellProcessTest, FrozenSenderIsReplaced) {
-  CellFleet F(3, 1);
-  F.start(4);
+  CellFleet F(cellOptions(3, 1, 4));
+  ASSERT_FALSE(failed(F.start()));
   ASSERT_TRUE(F.waitUntilReady()) << F.allLogs();
   F.process(0).signal(SIGSTOP);
   bool Served = Fleet::waitUntil(
@@ -110,8 +118,8 @@
 
 // Guards against a shutdown that breaks off jobs or takes beyond the grace.
 TEST(CellProcessTest, ShutdownUnderLoadBreaksNoJob) {
-  CellFleet F(3, 1);
-  F.start(6);
+  CellFleet F(cellOptions(3, 1, 6));
+  ASSERT_FALSE(failed(F.start()));
   ASSERT_TRUE(F.waitUntilReady()) << F.allLogs();
   std::atomic<bool> Stop{false};
   std::atomic<int> Bad{0};
@@ -140,8 +148,8 @@
 
 // Guards against a process that a change of its settings file ends.
 TEST(CellProcessTest, HangUpSignalReloadsTheSettings) {
-  CellFleet F(1, 1);
-  F.start(2);
+  CellFleet F(cellOptions(1, 1, 2));
+  ASSERT_FALSE(failed(F.start()));
   ASSERT_TRUE(F.waitUntilReady()) << F.allLogs();
   F.process(0).signal(SIGHUP);
   EXPECT_TRUE(Fleet::waitUntil(
@@ -182,7 +190,7 @@
 
 // Guards against a template that gives settings which the daemon refuses.
 TEST(CellProcessTest, TemplateOfTheDeployFileGivesValidSettings) {
-  CellFleet F(1, 1);
+  CellFleet F(cellOptions(1, 1, 0));
   std::string Text = renderTemplate();
   EXPECT_EQ(Text.find("{{"), std::string::npos) << Text;
   std::ofstream(F.settings(0)) << Text;
@@ -198,7 +206,7 @@
 
 // Guards against settings that are wrong and are taken nevertheless.
 TEST(CellProcessTest, WrongSettingsAreRefused) {
-  CellFleet F(1, 1);
+  CellFleet F(cellOptions(1, 1, 0));
   std::ofstream(F.settings(0)) << R"({"name":"x","data_centre":"a"})";
   Result<ChildProcess> Started =
       ChildProcess::start({std::string(BINARY_DIR) + "/snipeshuntd", "--cells",
--- a/tests/support/cell_world.cpp
+++ b/tests/support/cell_world.cpp
@@ -248,7 +248,7 @@
 }
 
 void CellWorld::pass(const Address &From, const Address &To,
-                     std::function<void()> Message) {
+                     const std::function<void()> &Message) {
   auto Arrive = [this, From, To, Message] {
     if (linked(From, To))
       Message();
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -173,7 +173,7 @@
   bool linked(const Address &A, const Address &B) const;
   /// Delivers a message between instances, or has the cut hold or lose it.
   void pass(const Address &From, const Address &To,
-            std::function<void()> Message);
+            const std::function<void()> &Message);
   bool reachable(const Address &From, const Upstream &U) const;
   int64_t clockOf(const Upstream &U) const;
   OrderVerdict applyStart(Upstream &U, const StartRun &E);
