soak: give each fleet of a run its own loopback addresses

Runs shared their loopback addresses, and while the instance was down a connection of another run had taken its port.

Ruled out: a fault of the instance; its log ends with the refused bind, and the port was another run's.

--- a/src/fleet/cell_fleet.cpp
+++ b/src/fleet/cell_fleet.cpp
@@ -17,8 +17,17 @@
 constexpr std::chrono::milliseconds Patience{20000};
 constexpr Duration AnswerSlack = std::chrono::seconds(5);
 constexpr size_t ShownPlatformLog = 2000;
+constexpr size_t FirstInstanceHost = 10;
 constexpr std::string_view TimeField = "at=";
 
+/// Loopback addresses that no other process uses. While an instance is down, a
+/// fleet with the same addresses could take its ports for connections.
+std::string ownPrefix() {
+  auto Pid = static_cast<uint32_t>(getpid());
+  return "127." + std::to_string(100 + Pid / 256 % 128) + "." +
+         std::to_string(Pid % 256) + ".";
+}
+
 /// A port of \p Ip that was free a moment ago; 0 if there is none.
 uint16_t freePort(const std::string &Ip) {
   int Socket = socket(AF_INET, SOCK_STREAM, 0);
@@ -49,9 +58,10 @@
       (std::filesystem::temp_directory_path() / "snipeshunt-cells-XXXXXX")
           .string();
   WorkDir = mkdtemp(Template.data());
-  Store = freeAddress("127.0.90.1");
+  IpPrefix = ownPrefix();
+  Store = freeAddress(IpPrefix + "1");
   for (size_t I = 0; I < Options.Instances; ++I) {
-    std::string Ip = "127.0.91." + std::to_string(I + 1);
+    std::string Ip = IpPrefix + std::to_string(FirstInstanceHost + I);
     Fronts.push_back(freeAddress(Ip));
     Readies.push_back(freeAddress(Ip));
     Peers.push_back(freeAddress(Ip));
--- a/src/fleet/cell_fleet.h
+++ b/src/fleet/cell_fleet.h
@@ -54,6 +54,8 @@
   size_t instances() const { return Processes.size(); }
   const CellFleetOptions &options() const { return Options; }
   const Address &store() const { return Store; }
+  /// Loopback address for what stands between the processes.
+  std::string linkIp() const { return IpPrefix + "2"; }
   /// Where instance \p I listens for its peers.
   const Address &peers(size_t I) const { return Peers[I]; }
   const Address &front(size_t I) const { return Fronts[I]; }
@@ -94,6 +96,7 @@
 
   CellFleetOptions Options;
   std::filesystem::path WorkDir;
+  std::string IpPrefix;
   Address Store;
   std::vector<Address> Fronts, Readies, Peers, Metrics;
   std::vector<Address> PeersLinks, StoreLinks, RunnerLinks;
--- a/src/soak/cell_soak_injector.cpp
+++ b/src/soak/cell_soak_injector.cpp
@@ -22,7 +22,7 @@
 Result<Ok> CellSoakInjector::startFleet() {
   std::vector<Address> Runners;
   for (size_t I = 0; I < 2 * F.instances() + F.options().Runners; ++I) {
-    Result<size_t> Link = Proxy.open("127.0.92.1");
+    Result<size_t> Link = Proxy.open(F.linkIp());
     if (failed(Link))
       return errorOf(Link);
     std::vector<size_t> &Group = I < F.instances()       ? PeersLinks
