tool: gather the lines of one job from several logs

Cause: finding why a request failed took a grep over the logs of all instances and a sort by hand.

Ruled out: asking the instances; they keep no logs, and one that has ended could not answer.

--- a/src/tool/commands.h
+++ b/src/tool/commands.h
@@ -19,6 +19,8 @@
 ToolExit runConfig(const ToolArguments &Arguments);
 // config_status_command.cpp
 ToolExit runConfigStatus(const ToolArguments &Arguments);
+// log_command.cpp
+ToolExit runLog(const ToolArguments &Arguments);
 // timeline_command.cpp
 ToolExit runTimeline(const ToolArguments &Arguments);
 
--- a/src/tool/tool_main.cpp
+++ b/src/tool/tool_main.cpp
@@ -27,6 +27,8 @@
     return runDrain(Arguments);
   case ToolCommand::Timeline:
     return runTimeline(Arguments);
+  case ToolCommand::Log:
+    return runLog(Arguments);
   case ToolCommand::Config:
     return runConfig(Arguments);
   }
--- a/src/tool_support/tool_arguments.cpp
+++ b/src/tool_support/tool_arguments.cpp
@@ -64,6 +64,8 @@
     Out.push_back({"trace", required_argument, nullptr, TraceOption});
     Out.push_back({"job", required_argument, nullptr, JobOption});
   }
+  if (Command == ToolCommand::Log)
+    Out.push_back({"job", required_argument, nullptr, JobOption});
   if (Command == ToolCommand::Config)
     Out.insert(Out.end(), std::begin(ConfigOptions), std::end(ConfigOptions));
   Out.push_back({nullptr, 0, nullptr, 0});
@@ -320,6 +322,14 @@
 }
 
 void ArgumentParser::readPositionals(const std::vector<std::string> &Words) {
+  if (Out.Command == ToolCommand::Log) {
+    Out.LogFiles = Words;
+    if (Out.Job.empty())
+      fail("the job is missing; add --job JOB");
+    if (Words.empty())
+      fail("no log is named");
+    return;
+  }
   bool TakesTicket =
       Out.Command == ToolCommand::Status || Out.Command == ToolCommand::Cancel;
   size_t Limit = TakesTicket || Out.Command == ToolCommand::Submit ? 1 : 0;
@@ -336,7 +346,9 @@
 }
 
 void ArgumentParser::checkInstances() {
-  // The other verbs of config talk to the platform alone.
+  // The other verbs of config talk to the platform alone, and logs are files.
+  if (Out.Command == ToolCommand::Log)
+    return;
   if (Out.Command == ToolCommand::Config && Out.Verb != ConfigVerb::Status)
     return;
   // An instance is drained only when named on the command line, so that a
--- /dev/null
+++ b/src/tool_support/tool_log.cpp
@@ -0,0 +1,41 @@
+/// \file Lines of one job in the logs of several instances.
+#include "tool_support/tool_log.h"
+
+#include <algorithm>
+
+namespace snipeshunt {
+
+namespace {
+
+/// Whether \p Line has the field `job` with this very value.
+bool namesJob(std::string_view Line, std::string_view Job) {
+  std::string Field = " job=" + std::string(Job);
+  size_t At = Line.find(Field);
+  return At != std::string_view::npos &&
+         (At + Field.size() == Line.size() || Line[At + Field.size()] == ' ');
+}
+
+} // namespace
+
+void readJobLines(std::istream &In, std::string_view Source,
+                  std::string_view Job, std::vector<JobLogLine> &Out) {
+  for (std::string Line; std::getline(In, Line);)
+    if (namesJob(Line, Job))
+      Out.push_back({std::move(Line), std::string(Source)});
+}
+
+std::string formatJobLines(std::vector<JobLogLine> Lines) {
+  // Lines begin with their time, in a form that sorts as text. Lines of one log
+  // stay in order where their times are the same.
+  constexpr size_t TimeLength = sizeof("2026-12-04T10:00:00.000") - 1;
+  std::stable_sort(
+      Lines.begin(), Lines.end(), [](const JobLogLine &L, const JobLogLine &R) {
+        return L.Text.compare(0, TimeLength, R.Text, 0, TimeLength) < 0;
+      });
+  std::string Out;
+  for (const JobLogLine &Line : Lines)
+    Out += Line.Source + ": " + Line.Text + "\n";
+  return Out;
+}
+
+} // namespace snipeshunt
--- a/src/tool_support/tool_table.h
+++ b/src/tool_support/tool_table.h
@@ -37,6 +37,10 @@
      "  --trace FILE      write trace-event JSON to FILE, or - for standard "
      "output\n"
      "  --job JOB         only events of this job id or ticket\n"},
+    {ToolCommand::Log, "log", "--job JOB FILE...",
+     "print the lines of one job from the logs of several instances",
+     "  --job JOB         id of the job\n"
+     "  FILE              log of an instance; its name marks the lines\n"},
     {ToolCommand::Config, "config",
      "get | set FILE | diff FILE | check FILE | exceptions add OPTIONS |\n"
      "         exceptions remove ID | history | status",
--- a/src/tool_support/tool_type.h
+++ b/src/tool_support/tool_type.h
@@ -30,6 +30,7 @@
   Upstreams,
   Drain,
   Timeline,
+  Log,
   Config,
 };
 
@@ -58,7 +59,8 @@
   int Attempts = 3;                   ///< submit: sends of one ticket.
   std::string Ticket;                 ///< status, cancel.
   std::string TraceFile;              ///< timeline: where to write a trace.
-  std::string Job;                    ///< timeline: only this job's events.
+  std::string Job;                    ///< timeline, log: only this job.
+  std::vector<std::string> LogFiles;  ///< log: of the instances.
   ConfigVerb Verb = ConfigVerb::Get;  ///< config: what to do.
   std::optional<Address> Platform;    ///< config: the platform's service.
   std::string Author;                 ///< config: who makes the change.
--- a/tests/tool_test.cpp
+++ b/tests/tool_test.cpp
@@ -2,10 +2,13 @@
 #include "core/json_func.h"
 #include "tool_support/tool_answer.h"
 #include "tool_support/tool_arguments.h"
+#include "tool_support/tool_log.h"
 #include "tool_support/tool_table.h"
 
 #include <gtest/gtest.h>
 
+#include <sstream>
+
 namespace snipeshunt {
 namespace {
 
@@ -252,6 +255,35 @@
   EXPECT_EQ(selectJob({Other, Task}, "00000000000000a1-77").size(), 1U);
 }
 
+// Guards against lines of other jobs, and against an order that hides which
+// instance decided first.
+TEST(ToolLogTest, GathersTheLinesOfOneJobInOrder) {
+  std::istringstream One(
+      "2026-12-04T10:00:00.200 INFO entry: job=ab1 answered\n"
+      "2026-12-04T10:00:00.100 INFO entry: job=ab12 x\n");
+  std::istringstream Two(
+      "2026-12-04T10:00:00.150 INFO sender: job=ab1 refused\n"
+      "2026-12-04T10:00:00.150 INFO sender: job=ab1\n"
+      "no line of a log\n");
+  std::vector<JobLogLine> Lines;
+  readJobLines(One, "one", "ab1", Lines);
+  readJobLines(Two, "two", "ab1", Lines);
+  EXPECT_EQ(formatJobLines(Lines),
+            "two: 2026-12-04T10:00:00.150 INFO sender: job=ab1 refused\n"
+            "two: 2026-12-04T10:00:00.150 INFO sender: job=ab1\n"
+            "one: 2026-12-04T10:00:00.200 INFO entry: job=ab1 answered\n");
+}
+
+TEST(ToolArgumentsTest, LogTakesAJobAndFiles) {
+  ToolArguments Arguments = parseGood({"log", "--job", "ab1", "one", "two"});
+  EXPECT_EQ(Arguments.Job, "ab1");
+  EXPECT_EQ(Arguments.LogFiles, (std::vector<std::string>{"one", "two"}));
+  EXPECT_NE(problemOf({"log", "one"}), "");
+  EXPECT_NE(problemOf({"log", "--job", "ab1"}), "");
+  // Logs are files, so no instance need be named.
+  EXPECT_EQ(problemOf({"log", "--job", "ab1", "one"}, ""), "");
+}
+
 // Guards against a path that a ticket with other characters would break.
 TEST(ToolAnswerTest, EncodesPathSegments) {
   EXPECT_EQ(encodePathSegment(Ticket), Ticket);
