entry: hand no job over again to a sender that lacks it

An order whose connection opens late (its opening packet was dropped by a busy instance) arrives after the copy that was handed over again; the sender refuses the copy, the entry answers 503, and the first order starts.

The numbers of jobs and the doubt after silence stay.

Conclusion: reverted.

--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -258,7 +258,6 @@
   Reply.ConfigurationVersion = Report.ConfigurationVersion;
   if (It != State.Peers.end())
     Reply.OldestJob = oldestJob(It->second);
-  Reply.Jobs = Report.Jobs;
   if (Message.WantsKnown)
     for (const auto &[Where, P] : State.Peers)
       if (Reply.Known.size() < MaxNamedPeers && P.Heard != SteadyTime{} &&
--- a/src/cells/cell_cmd.h
+++ b/src/cells/cell_cmd.h
@@ -14,7 +14,6 @@
   SenderLoad Load;
   std::vector<UpstreamId> Held;
   uint64_t ConfigurationVersion = 0;
-  std::vector<uint64_t> Jobs; ///< Of the peer that asks.
 };
 
 /// Adds an instance of which the store, the settings or a peer told.
--- a/src/cells/cell_type.h
+++ b/src/cells/cell_type.h
@@ -69,8 +69,6 @@
   std::vector<InstanceEntry> Known;
   uint64_t ConfigurationVersion = 0;
   uint64_t OldestJob = 0; ///< As in a ping, of the answering instance.
-  /// Numbers of the asking instance's jobs that are here.
-  std::vector<uint64_t> Jobs;
 };
 
 // Effects.
--- a/src/entry/entry_base.h
+++ b/src/entry/entry_base.h
@@ -19,8 +19,6 @@
   SteadyTime Arrived{};
   SteadyTime Deadline{};
   SteadyTime Forwarded{}; ///< When its sender got it.
-  IncarnationId SenderIncarnation;
-  SteadyTime Missed{}; ///< When its sender first did not have it.
 };
 
 struct EntryCounters {
--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -21,9 +21,6 @@
 // The sender gives up at the caller's deadline; its answer comes a little
 // later.
 constexpr Duration AnswerSlack = std::chrono::milliseconds(150);
-// An order or an answer has arrived after this time if it ever does; they take
-// a few milliseconds, and some tens on an instance short of processor time.
-constexpr Duration TravelTime = std::chrono::milliseconds(150);
 // A job waits this long for a sender to appear; a take-over takes about a
 // second, and one that follows a shutdown a few milliseconds.
 constexpr Duration SenderWait = std::chrono::milliseconds(1000);
@@ -148,7 +145,6 @@
   J.Order.Age = Now - J.Arrived;
   auto P = Context.Cells.Peers.find(J.Where);
   if (P != Context.Cells.Peers.end()) {
-    J.SenderIncarnation = P->second.Incarnation;
     P->second.OpenJobs.insert(J.Order.Number);
     P->second.NextJob = J.Order.Number + 1;
     P->second.Cancelled.erase(J.Order.Id);
@@ -363,51 +359,6 @@
   }
 }
 
-void resendLostJobs(EntryState &State, const EntryContext &Context,
-                    const Address &Sender, const std::vector<uint64_t> &Known,
-                    SteadyTime Now, InstanceEffects &Out) {
-  auto P = Context.Cells.Peers.find(Sender);
-  if (P == Context.Cells.Peers.end())
-    return;
-  std::set<uint64_t> There(Known.begin(), Known.end());
-  std::vector<RequestId> Lost;
-  for (auto &[Forward, J] : State.Jobs) {
-    bool Sent =
-        J.Where == Sender && J.Forwarded + TravelTime <= P->second.Heard;
-    if (!Sent || There.count(J.Order.Number)) {
-      J.Missed = {};
-      continue;
-    }
-    if (J.Missed == SteadyTime{})
-      J.Missed = Now;
-    else if (Now - J.Missed >= TravelTime)
-      Lost.push_back(Forward);
-  }
-  for (RequestId Forward : Lost) {
-    EntryJob &J = State.Jobs.at(Forward);
-    if (J.SenderIncarnation != P->second.Incarnation) {
-      endJob(State, Context, Forward, CallerVerdict::Lost, Duration::zero(),
-             "the sender was restarted", Now, Out);
-      continue;
-    }
-    logJob(Out, J.Order.Id,
-           "sender=" + Sender.Value +
-               " does not have it, handed over again after_ms=" +
-               std::to_string(toMilliseconds(Now - J.Forwarded)));
-    closeAtSender(Context, J);
-    // A late answer to the first call must not end the second.
-    RequestId Again{State.NextForward++};
-    EntryJob Moved = std::move(J);
-    State.Jobs.erase(Forward);
-    Moved.Missed = {};
-    Moved.Order.Resent = true;
-    State.ByCaller[Moved.Caller] = Again;
-    State.ByJob[Moved.Order.Id] = Again;
-    State.Jobs.emplace(Again, std::move(Moved));
-    handOver(State, Context, Again, Now, Out);
-  }
-}
-
 void expireEntryJobs(EntryState &State, const EntryContext &Context,
                      SteadyTime Now, InstanceEffects &Out) {
   std::set<Address> Gone;
--- a/src/entry/entry_cmd.h
+++ b/src/entry/entry_cmd.h
@@ -40,12 +40,6 @@
                         const ForwardAnswered &Event, SteadyTime Now,
                         InstanceEffects &Out);
 
-/// Hands jobs again to a sender that has told which \p Known jobs it has, if
-/// they or their answers have been lost on the way.
-void resendLostJobs(EntryState &State, const EntryContext &Context,
-                    const Address &Sender, const std::vector<uint64_t> &Known,
-                    SteadyTime Now, InstanceEffects &Out);
-
 /// Answers the callers of senders that are gone and those past their deadline.
 void expireEntryJobs(EntryState &State, const EntryContext &Context,
                      SteadyTime Now, InstanceEffects &Out);
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -40,17 +40,13 @@
   return {State.Cells, [&State, Now] { return senderLoad(State.Sender, Now); }};
 }
 
-OwnReport ownReport(const FleetInstance &State, const Address &Asking,
-                    SteadyTime Now) {
+OwnReport ownReport(const FleetInstance &State, SteadyTime Now) {
   OwnReport Report;
   Report.Load = senderLoad(State.Sender, Now);
   Report.Held = usedUpstreams(State.Sender);
   Report.ConfigurationVersion = State.Directory.Configuration
                                     ? State.Directory.Configuration->Version
                                     : 0;
-  for (const auto &[Id, J] : State.Sender.Jobs)
-    if (!J.Waiter.Local && J.Order.Entry == Asking)
-      Report.Jobs.push_back(J.Order.Number);
   return Report;
 }
 
@@ -192,8 +188,7 @@
   }
 
   void operator()(const PingArrived &E) {
-    applyPing(State.Cells, E, ownReport(State, E.Message.From.Where, Now), Now,
-              Out);
+    applyPing(State.Cells, E, ownReport(State, Now), Now, Out);
     stopCancelled(E.Message);
     updateOwnCells();
   }
@@ -201,9 +196,6 @@
     applyPong(State.Cells, E, Now, Out);
     // Its jobs may be known to be wanted now.
     State.Sender.Changed = true;
-    if (E.Reply)
-      resendLostJobs(State.Entry, entryContext(State, Now), E.Where,
-                     E.Reply->Jobs, Now, Out);
     uint64_t Own = State.Directory.Configuration
                        ? State.Directory.Configuration->Version
                        : 0;
--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -81,13 +81,6 @@
            });
 }
 
-Result<uint64_t> decodeNumber(const Json::Value &Value) {
-  if (!Value.isUInt64())
-    return Error{ErrorKind::InvalidField, "a number of a job is not a number",
-                 "give a list of whole numbers"};
-  return Value.asUInt64();
-}
-
 Json::Value encodeLoad(const SenderLoad &Load) {
   Json::Value V(Json::objectValue);
   V["delay_ms"] = ms(Load.Delay);
@@ -254,9 +247,6 @@
   V["known"] = encodeList(Message.Known, encodeInstance);
   V["configuration"] = Json::UInt64(Message.ConfigurationVersion);
   V["oldest_job"] = Json::UInt64(Message.OldestJob);
-  V["jobs"] = encodeList(Message.Jobs, [](uint64_t Number) {
-    return Json::Value(Json::UInt64(Number));
-  });
   return V;
 }
 
@@ -271,7 +261,6 @@
       .unsignedId("oldest_job", Message.OldestJob);
   readList(Reader, "claims", MaxClaims, Message.Claims, decodeClaim);
   readSenderLoad(Reader, Message.Load);
-  readList(Reader, "jobs", MaxIds, Message.Jobs, decodeNumber);
   readIds(Reader, "held", Message.Held);
   readList(Reader, "known", MaxIds, Message.Known, decodeInstance);
   return finishReading(Reader, std::move(Message));
@@ -306,7 +295,6 @@
   V["entry"] = Order.Entry.Value;
   V["incarnation"] = Json::UInt64(Order.Incarnation.Value);
   V["number"] = Json::UInt64(Order.Number);
-  V["resent"] = Order.Resent;
   V["queue"] = Order.Queue;
   V["service"] = Order.Service.Value;
   V["priority"] = Order.Priority;
@@ -328,7 +316,6 @@
       .string("entry", Order.Entry.Value, MaxTextLength)
       .unsignedId("incarnation", Order.Incarnation.Value)
       .unsignedId("number", Order.Number)
-      .boolean("resent", Order.Resent)
       .string("queue", Order.Queue, MaxTextLength)
       .string("service", Order.Service.Value, MaxTextLength)
       .integer("priority", Priority, INT32_MIN, INT32_MAX)
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -225,9 +225,7 @@
   auto Kept = State.Results.find(Order.Id);
   bool HasResult =
       Kept != State.Results.end() && Now - Kept->second.Ended <= ResultMemory;
-  // A caller's second try may run a lost job again; the entry's may not, since
-  // it comes before all runs of the first are over.
-  if (HasResult && (Kept->second.Outcome != JobOutcome::Lost || Order.Resent)) {
+  if (HasResult && Kept->second.Outcome != JobOutcome::Lost) {
     JobResult Result;
     Result.Outcome = Kept->second.Outcome;
     Result.Reason = "answered before";
--- a/src/sender/sender_type.h
+++ b/src/sender/sender_type.h
@@ -25,9 +25,7 @@
   Address Entry;             ///< Instance that waits for the result.
   IncarnationId Incarnation; ///< Process of the entry.
   uint64_t Number = 0;       ///< Among the entry's jobs; rises.
-  /// It was handed over before, and the sender did not seem to have it.
-  bool Resent = false;
-  std::string Queue; ///< Name of the route.
+  std::string Queue;         ///< Name of the route.
   ServiceName Service;
   int32_t Priority = 0;
   uint32_t MaxAttempts = 1;
