--- a/src/history/history_func.cpp
+++ b/src/history/history_func.cpp
@@ -15,11 +15,6 @@
 
 constexpr size_t MaxExamples = 20;
 
-void addViolation(GuaranteeReport &Report, std::string Text) {
-  if (++Report.Violations <= MaxExamples)
-    Report.Examples.push_back(std::move(Text));
-}
-
 std::string jobOfTask(const std::string &Task) {
   return Task.substr(0, Task.rfind('-'));
 }
@@ -270,6 +265,11 @@
           checkRevisions(Input)};
 }
 
+void addViolation(GuaranteeReport &Report, std::string Text) {
+  if (++Report.Violations <= MaxExamples)
+    Report.Examples.push_back(std::move(Text));
+}
+
 bool anyViolation(const std::vector<GuaranteeReport> &Reports) {
   return std::any_of(
       Reports.begin(), Reports.end(),
--- a/src/history/history_func.h
+++ b/src/history/history_func.h
@@ -31,6 +31,8 @@
 std::vector<GuaranteeReport> checkHistories(const HistoryInput &Input,
                                             Duration LeavingGrace);
 
+/// Counts a violation and keeps its text among the first.
+void addViolation(GuaranteeReport &Report, std::string Text);
 bool anyViolation(const std::vector<GuaranteeReport> &Reports);
 std::string formatReports(const std::vector<GuaranteeReport> &Reports);
 
--- a/src/load/soak_callers.cpp
+++ b/src/load/soak_callers.cpp
@@ -1,6 +1,7 @@
 /// \file Callers of a soak run, each with its own seed and thread.
 #include "load/soak_callers.h"
 
+#include "core/weighted_func.h"
 #include "fleet/recorded_caller.h"
 
 #include <deque>
@@ -152,13 +153,9 @@
 
   template <typename T, size_t N>
   T draw(const std::pair<T, uint32_t> (&Table)[N]) {
-    uint64_t Total = 0;
-    for (const auto &[Value, Weight] : Table)
-      Total += Weight;
-    uint64_t Draw = Random() % Total;
-    size_t Row = 0;
-    while (Draw >= Table[Row].second)
-      Draw -= Table[Row++].second;
+    size_t Row = weightedRow(
+        Table, [](const auto &R) { return R.second; },
+        [this](uint64_t Bound) { return Random() % Bound; });
     return Table[Row].first;
   }
 
--- a/src/load/soak_main.cpp
+++ b/src/load/soak_main.cpp
@@ -1,25 +1,18 @@
 /// \file `snipeshunt-soak`: runs a fleet under faults and checks its promises.
 #include "core/json_func.h"
 #include "fleet/recorded_caller.h"
+#include "fleet/soak_options.h"
 #include "history/history_func.h"
 #include "load/soak_callers.h"
 #include "load/soak_injector.h"
 #include "load/soak_schedule.h"
 
-#include <getopt.h>
-
-#include <cstdlib>
 #include <iostream>
 
 namespace snipeshunt {
 
 namespace {
 
-// Scripts rely on these exit statuses.
-constexpr int ExitHolds = 0;
-constexpr int ExitViolated = 1;
-constexpr int ExitUsage = 2;
-
 // Generous, so that a loaded machine does not decide the verdict.
 constexpr Duration RecoveryLimit = std::chrono::seconds(90);
 
@@ -41,87 +34,6 @@
     "Exit status: 0 all promises hold, 1 a violation, 2 wrong usage or a\n"
     "fleet that does not start.\n";
 
-struct SoakArguments {
-  FleetOptions Fleet;
-  int64_t Seconds = 60;
-  double Rate = 2;
-  int64_t Callers = 12;
-  bool PrintSchedule = false;
-};
-
-bool readWhole(const char *Text, int64_t Min, int64_t Max, int64_t &Out) {
-  char *End = nullptr;
-  Out = strtoll(Text, &End, 10);
-  return End != Text && *End == '\0' && Out >= Min && Out <= Max;
-}
-
-bool readSize(const char *Text, int64_t Max, uint32_t &Out) {
-  int64_t Value = 0;
-  bool Valid = readWhole(Text, 1, Max, Value);
-  Out = static_cast<uint32_t>(Value);
-  return Valid;
-}
-
-bool readOption(int Code, SoakArguments &Out) {
-  switch (Code) {
-  case 's':
-    return readWhole(optarg, 1, 86400, Out.Seconds);
-  case 'e': {
-    int64_t Seed = 0;
-    bool Valid = readWhole(optarg, 0, INT32_MAX, Seed);
-    Out.Fleet.Seed = static_cast<uint64_t>(Seed);
-    return Valid;
-  }
-  case 'r':
-    Out.Rate = strtod(optarg, nullptr);
-    return Out.Rate > 0 && Out.Rate <= 100;
-  case 'c':
-    return readWhole(optarg, 1, 100, Out.Callers);
-  case 'd':
-    return readSize(optarg, 8, Out.Fleet.Centres);
-  case 'i':
-    return readSize(optarg, 8, Out.Fleet.InstancesPerCentre);
-  case 'u':
-    return readSize(optarg, 20, Out.Fleet.UpstreamsPerCentre);
-  case 'b':
-    Out.Fleet.BinaryDir = optarg;
-    return true;
-  case 'k':
-    Out.Fleet.KeepWorkDir = true;
-    return true;
-  case 'p':
-    Out.PrintSchedule = true;
-    return true;
-  default:
-    return false;
-  }
-}
-
-bool parseArguments(int Argc, char **Argv, SoakArguments &Out) {
-  static const option Names[] = {{"seconds", required_argument, nullptr, 's'},
-                                 {"seed", required_argument, nullptr, 'e'},
-                                 {"rate", required_argument, nullptr, 'r'},
-                                 {"callers", required_argument, nullptr, 'c'},
-                                 {"centres", required_argument, nullptr, 'd'},
-                                 {"instances", required_argument, nullptr, 'i'},
-                                 {"upstreams", required_argument, nullptr, 'u'},
-                                 {"bin-dir", required_argument, nullptr, 'b'},
-                                 {"keep", no_argument, nullptr, 'k'},
-                                 {"print-schedule", no_argument, nullptr, 'p'},
-                                 {nullptr, 0, nullptr, 0}};
-  std::string Program = Argv[0];
-  size_t Slash = Program.rfind('/');
-  Out.Fleet.BinaryDir =
-      Slash == std::string::npos ? "." : Program.substr(0, Slash);
-  Out.Fleet.Centres = 3;
-  Out.Fleet.UpstreamsPerCentre = 17;
-  Out.Fleet.Relays = true;
-  for (int Code; (Code = getopt_long(Argc, Argv, "", Names, nullptr)) != -1;)
-    if (!readOption(Code, Out))
-      return false;
-  return optind == Argc;
-}
-
 /// Each instance must serve a job again; gives the number of those that do
 /// not. Upstreams may still be probed, so a job is tried several times.
 size_t unrecovered(const Fleet &F, const std::string &HistoryFile) {
@@ -142,24 +54,22 @@
   return Failed;
 }
 
-int runSoak(const SoakArguments &Arguments) {
-  Fleet F(Arguments.Fleet);
+int runSoak(const SoakOptions &Given, const FleetOptions &Options) {
+  Fleet F(Options);
   Result<Ok> Started = F.start();
   if (failed(Started)) {
     std::cerr << "soak: " << errorOf(Started).Message << "; "
               << errorOf(Started).Remedy << ".\n";
-    return ExitUsage;
+    return SoakUsage;
   }
-  std::cout << "seed " << Arguments.Fleet.Seed << ", " << Arguments.Seconds
+  std::cout << "seed " << Given.Seed << ", " << Given.Seconds
             << " s, work directory " << F.workDir() << std::endl;
   std::vector<SoakStep> Steps =
-      soakSchedule({Arguments.Fleet.Centres, F.instances(), F.upstreams()},
-                   Arguments.Fleet.Seed, Arguments.Rate,
-                   std::chrono::seconds(Arguments.Seconds));
-  SoakOperators Operators(F, Arguments.Fleet.Seed);
+      soakSchedule({Options.Centres, F.instances(), F.upstreams()}, Given.Seed,
+                   Given.Rate, std::chrono::seconds(Given.Seconds));
+  SoakOperators Operators(F, Given.Seed);
   SoakInjector Injector(F, Operators);
-  SoakCallers Callers(F, static_cast<size_t>(Arguments.Callers),
-                      Arguments.Fleet.Seed);
+  SoakCallers Callers(F, static_cast<size_t>(Given.Callers), Given.Seed);
   Injector.run(Steps);
   Callers.stop();
   bool Joined =
@@ -173,7 +83,7 @@
   if (failed(Reports)) {
     std::cerr << "soak: " << errorOf(Reports).Message << "; "
               << errorOf(Reports).Remedy << ".\n";
-    return ExitUsage;
+    return SoakUsage;
   }
   std::vector<GuaranteeReport> All = valueOf(Reports);
   All.push_back({"h: all instances know each other after the faults",
@@ -185,7 +95,7 @@
   All.push_back({"k: the last accepted revision is in force everywhere",
                  F.instances(), Behind});
   std::cout << Injector.report() << Callers.report() << formatReports(All);
-  return anyViolation(All) ? ExitViolated : ExitHolds;
+  return anyViolation(All) ? SoakViolated : SoakHolds;
 }
 
 } // namespace
@@ -194,18 +104,32 @@
 
 int main(int Argc, char **Argv) {
   using namespace snipeshunt;
-  SoakArguments Arguments;
-  if (!parseArguments(Argc, Argv, Arguments)) {
+  SoakOptions Given;
+  Given.Seconds = 60;
+  Given.Callers = 12;
+  FleetOptions Options;
+  Options.Centres = 3;
+  Options.UpstreamsPerCentre = 17;
+  Options.Relays = true;
+  auto Set = [](uint32_t &Size) {
+    return [&Size](int64_t Value) { Size = static_cast<uint32_t>(Value); };
+  };
+  if (!parseSoakOptions(Argc, Argv,
+                        {{"centres", 8, Set(Options.Centres)},
+                         {"instances", 8, Set(Options.InstancesPerCentre)},
+                         {"upstreams", 20, Set(Options.UpstreamsPerCentre)}},
+                        Given)) {
     std::cerr << Usage;
-    return ExitUsage;
-  }
-  if (Arguments.PrintSchedule) {
-    const FleetOptions &O = Arguments.Fleet;
-    std::cout << formatSchedule(soakSchedule(
-        {O.Centres, size_t{O.Centres} * O.InstancesPerCentre,
-         size_t{O.Centres} * O.UpstreamsPerCentre},
-        O.Seed, Arguments.Rate, std::chrono::seconds(Arguments.Seconds)));
-    return ExitHolds;
+    return SoakUsage;
   }
-  return runSoak(Arguments);
+  Options.Seed = Given.Seed;
+  Options.BinaryDir = Given.BinaryDir;
+  Options.KeepWorkDir = Given.KeepWorkDir;
+  if (!Given.PrintSchedule)
+    return runSoak(Given, Options);
+  std::cout << formatSchedule(soakSchedule(
+      {Options.Centres, size_t{Options.Centres} * Options.InstancesPerCentre,
+       size_t{Options.Centres} * Options.UpstreamsPerCentre},
+      Given.Seed, Given.Rate, std::chrono::seconds(Given.Seconds)));
+  return SoakHolds;
 }
--- a/src/load/soak_schedule.cpp
+++ b/src/load/soak_schedule.cpp
@@ -1,6 +1,7 @@
 /// \file The schedule of faults, a function of the seed alone.
 #include "load/soak_schedule.h"
 
+#include "core/weighted_func.h"
 #include "load/soak_table.h"
 
 #include <algorithm>
@@ -75,14 +76,9 @@
 
 private:
   size_t drawFault() {
-    uint64_t Total = 0;
-    for (const SoakFault &Fault : SoakFaults)
-      Total += Fault.Weight;
-    uint64_t Draw = below(Total);
-    size_t Row = 0;
-    while (Draw >= SoakFaults[Row].Weight)
-      Draw -= SoakFaults[Row++].Weight;
-    return Row;
+    return weightedRow(
+        SoakFaults, [](const SoakFault &F) { return F.Weight; },
+        [this](uint64_t Bound) { return below(Bound); });
   }
 
   size_t countOf(Subject What, SoakAction Action) const {
--- a/src/soak/cell_soak_callers.h
+++ b/src/soak/cell_soak_callers.h
@@ -2,7 +2,7 @@
 #ifndef SNIPESHUNT_SOAK_CELL_SOAK_CALLERS_H
 #define SNIPESHUNT_SOAK_CELL_SOAK_CALLERS_H
 
-#include "fleet/cell_fleet.h"
+#include "standins/cell_fleet.h"
 
 #include <atomic>
 #include <thread>
--- a/src/soak/cell_soak_checks.cpp
+++ b/src/soak/cell_soak_checks.cpp
@@ -10,38 +10,34 @@
 
 // Tasks need 27 of the 64 cores of a stand-in.
 constexpr int TasksThatFit = 2;
-constexpr size_t ShownBreaks = 5;
 
 std::string jobOf(const std::string &Task) {
   return Task.substr(0, Task.find('.'));
 }
 
-PromiseReport checkOneRunAtATime(const SoakRecord &Record) {
-  PromiseReport Report{"a: a task has one run at a time", 0, {}};
-  std::map<std::string, int> Open;
-  for (const RunEvent &E : Record.History) {
+GuaranteeReport checkOneRunAtATime(const SoakRecord &Record) {
+  GuaranteeReport Report{"a: a task has one run at a time"};
+  for (const RunEvent &E : Record.History)
     Report.Checked += E.IsStart ? 1 : 0;
-    Open[E.Task] += E.IsStart ? 1 : -1;
-    if (Open[E.Task] > 1)
-      Report.Broken.push_back(E.Task + " run " + E.Run + " on " + E.Runner);
-  }
+  for (const RunEvent &E : overlappingStarts(Record.History))
+    addViolation(Report, E.Task + " run " + E.Run + " on " + E.Runner);
   return Report;
 }
 
-PromiseReport checkRoom(const SoakRecord &Record) {
-  PromiseReport Report{"b: an upstream gets no more than fits", 0, {}};
+GuaranteeReport checkRoom(const SoakRecord &Record) {
+  GuaranteeReport Report{"b: an upstream gets no more than fits"};
   std::map<std::string, int> Open;
   for (const RunEvent &E : Record.History) {
     Report.Checked += E.IsStart ? 1 : 0;
     Open[E.Runner] += E.IsStart ? 1 : -1;
     if (E.IsStart && Open[E.Runner] > TasksThatFit)
-      Report.Broken.push_back(E.Runner + " with " + E.Task);
+      addViolation(Report, E.Runner + " with " + E.Task);
   }
   return Report;
 }
 
-PromiseReport checkRefusals(const SoakRecord &Record) {
-  PromiseReport Report{"c: what was refused has not run", 0, {}};
+GuaranteeReport checkRefusals(const SoakRecord &Record) {
+  GuaranteeReport Report{"c: what was refused has not run"};
   std::set<std::string> Started;
   for (const RunEvent &E : Record.History)
     Started.insert(jobOf(E.Task));
@@ -53,13 +49,13 @@
   for (const auto &[Job, All] : Refused) {
     Report.Checked += All ? 1 : 0;
     if (All && Started.count(Job))
-      Report.Broken.push_back(Job);
+      addViolation(Report, Job);
   }
   return Report;
 }
 
-PromiseReport checkAnswers(const SoakRecord &Record) {
-  PromiseReport Report{"d: an answer is whole and true", 0, {}};
+GuaranteeReport checkAnswers(const SoakRecord &Record) {
+  GuaranteeReport Report{"d: an answer is whole and true"};
   std::map<std::string, std::set<std::string>> Done;
   for (const RunEvent &E : Record.History)
     if (!E.IsStart && E.How == "done")
@@ -68,18 +64,18 @@
     if (A.Status == 0)
       continue;
     ++Report.Checked;
-    bool IsDone = A.Status == 200 && A.Body == "{\"state\":\"done\"}";
+    bool IsDone = A.Status == 200 && saysDone(A.Body);
     bool IsFailure = A.Status == 502 || A.Status == 503 || A.Status == 504;
     bool AllDone = Done[A.Job].size() == static_cast<size_t>(A.Tasks);
     if (!(IsDone && AllDone) && !(IsFailure && !A.Body.empty()))
-      Report.Broken.push_back(A.Job + " status " + std::to_string(A.Status) +
-                              " " + A.Body);
+      addViolation(Report, A.Job + " status " + std::to_string(A.Status) + " " +
+                               A.Body);
   }
   return Report;
 }
 
-PromiseReport checkLostAnswers(const SoakRecord &Record) {
-  PromiseReport Report{"e: only a fault of the process costs an answer", 0, {}};
+GuaranteeReport checkLostAnswers(const SoakRecord &Record) {
+  GuaranteeReport Report{"e: only a fault of the process costs an answer"};
   std::multimap<std::string, SteadyTime> Starts;
   for (const RunEvent &E : Record.History)
     if (E.IsStart)
@@ -103,47 +99,28 @@
           return Meets && (O.Cause != FaultAction::End || Unread);
         });
     if (!Excused)
-      Report.Broken.push_back(A.Job + " at instance " +
-                              std::to_string(A.Instance) + ": " + A.Body);
+      addViolation(Report, A.Job + " at instance " +
+                               std::to_string(A.Instance) + ": " + A.Body);
   }
   return Report;
 }
 
-PromiseReport checkNothingRuns(const SoakRecord &Record) {
-  PromiseReport Report{"f: nothing runs for callers that are gone", 0, {}};
-  std::map<std::string, int> Open;
-  for (const RunEvent &E : Record.History)
-    Open[E.Task] += E.IsStart ? 1 : -1;
+GuaranteeReport checkNothingRuns(const SoakRecord &Record) {
+  GuaranteeReport Report{"f: nothing runs for callers that are gone"};
+  std::map<std::string, int> Open = openRuns(Record.History);
   Report.Checked = Open.size();
   for (const auto &[Task, Count] : Open)
     if (Count != 0)
-      Report.Broken.push_back(Task);
+      addViolation(Report, Task);
   return Report;
 }
 
 } // namespace
 
-std::vector<PromiseReport> checkPromises(const SoakRecord &Record) {
+std::vector<GuaranteeReport> checkPromises(const SoakRecord &Record) {
   return {checkOneRunAtATime(Record), checkRoom(Record),
           checkRefusals(Record),      checkAnswers(Record),
           checkLostAnswers(Record),   checkNothingRuns(Record)};
 }
 
-bool anyBroken(const std::vector<PromiseReport> &Reports) {
-  return std::any_of(Reports.begin(), Reports.end(),
-                     [](const PromiseReport &R) { return !R.Broken.empty(); });
-}
-
-std::string formatPromises(const std::vector<PromiseReport> &Reports) {
-  std::string Out;
-  for (const PromiseReport &R : Reports) {
-    Out += (R.Broken.empty() ? "holds  " : "BROKEN ") + R.Promise + " (" +
-           std::to_string(R.Checked) + " checked, " +
-           std::to_string(R.Broken.size()) + " broken)\n";
-    for (size_t I = 0; I < std::min(R.Broken.size(), ShownBreaks); ++I)
-      Out += "       " + R.Broken[I] + "\n";
-  }
-  return Out;
-}
-
 } // namespace snipeshunt
--- a/src/soak/cell_soak_checks.h
+++ b/src/soak/cell_soak_checks.h
@@ -2,6 +2,7 @@
 #ifndef SNIPESHUNT_SOAK_CELL_SOAK_CHECKS_H
 #define SNIPESHUNT_SOAK_CELL_SOAK_CHECKS_H
 
+#include "history/history_func.h"
 #include "soak/cell_soak_callers.h"
 #include "soak/cell_soak_injector.h"
 
@@ -14,10 +15,7 @@
   std::vector<Outage> Outages;
 };
 
-std::vector<PromiseReport> checkPromises(const SoakRecord &Record);
-
-bool anyBroken(const std::vector<PromiseReport> &Reports);
-std::string formatPromises(const std::vector<PromiseReport> &Reports);
+std::vector<GuaranteeReport> checkPromises(const SoakRecord &Record);
 
 } // namespace snipeshunt
 
--- a/src/soak/cell_soak_injector.cpp
+++ b/src/soak/cell_soak_injector.cpp
@@ -1,6 +1,7 @@
 /// \file Injects faults into a fleet of cells and heals them.
 #include "soak/cell_soak_injector.h"
 
+#include "soak/cell_soak_schedule.h"
 #include "soak/cell_soak_table.h"
 
 #include <csignal>
@@ -105,10 +106,7 @@
 
 void CellSoakInjector::inject(const FaultStep &Step) {
   const CellFault &Fault = CellFaults[Step.Fault];
-  if (Fault.Target == FaultTarget::Process)
-    disturbProcess(Fault.Action, Step.Number);
-  for (size_t I = 0;
-       Fault.Target == FaultTarget::AllOfThem && I < F.instances(); ++I)
+  for (size_t I : processesOf(Step, F.instances()))
     disturbProcess(Fault.Action, I);
   for (size_t Link : linksOf(Step))
     disturbLink(Fault.Action, Link);
@@ -168,18 +166,16 @@
 
 bool CellSoakInjector::heal(const FaultStep &Step, SteadyTime Now) {
   const CellFault &Fault = CellFaults[Step.Fault];
-  if (Fault.Target == FaultTarget::Process)
-    return healProcess(Fault.Action, Step.Number, Now);
-  for (size_t I = 0;
-       Fault.Target == FaultTarget::AllOfThem && I < F.instances(); ++I)
-    healProcess(Fault.Action, I, Now);
+  bool Healed = true;
+  for (size_t I : processesOf(Step, F.instances()))
+    Healed = healProcess(Fault.Action, I, Now) && Healed;
   bool Lasts = Fault.Action != FaultAction::Reset &&
                Fault.Action != FaultAction::Silence;
   // Of faults that overlap on one link, the first to end heals it.
   for (size_t Link : linksOf(Step))
     if (Lasts)
       Proxy.setFault(Link, {});
-  return true;
+  return Healed;
 }
 
 bool CellSoakInjector::healProcess(FaultAction Action, size_t I,
--- a/src/soak/cell_soak_injector.h
+++ b/src/soak/cell_soak_injector.h
@@ -2,9 +2,9 @@
 #ifndef SNIPESHUNT_SOAK_CELL_SOAK_INJECTOR_H
 #define SNIPESHUNT_SOAK_CELL_SOAK_INJECTOR_H
 
-#include "fleet/cell_fleet.h"
 #include "soak/cell_soak_type.h"
 #include "soak/link_proxy.h"
+#include "standins/cell_fleet.h"
 
 #include <map>
 
--- a/src/soak/cell_soak_schedule.cpp
+++ b/src/soak/cell_soak_schedule.cpp
@@ -1,6 +1,7 @@
 /// \file The schedule of faults, a function of the seed alone.
 #include "soak/cell_soak_schedule.h"
 
+#include "core/weighted_func.h"
 #include "soak/cell_soak_table.h"
 
 #include <map>
@@ -21,21 +22,17 @@
   uint64_t below(uint64_t Bound) { return Bound ? Random() % Bound : 0; }
 
   size_t fault() {
-    uint64_t Total = 0;
-    for (const CellFault &F : CellFaults)
-      Total += F.Weight;
-    uint64_t Draw = below(Total);
-    size_t Row = 0;
-    while (Draw >= CellFaults[Row].Weight)
-      Draw -= CellFaults[Row++].Weight;
-    return Row;
+    return weightedRow(
+        CellFaults, [](const CellFault &F) { return F.Weight; },
+        [this](uint64_t Bound) { return below(Bound); });
   }
 
 private:
   std::mt19937_64 Random;
 };
 
-/// Instances whose process a fault concerns; none for faults of links.
+} // namespace
+
 std::vector<size_t> processesOf(const FaultStep &Step, size_t Instances) {
   FaultTarget Target = CellFaults[Step.Fault].Target;
   if (Target == FaultTarget::Process)
@@ -46,8 +43,6 @@
   return All;
 }
 
-} // namespace
-
 std::vector<FaultStep> cellSoakSchedule(const CellSoakSizes &Sizes,
                                         uint64_t Seed, double Rate,
                                         Duration Length) {
--- a/src/soak/cell_soak_schedule.h
+++ b/src/soak/cell_soak_schedule.h
@@ -6,6 +6,9 @@
 
 namespace snipeshunt {
 
+/// Instances whose process a fault concerns; none for faults of links.
+std::vector<size_t> processesOf(const FaultStep &Step, size_t Instances);
+
 /// Faults in the order of their times; about \p Rate a second. They overlap,
 /// but for two faults of one process.
 std::vector<FaultStep> cellSoakSchedule(const CellSoakSizes &Sizes,
--- a/src/soak/cell_soak_type.h
+++ b/src/soak/cell_soak_type.h
@@ -58,13 +58,6 @@
   size_t Runners = 9;
 };
 
-/// What a run promises, and how often that was seen and broken.
-struct PromiseReport {
-  std::string Promise;
-  size_t Checked = 0;
-  std::vector<std::string> Broken; ///< What was seen instead.
-};
-
 } // namespace snipeshunt
 
 #endif // SNIPESHUNT_SOAK_CELL_SOAK_TYPE_H
--- a/src/fleet/cell_fleet.cpp
+++ b/src/standins/cell_fleet.cpp
@@ -1,5 +1,5 @@
 /// \file Real instances of a fleet of cells, with a stand-in for the platform.
-#include "fleet/cell_fleet.h"
+#include "standins/cell_fleet.h"
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
@@ -53,6 +53,24 @@
 
 } // namespace
 
+bool saysDone(const std::string &Body) { return Body == R"({"state":"done"})"; }
+
+std::map<std::string, int> openRuns(const std::vector<RunEvent> &History) {
+  std::map<std::string, int> Open;
+  for (const RunEvent &E : History)
+    Open[E.Task] += E.IsStart ? 1 : -1;
+  return Open;
+}
+
+std::vector<RunEvent> overlappingStarts(const std::vector<RunEvent> &History) {
+  std::map<std::string, int> Open;
+  std::vector<RunEvent> Found;
+  for (const RunEvent &E : History)
+    if ((Open[E.Task] += E.IsStart ? 1 : -1) > 1)
+      Found.push_back(E);
+  return Found;
+}
+
 CellFleet::CellFleet(CellFleetOptions Given) : Options(std::move(Given)) {
   std::string Template =
       (std::filesystem::temp_directory_path() / "snipeshunt-cells-XXXXXX")
@@ -267,13 +285,9 @@
 }
 
 std::vector<std::string> CellFleet::overlaps() const {
-  std::map<std::string, int> Open;
   std::vector<std::string> Found;
-  for (const RunEvent &E : history()) {
-    Open[E.Task] += E.IsStart ? 1 : -1;
-    if (Open[E.Task] > 1)
-      Found.push_back(E.Task);
-  }
+  for (const RunEvent &E : overlappingStarts(history()))
+    Found.push_back(E.Task);
   return Found;
 }
 
--- a/src/fleet/cell_fleet.h
+++ b/src/standins/cell_fleet.h
@@ -1,6 +1,6 @@
 /// \file Real instances of a fleet of cells, with a stand-in for the platform.
-#ifndef SNIPESHUNT_FLEET_CELL_FLEET_H
-#define SNIPESHUNT_FLEET_CELL_FLEET_H
+#ifndef SNIPESHUNT_STANDINS_CELL_FLEET_H
+#define SNIPESHUNT_STANDINS_CELL_FLEET_H
 
 #include "fleet/child_process.h"
 #include "fleet/fleet.h"
@@ -32,6 +32,14 @@
   SteadyTime At{};
 };
 
+/// Whether the body of an answer says that the job is done.
+bool saysDone(const std::string &Body);
+
+/// Runs of each task that have begun and not ended.
+std::map<std::string, int> openRuns(const std::vector<RunEvent> &History);
+/// Starts of a task while a run of it is open.
+std::vector<RunEvent> overlappingStarts(const std::vector<RunEvent> &History);
+
 /// Starts the processes on loopback addresses and ends them.
 class CellFleet {
 public:
@@ -106,4 +114,4 @@
 
 } // namespace snipeshunt
 
-#endif // SNIPESHUNT_FLEET_CELL_FLEET_H
+#endif // SNIPESHUNT_STANDINS_CELL_FLEET_H
--- a/src/standins/standin_func.h
+++ b/src/standins/standin_func.h
@@ -3,6 +3,7 @@
 #define SNIPESHUNT_STANDINS_STANDIN_FUNC_H
 
 #include "core/json_func.h"
+#include "core/number_func.h"
 #include "http/event_loop.h"
 #include "http/http_server.h"
 
@@ -33,11 +34,6 @@
 /// Answers 404.
 HttpReply unknownPath();
 
-/// Values of options; nothing when \p Text is not wholly a number in range.
-std::optional<int64_t> wholeNumber(std::string_view Text, int64_t Min,
-                                   int64_t Max);
-std::optional<double> realNumber(const char *Text, double Min, double Max);
-
 /// Listens, prints `listening IP:port`, and gives the address. On failure it
 /// reports to standard error with \p Prefix.
 std::optional<Address> announce(HttpServer &Server, const Address &Listen,
--- a/tests/process/cell_process_test.cpp
+++ b/tests/process/cell_process_test.cpp
@@ -1,5 +1,5 @@
 /// \file The platform's interface on real processes.
-#include "fleet/cell_fleet.h"
+#include "standins/cell_fleet.h"
 
 #include <gtest/gtest.h>
 
