core: make the JSON reader and writer once

Cause: parseJson built a reader, with its map of settings, for each call, and each order, report and ping is one or two calls. Change: one reader for each mode and one writer, kept for the thread.

--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -79,6 +79,14 @@
   /// Since when cells of the own data centre have had no reachable sender.
   std::map<CellId, SteadyTime> UnservedSince;
   uint32_t CellCount = 1; ///< Cells of the own data centre.
+  /// No ping is due before. Changed by `pingBy` and `sendPings` only.
+  SteadyTime NextPingScan{};
+  /// A message has changed what `updateClaims` decides by.
+  bool ClaimsDue = true;
+  /// Remote senders whose load this instance follows, by endpoint.
+  std::set<Address> FollowedSenders;
+  size_t LocalPeers = 0;  ///< Peers of the own data centre.
+  size_t RemotePeers = 0; ///< All other peers.
   /// Instances in the store's list, and when that was read.
   std::set<Address> ListedInstances;
   SteadyTime InstanceListRead{};
--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -15,6 +15,8 @@
 // Low bits of a token that hold a hash of the claimant's endpoint, so that
 // claims of two instances in the same millisecond differ.
 constexpr int TokenHashBits = 10;
+// Longest pause between two scans for due pings and expired peers.
+constexpr Duration MaxPingScanPause = std::chrono::milliseconds(500);
 // A cancel goes out with each ping until one that carried it has been answered,
 // or for this time, by which the job has reached its deadline anyway.
 constexpr Duration CancelRetention = std::chrono::seconds(10);
@@ -30,6 +32,22 @@
   return P.Record.Centre == State.Self.Centre;
 }
 
+/// Returns \p Shortest, or the period that keeps the pings to \p Peers peers
+/// below `MaxIdlePingRate`.
+Duration idlePeriod(Duration Shortest, size_t Peers) {
+  return std::max<Duration>(Shortest, std::chrono::seconds(1) *
+                                          static_cast<int64_t>(Peers) /
+                                          MaxIdlePingRate);
+}
+
+Duration localIdlePeriod(const CellState &State) {
+  return idlePeriod(LocalIdlePingPeriod, State.LocalPeers);
+}
+
+Duration remoteIdlePeriod(const CellState &State) {
+  return idlePeriod(RemoteIdlePingPeriod, State.RemotePeers);
+}
+
 FencingToken newToken(const CellState &State, const CellId &Cell,
                       WallTime Wall) {
   auto Ms = static_cast<uint64_t>(
@@ -53,18 +71,23 @@
   Out.push_back(LogDecision{DecisionPart::Cells, "", std::move(Message)});
 }
 
-/// Returns true if \p P is the sender of \p Cell, reachable and not draining.
-bool servesCell(const Peer &P, const CellId &Cell, SteadyTime Now) {
-  if (P.Draining || !isReachable(P, Now))
-    return false;
-  return std::any_of(P.Claims.begin(), P.Claims.end(),
-                     [&](const CellClaim &C) { return C.Cell == Cell; });
+/// Returns the cells of the own data centre with a sender that is reachable and
+/// not draining.
+std::set<CellId> servedCells(const CellState &State, SteadyTime Now) {
+  std::set<CellId> Served;
+  for (const auto &[Endpoint, P] : State.Peers)
+    if (!P.Claims.empty() && isInOwnCentre(State, P) && !P.Draining &&
+        isReachable(P, Now))
+      for (const CellClaim &Claim : P.Claims)
+        Served.insert(Claim.Cell);
+  return Served;
 }
 
-bool isCandidate(const Peer &P, SteadyTime Now) {
+bool isCandidate(const CellState &State, const Peer &P, SteadyTime Now) {
   SteadyTime Last = std::max(P.LastAnsweredPing, P.LastMessage);
   return !P.ConnectionRefused && !P.Draining && P.HasUpstreamList &&
-         Last != SteadyTime{} && Now - Last < CandidateMaxSilence;
+         Last != SteadyTime{} &&
+         Now - Last < localIdlePeriod(State) + CandidateMaxSilence;
 }
 
 /// Returns the instances of the own data centre that can be senders, by falling
@@ -74,7 +97,7 @@
   if (!State.Draining && State.HasUpstreamList)
     Candidates.push_back(&State.Self);
   for (const auto &[Endpoint, P] : State.Peers)
-    if (isInOwnCentre(State, P) && isCandidate(P, Now))
+    if (isInOwnCentre(State, P) && isCandidate(State, P, Now))
       Candidates.push_back(&P.Record);
   std::sort(Candidates.begin(), Candidates.end(),
             [](const InstanceRecord *L, const InstanceRecord *R) {
@@ -151,12 +174,46 @@
       });
 }
 
+bool equalClaims(const std::vector<CellClaim> &L,
+                 const std::vector<CellClaim> &R) {
+  return std::equal(L.begin(), L.end(), R.begin(), R.end(),
+                    [](const CellClaim &A, const CellClaim &B) {
+                      return A.Cell == B.Cell && A.Token == B.Token;
+                    });
+}
+
 void applyClaims(CellState &State, Peer &P, std::vector<CellClaim> Claims) {
+  if (equalClaims(P.Claims, Claims))
+    return;
+  State.ClaimsDue = true;
+  // The load that an instance reports before it is a sender is that of an
+  // instance without upstreams.
+  if (P.Claims.empty())
+    P.Load = {};
   for (const CellClaim &Claim : Claims)
     recordToken(State, Claim);
   P.Claims = std::move(Claims);
 }
 
+/// Chooses the remote senders to follow: those of each data centre with the
+/// highest hash of both endpoints.
+void chooseFollowedSenders(CellState &State) {
+  std::map<DataCentre, std::vector<std::pair<uint64_t, Address>>> Ranked;
+  uint64_t Seed = XXH64(State.Self.Endpoint.Value.data(),
+                        State.Self.Endpoint.Value.size(), 0);
+  for (const auto &[Endpoint, P] : State.Peers)
+    if (!P.Claims.empty() && !isInOwnCentre(State, P))
+      Ranked[P.Record.Centre].emplace_back(
+          XXH64(Endpoint.Value.data(), Endpoint.Value.size(), Seed), Endpoint);
+  State.FollowedSenders.clear();
+  for (auto &[Centre, Senders] : Ranked) {
+    std::sort(Senders.rbegin(), Senders.rend());
+    Senders.resize(std::min(Senders.size(), FollowedSendersPerCentre));
+    for (const auto &[Hash, Endpoint] : Senders)
+      State.FollowedSenders.insert(Endpoint);
+  }
+}
+
 Duration pingPeriod(const CellState &State, const Peer &P, SteadyTime Now) {
   if (P.Draining && !P.UpstreamsInUse.empty() && isInOwnCentre(State, P) &&
       !State.Claims.empty())
@@ -165,8 +222,10 @@
     return SenderPingPeriod;
   if (isInOwnCentre(State, P))
     return Now - State.Started < DiscoveryTime ? SenderPingPeriod
-                                               : LocalIdlePingPeriod;
-  return P.Claims.empty() ? RemoteIdlePingPeriod : RemoteSenderPingPeriod;
+                                               : localIdlePeriod(State);
+  return State.FollowedSenders.count(P.Record.Endpoint)
+             ? RemoteSenderPingPeriod
+             : remoteIdlePeriod(State);
 }
 
 uint64_t oldestAwaitedJob(const CellState &State, const Peer &P) {
@@ -174,14 +233,15 @@
 }
 
 /// Brings the next ping forward if the new state of \p P has a shorter period.
-void schedulePingEarlier(const CellState &State, Peer &P, SteadyTime Now) {
-  P.NextPing = std::min(P.NextPing, Now + pingPeriod(State, P, Now));
+void schedulePingEarlier(CellState &State, Peer &P, SteadyTime Now) {
+  pingBy(State, P, Now + pingPeriod(State, P, Now));
 }
 
 /// Resets what an earlier process at the same address had reported.
-void applyIncarnation(Peer &P, IncarnationId Incarnation) {
+void applyIncarnation(CellState &State, Peer &P, IncarnationId Incarnation) {
   if (P.Incarnation == Incarnation)
     return;
+  State.ClaimsDue = true;
   if (P.Incarnation != IncarnationId{})
     P.CancelledJobs.clear();
   P.Incarnation = Incarnation;
@@ -193,6 +253,35 @@
   P.UnconfirmedSince = {};
 }
 
+/// Sends a ping to \p P and schedules the next one.
+void sendPing(CellState &State, Peer &P, SteadyTime Now, InstanceEffects &Out) {
+  P.PingPending = true;
+  P.PingSent = Now;
+  P.NextPing = Now + pingPeriod(State, P, Now);
+  PeerPing Message;
+  Message.From = State.Self;
+  Message.Incarnation = State.Incarnation;
+  Message.Draining = State.Draining;
+  Message.HasUpstreamList = State.HasUpstreamList;
+  // The store's list names all instances; gossip replaces it while the store
+  // does not answer.
+  Message.WantsKnownInstances = State.InstanceListRead == SteadyTime{} &&
+                                (P.LastAnsweredPing == SteadyTime{} ||
+                                 Now - State.Started < DiscoveryTime);
+  Message.OldestAwaitedJob = oldestAwaitedJob(State, P);
+  for (auto C = P.CancelledJobs.begin(); C != P.CancelledJobs.end();) {
+    if (Now - C->second > CancelRetention) {
+      C = P.CancelledJobs.erase(C);
+      continue;
+    }
+    Message.CancelledJobs.push_back(C->first);
+    ++C;
+  }
+  for (const auto &[Cell, Claim] : State.Claims)
+    Message.Claims.push_back({Cell, Claim.Token});
+  Out.push_back(SendPing{P.Record.Endpoint, std::move(Message)});
+}
+
 } // namespace
 
 void addPeer(CellState &State, const InstanceRecord &Record, SteadyTime Now) {
@@ -202,6 +291,7 @@
   if (Added) {
     It->second.Discovered = Now;
     It->second.Record = Record;
+    State.NextPingScan = Now;
   } else if (It->second.Record.Centre.Value.empty()) {
     It->second.Record = Record;
   }
@@ -218,12 +308,17 @@
   State.InstanceListRead = Now;
 }
 
-void recordMessage(Peer &P, SteadyTime Now) {
+void pingBy(CellState &State, Peer &P, SteadyTime When) {
+  P.NextPing = std::min(P.NextPing, When);
+  State.NextPingScan = std::min(State.NextPingScan, When);
+}
+
+void recordMessage(CellState &State, Peer &P, SteadyTime Now) {
   // An entry that was cut off for this long has already released the jobs that
   // it forwarded here, and their callers may have submitted them elsewhere.
   if (Now - P.LastMessageRaw >= EntryTimeout) {
     P.UnconfirmedSince = Now;
-    P.NextPing = Now;
+    pingBy(State, P, Now);
   }
   P.LastMessage = P.LastMessageRaw = Now;
 }
@@ -246,10 +341,10 @@
   auto It = State.Peers.find(Message.From.Endpoint);
   if (It != State.Peers.end()) {
     Peer &P = It->second;
-    applyIncarnation(P, Message.Incarnation);
+    applyIncarnation(State, P, Message.Incarnation);
     P.Record = Message.From;
     P.HasUpstreamList = Message.HasUpstreamList;
-    recordMessage(P, Now);
+    recordMessage(State, P, Now);
     P.ConnectionRefused = false;
     P.OldestAwaitedJob = std::max(P.OldestAwaitedJob, Message.OldestAwaitedJob);
     bool NewClaims = P.Claims.size() != Message.Claims.size();
@@ -258,7 +353,7 @@
     // Its answer reports the upstreams that it still uses.
     if ((Message.Draining && !P.Draining) || NewClaims ||
         P.LastAnsweredPing == SteadyTime{})
-      P.NextPing = Now;
+      pingBy(State, P, Now);
   }
   PeerPong Reply;
   Reply.From = State.Self;
@@ -277,7 +372,7 @@
     for (const auto &[Endpoint, P] : State.Peers)
       if (Reply.KnownInstances.size() < MaxListedPeers &&
           P.LastAnsweredPing != SteadyTime{} &&
-          !isSuspectedAfter(P, Now, RemoteIdlePingPeriod) &&
+          !isSuspectedAfter(P, Now, remoteIdlePeriod(State)) &&
           Endpoint != Message.From.Endpoint)
         Reply.KnownInstances.push_back(P.Record);
   Out.push_back(AnswerPing{Event.Request, std::move(Reply)});
@@ -294,17 +389,19 @@
     if (Event.ConnectionRefused && !P.ConnectionRefused && isReachable(P, Now))
       log(Out, "connection refused, no process listens at peer=" +
                    Event.Endpoint.Value);
-    if (Event.ConnectionRefused)
+    if (Event.ConnectionRefused) {
+      State.ClaimsDue = State.ClaimsDue || !P.ConnectionRefused;
       P.ConnectionRefused = true;
+    }
     // A failed ping doesn't show whether the process has ended, so it is
     // repeated soon.
-    P.NextPing = std::min(P.NextPing, Now + HandoverPingPeriod);
+    pingBy(State, P, Now + HandoverPingPeriod);
     return false;
   }
   const PeerPong &Reply = *Event.Reply;
   bool WasReachable = P.LastAnsweredPing != SteadyTime{} &&
-                      !isSuspectedAfter(P, Now, RemoteIdlePingPeriod);
-  applyIncarnation(P, Reply.Incarnation);
+                      !isSuspectedAfter(P, Now, remoteIdlePeriod(State));
+  applyIncarnation(State, P, Reply.Incarnation);
   P.Record = Reply.From;
   P.ConnectionRefused = false;
   P.LastAnsweredPing = P.PingSent;
@@ -313,7 +410,9 @@
   if (P.PingSent >= P.UnconfirmedSince)
     P.UnconfirmedSince = {};
   else
-    P.NextPing = Now;
+    pingBy(State, P, Now);
+  State.ClaimsDue = State.ClaimsDue || P.Draining != Reply.Draining ||
+                    P.HasUpstreamList != Reply.HasUpstreamList;
   P.Draining = Reply.Draining;
   P.HasUpstreamList = Reply.HasUpstreamList;
   P.UpstreamsInUse = std::set<UpstreamId>(Reply.UpstreamsInUse.begin(),
@@ -333,43 +432,33 @@
 }
 
 void sendPings(CellState &State, SteadyTime Now, InstanceEffects &Out) {
+  if (Now < State.NextPingScan)
+    return;
+  State.NextPingScan = Now + MaxPingScanPause;
+  State.LocalPeers = State.RemotePeers = 0;
   for (auto It = State.Peers.begin(); It != State.Peers.end();) {
     SteadyTime Last = std::max({It->second.LastAnsweredPing,
                                 It->second.LastMessage, It->second.Discovered});
-    bool Expired = !It->second.PingPending && Now - Last > PeerExpiry;
-    It = Expired ? State.Peers.erase(It) : std::next(It);
-  }
-  for (auto &[Endpoint, P] : State.Peers) {
-    if (P.PingPending || Now < P.NextPing)
+    if (!It->second.PingPending &&
+        Now - Last > remoteIdlePeriod(State) + PeerExpiry) {
+      It = State.Peers.erase(It);
       continue;
-    P.PingPending = true;
-    P.PingSent = Now;
-    P.NextPing = Now + pingPeriod(State, P, Now);
-    PeerPing Message;
-    Message.From = State.Self;
-    Message.Incarnation = State.Incarnation;
-    Message.Draining = State.Draining;
-    Message.HasUpstreamList = State.HasUpstreamList;
-    Message.WantsKnownInstances = P.LastAnsweredPing == SteadyTime{} ||
-                                  Now - State.Started < DiscoveryTime;
-    Message.OldestAwaitedJob = oldestAwaitedJob(State, P);
-    for (auto C = P.CancelledJobs.begin(); C != P.CancelledJobs.end();) {
-      if (Now - C->second > CancelRetention) {
-        C = P.CancelledJobs.erase(C);
-        continue;
-      }
-      Message.CancelledJobs.push_back(C->first);
-      ++C;
     }
-    for (const auto &[Cell, Claim] : State.Claims)
-      Message.Claims.push_back({Cell, Claim.Token});
-    Out.push_back(SendPing{Endpoint, std::move(Message)});
+    ++(isInOwnCentre(State, It->second) ? State.LocalPeers : State.RemotePeers);
+    ++It;
+  }
+  chooseFollowedSenders(State);
+  for (auto &[Endpoint, P] : State.Peers) {
+    if (!P.PingPending && Now >= P.NextPing)
+      sendPing(State, P, Now, Out);
+    if (!P.PingPending)
+      State.NextPingScan = std::min(State.NextPingScan, P.NextPing);
   }
 }
 
 void schedulePingsNow(CellState &State, SteadyTime Now) {
   for (auto &[Endpoint, P] : State.Peers)
-    P.NextPing = Now;
+    pingBy(State, P, Now);
 }
 
 void compensateForPause(CellState &State, SteadyTime Now) {
@@ -390,8 +479,9 @@
 ClaimChanges updateClaims(CellState &State, SteadyTime Now, WallTime Wall,
                           InstanceEffects &Out) {
   ClaimChanges Changes;
+  State.ClaimsDue = false;
   for (const auto &[Endpoint, P] : State.Peers) {
-    if (!isReachable(P, Now))
+    if (P.Claims.empty() || State.Claims.empty() || !isReachable(P, Now))
       continue;
     for (const CellClaim &Claim : P.Claims) {
       auto Own = State.Claims.find(Claim.Cell);
@@ -406,16 +496,13 @@
   }
   if (State.Draining || awaitsFirstPongs(State, Now))
     return Changes;
+  std::set<CellId> Served = servedCells(State, Now);
   std::vector<Address> Ranked;
   for (uint32_t I = 0; I < State.CellCount; ++I) {
     CellId Cell{State.Self.Centre, I};
     if (State.Claims.count(Cell))
       continue;
-    bool Served =
-        std::any_of(State.Peers.begin(), State.Peers.end(), [&](const auto &E) {
-          return servesCell(E.second, Cell, Now);
-        });
-    if (Served) {
+    if (Served.count(Cell)) {
       State.UnservedSince.erase(Cell);
       continue;
     }
--- a/src/cells/cell_cmd.h
+++ b/src/cells/cell_cmd.h
@@ -38,6 +38,9 @@
 /// event.
 void sendPings(CellState &State, SteadyTime Now, InstanceEffects &Out);
 
+/// Makes the next ping to \p P due at \p When, unless it is due earlier.
+void pingBy(CellState &State, Peer &P, SteadyTime When);
+
 /// Makes pings to all peers due now, so that they receive a change of this
 /// instance's claims or its shutdown without delay.
 void schedulePingsNow(CellState &State, SteadyTime Now);
@@ -55,7 +58,7 @@
 
 /// Drops claims that a peer's newer one supersedes, and claims cells of the own
 /// data centre that have no sender. \p Wall goes into new tokens. Called with
-/// each tick, ping and pong.
+/// each tick, and with messages that set `CellState::ClaimsDue`.
 ClaimChanges updateClaims(CellState &State, SteadyTime Now, WallTime Wall,
                           InstanceEffects &Out);
 
@@ -64,7 +67,7 @@
 
 /// Records the arrival of a ping or job of a peer; see
 /// `Peer::UnconfirmedSince`.
-void recordMessage(Peer &P, SteadyTime Now);
+void recordMessage(CellState &State, Peer &P, SteadyTime Now);
 
 /// Returns true if \p P accepts connections, and the last ping that it answered
 /// or its last message is less than `SuspectAfter` old.
--- a/src/cells/cell_table.h
+++ b/src/cells/cell_table.h
@@ -14,11 +14,18 @@
 /// Period of pings to senders of other data centres without jobs of this
 /// instance. They only refresh the load by which a sender is chosen.
 constexpr Duration RemoteSenderPingPeriod = std::chrono::milliseconds(700);
-/// Period of pings to peers of the own data centre that are no senders.
+/// Shortest period of pings to peers of the own data centre that are no
+/// senders.
 constexpr Duration LocalIdlePingPeriod = std::chrono::milliseconds(1500);
-/// Period of pings to all other peers. One that becomes a sender pings by
-/// itself.
+/// Shortest period of pings to all other peers. One that becomes a sender pings
+/// by itself.
 constexpr Duration RemoteIdlePingPeriod = std::chrono::milliseconds(5000);
+/// Pings a second to peers that are no senders. The periods grow with the
+/// number of such peers, so that the cost of an instance does not.
+constexpr int64_t MaxIdlePingRate = 8;
+/// Remote senders of each data centre whose load an instance follows. Each
+/// instance follows others, so that all are known to some.
+constexpr size_t FollowedSendersPerCentre = 2;
 /// Period of pings to a draining sender that still uses upstreams of the own
 /// data centre, and the longest pause after a ping that failed.
 constexpr Duration HandoverPingPeriod = std::chrono::milliseconds(40);
@@ -32,10 +39,9 @@
 /// the time that a stop takes, it is below the pause after which a caller
 /// submits a job again elsewhere, 1.3 s.
 constexpr Duration EntryTimeout = std::chrono::milliseconds(1000);
-/// A peer is a candidate for the sender of a cell for this long after its last
-/// answer or message. Longer than `SuspectAfter`, since most peers are pinged
-/// rarely.
-constexpr Duration CandidateMaxSilence = std::chrono::milliseconds(2600);
+/// A peer is a candidate for the sender of a cell for the period of its pings
+/// and this long after its last answer or message.
+constexpr Duration CandidateMaxSilence = std::chrono::milliseconds(1100);
 /// The second candidate claims a cell this much later than the first, and so
 /// on, since the first may have failed without being suspected yet.
 constexpr Duration CandidateDelay = std::chrono::milliseconds(250);
--- a/src/core/json.cpp
+++ b/src/core/json.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstring>
 #include <memory>
+#include <sstream>
 
 namespace snipeshunt {
 
@@ -20,9 +21,7 @@
           Remedy};
 }
 
-} // namespace
-
-Result<Json::Value> parseJson(std::string_view Text, JsonComments Comments) {
+std::unique_ptr<Json::CharReader> makeReader(JsonComments Comments) {
   Json::CharReaderBuilder Builder;
   Json::CharReaderBuilder::strictMode(&Builder.settings_);
   Builder["allowComments"] = Comments == JsonComments::Accept;
@@ -30,14 +29,26 @@
   Builder["rejectDupKeys"] = true;
   Builder["failIfExtra"] = true;
   Builder["stackLimit"] = MaxNesting;
-  std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
+  return std::unique_ptr<Json::CharReader>(Builder.newCharReader());
+}
+
+} // namespace
+
+Result<Json::Value> parseJson(std::string_view Text, JsonComments Comments) {
+  // A reader takes longer to make than a short message takes to parse.
+  thread_local const std::unique_ptr<Json::CharReader> Plain =
+      makeReader(JsonComments::Reject);
+  thread_local const std::unique_ptr<Json::CharReader> Commented =
+      makeReader(JsonComments::Accept);
+  Json::CharReader &Reader =
+      Comments == JsonComments::Accept ? *Commented : *Plain;
   Json::Value Root;
   std::string Problem;
   bool Parsed = false;
   // jsoncpp throws an exception on excessive nesting.
   try {
     Parsed =
-        Reader->parse(Text.data(), Text.data() + Text.size(), &Root, &Problem);
+        Reader.parse(Text.data(), Text.data() + Text.size(), &Root, &Problem);
   } catch (const Json::Exception &E) {
     Problem = E.what();
   }
@@ -50,13 +61,18 @@
 }
 
 std::string writeJson(const Json::Value &Value) {
-  static const Json::StreamWriterBuilder Builder = [] {
+  // Making a writer and a stream takes longer than a short message.
+  thread_local const std::unique_ptr<Json::StreamWriter> Writer = [] {
     Json::StreamWriterBuilder B;
     B["indentation"] = "";
     B["emitUTF8"] = true;
-    return B;
+    return std::unique_ptr<Json::StreamWriter>(B.newStreamWriter());
   }();
-  return Json::writeString(Builder, Value);
+  thread_local std::ostringstream Stream;
+  Stream.str({});
+  Stream.clear();
+  Writer->write(Value, &Stream);
+  return Stream.str();
 }
 
 ObjectReader::ObjectReader(const Json::Value &Object, std::string Path)
--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -156,7 +156,7 @@
   if (P != Context.Cells.Peers.end()) {
     P->second.OpenJobs.insert(J.Order.Number);
     P->second.CancelledJobs.erase(J.Order.Id);
-    P->second.NextPing = std::min(P->second.NextPing, Now + SenderPingPeriod);
+    pingBy(Context.Cells, P->second, Now + SenderPingPeriod);
     P->second.Load.FreeCpu -= J.Order.Step.PerTask.CpuMillis *
                               static_cast<int64_t>(J.Order.Step.Count);
   }
@@ -222,7 +222,7 @@
   if (P == Context.Cells.Peers.end())
     return;
   P->second.CancelledJobs[J.Order.Id] = Now;
-  P->second.NextPing = Now;
+  pingBy(Context.Cells, P->second, Now);
 }
 
 } // namespace
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -190,7 +190,7 @@
       if (P->second.Incarnation == IncarnationId{})
         P->second.Incarnation = E.Order.Incarnation;
       if (P->second.Incarnation == E.Order.Incarnation)
-        recordMessage(P->second, Now);
+        recordMessage(State.Cells, P->second, Now);
     }
     acceptJob(State.Sender, E.Order, {E.Request, /*Local=*/false}, Now, Out);
   }
@@ -201,7 +201,8 @@
   void operator()(const PingArrived &E) {
     applyPing(State.Cells, E, ownReport(State, Now), Now, Out);
     stopCancelledJobs(E.Message);
-    updateOwnCells();
+    if (State.Cells.ClaimsDue)
+      updateOwnCells();
   }
   void operator()(const PingAnswered &E) {
     if (applyPong(State.Cells, E, Now, Out))
@@ -211,7 +212,8 @@
                        : 0;
     if (E.Reply && E.Reply->ConfigurationVersion > Own)
       rereadNow(State.Directory, StoreCollection::Configuration, Now);
-    updateOwnCells();
+    if (State.Cells.ClaimsDue)
+      updateOwnCells();
   }
 
   void operator()(const StartAnswered &E) {
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -391,6 +391,23 @@
     EXPECT_TRUE(R.Done) << runText(R.Key);
 }
 
+// Guards against jobs rejected for the load that a new sender had reported
+// before it was a sender: its claim arrives in a ping, which carries no load,
+// and without upstreams an instance reports a long delay.
+TEST_F(CellTest, NewSenderGetsJobsBeforeItHasReportedItsLoad) {
+  World.run(seconds(3));
+  World.shutDown(Strong);
+  std::vector<size_t> Jobs;
+  for (int I = 0; I < 200; ++I) {
+    Jobs.push_back(
+        World.submit(Second, "job-" + std::to_string(I), 1, milliseconds(5)));
+    World.run(std::chrono::microseconds(100));
+  }
+  World.run(seconds(3));
+  for (size_t J : Jobs)
+    EXPECT_TRUE(done(J)) << J;
+}
+
 // Guards against answers lost at the end of the process: the event loop writes
 // them to their connections after the reducer has returned them.
 TEST_F(CellTest, ProcessStaysAWhileAfterItsLastAnswer) {
--- a/tests/json_test.cpp
+++ b/tests/json_test.cpp
@@ -19,6 +19,22 @@
   EXPECT_TRUE(failed(parseJson(std::string(100000, '['))));
 }
 
+// Guards against state that an invalid text leaves in the reader, which all
+// calls share, and against text of an earlier value in the output.
+TEST(JsonTest, CallsAreIndependent) {
+  for (const std::string &Invalid :
+       {std::string("{\"a\":[1,"), std::string(100000, '['),
+        std::string("{\"a\":1,\"a\":2}")}) {
+    EXPECT_TRUE(failed(parseJson(Invalid)));
+    auto Parsed = parseJson(R"({"a":[1,2]})");
+    ASSERT_FALSE(failed(Parsed));
+    EXPECT_EQ(writeJson(valueOf(Parsed)), R"({"a":[1,2]})");
+  }
+  EXPECT_TRUE(failed(parseJson("// text\n{}")));
+  EXPECT_FALSE(failed(parseJson("// text\n{}", JsonComments::Accept)));
+  EXPECT_TRUE(failed(parseJson("// text\n{}")));
+}
+
 // Guards against ignoring unknown fields and accepting values out of range.
 TEST(JsonTest, ObjectReaderReportsFirstError) {
   auto Parsed = parseJson(R"({"a":1,"b":"x","c":true})");
