--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -60,6 +60,12 @@
   SteadyTime Since; ///< When it was made.
 };
 
+/// Counters since the start of the process.
+struct CellCounters {
+  uint64_t PingsSent = 0;
+  uint64_t PeersVisited = 0; ///< Peers looked at by scans of the peer list.
+};
+
 /// Peers and claims.
 struct CellState {
   InstanceRecord Self;       ///< As reported to peers.
@@ -87,6 +93,7 @@
   std::set<Address> FollowedSenders;
   size_t LocalPeers = 0;  ///< Peers of the own data centre.
   size_t RemotePeers = 0; ///< All other peers.
+  CellCounters Counts;
   /// Instances in the store's list, and when that was read.
   std::set<Address> ListedInstances;
   SteadyTime InstanceListRead{};
--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -279,6 +279,7 @@
   }
   for (const auto &[Cell, Claim] : State.Claims)
     Message.Claims.push_back({Cell, Claim.Token});
+  ++State.Counts.PingsSent;
   Out.push_back(SendPing{P.Record.Endpoint, std::move(Message)});
 }
 
@@ -435,6 +436,7 @@
   if (Now < State.NextPingScan)
     return;
   State.NextPingScan = Now + MaxPingScanPause;
+  State.Counts.PeersVisited += State.Peers.size();
   State.LocalPeers = State.RemotePeers = 0;
   for (auto It = State.Peers.begin(); It != State.Peers.end();) {
     SteadyTime Last = std::max({It->second.LastAnsweredPing,
@@ -480,6 +482,7 @@
                           InstanceEffects &Out) {
   ClaimChanges Changes;
   State.ClaimsDue = false;
+  State.Counts.PeersVisited += State.Peers.size();
   for (const auto &[Endpoint, P] : State.Peers) {
     if (P.Claims.empty() || State.Claims.empty() || !isReachable(P, Now))
       continue;
--- a/src/runtime/cell_metrics.cpp
+++ b/src/runtime/cell_metrics.cpp
@@ -75,6 +75,8 @@
   Values.setCounter("runs_stuck_total", "Runs stopped because they stalled.",
                     S.RunsStalled);
   Values.setCounter("renewals_total", "Lease renewals sent.", S.Renewals);
+  Values.setCounter("pings_total", "Pings sent to peers.",
+                    State.Cells.Counts.PingsSent);
   Values.setCounter("log_dropped_total", "Log lines dropped.",
                     droppedLogLines());
   SenderLoad Load = senderLoad(State.Sender, Owner.clock().steadyNow());
