sender: compare waiting tasks only with upstreams that have room

Cause: each waiting task went over all upstreams of the cell and looked up its learned factors for each, also when the cell was full. Change: a pass lists the upstreams with free capacity and their speed first, and ends if there are none; the forecast's slots are sorted by time, so that a search stops at the first that is too late. A counter measures the work. LeaseSent, which nothing used, is removed.

--- a/src/sender/forecast.cpp
+++ b/src/sender/forecast.cpp
@@ -36,6 +36,8 @@
       Slots.push_back({&U, FreeAfter, expectedRest(Run, Now), RunFactor});
     }
   }
+  std::sort(Slots.begin(), Slots.end(),
+            [](const Slot &L, const Slot &R) { return L.Wait < R.Wait; });
 }
 
 bool SlotForecast::reserveEarlierSlot(
@@ -44,8 +46,9 @@
   auto Best = Slots.end();
   auto Limit =
       std::chrono::duration_cast<Duration>(RunTimeHere * (1 - MinGain));
-  for (auto It = Slots.begin(); It != Slots.end(); ++It) {
-    if (It->Wait >= Limit || !It->FreeAfter.covers(J.Order.Step.PerTask) ||
+  // The limit falls with each better slot, so most of the slots are skipped.
+  for (auto It = Slots.begin(); It != Slots.end() && It->Wait < Limit; ++It) {
+    if (!It->FreeAfter.covers(J.Order.Step.PerTask) ||
         !IsAllowed(*It->Upstream))
       continue;
     Duration End = It->Wait + std::chrono::duration_cast<Duration>(
--- a/src/sender/forecast.h
+++ b/src/sender/forecast.h
@@ -37,7 +37,7 @@
     double RunFactor;
   };
 
-  std::vector<Slot> Slots;
+  std::vector<Slot> Slots; ///< By rising `Wait`.
 };
 
 } // namespace snipeshunt
--- a/src/sender/placement_cmd.cpp
+++ b/src/sender/placement_cmd.cpp
@@ -8,6 +8,7 @@
 #include "sender/upstream_cmd.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace snipeshunt {
 
@@ -18,13 +19,16 @@
 // large tasks still find room elsewhere.
 constexpr double SimilarityFactor = 1.15;
 
-/// Returns true if the task may run on the upstream, regardless of free
-/// capacity.
-bool isEligible(const SenderUpstream &U, const JobOrder &Order,
-                const SenderTask &T, SteadyTime Now) {
-  if (!acceptsStarts(U, Now) || U.UnlistedSince != SteadyTime{} ||
-      !U.ClockOffset || U.UnansweredCalls > 0)
-    return false;
+/// Returns true if the upstream takes starts, regardless of free capacity.
+bool isUsable(const SenderUpstream &U, SteadyTime Now) {
+  return acceptsStarts(U, Now) && U.UnlistedSince == SteadyTime{} &&
+         U.ClockOffset && U.UnansweredCalls == 0;
+}
+
+/// Returns true if the task may run on the upstream, regardless of the state
+/// and the free capacity of the upstream.
+bool fitsTask(const SenderUpstream &U, const JobOrder &Order,
+              const SenderTask &T) {
   if (U.Record.Service != Order.Service)
     return false;
   if (!Order.Step.Requirement.empty() &&
@@ -41,56 +45,79 @@
   return !T.AvoidedUpstreams.count(U.Record.Id);
 }
 
-/// Returns true if the task may be started on the upstream now.
-bool canStartNow(const SenderUpstream &U, const JobOrder &Order,
-                 const SenderTask &T, SteadyTime Now) {
-  if (U.Probing && !U.Runs.empty())
-    return false;
-  return U.Free.covers(Order.Step.PerTask) && isEligible(U, Order, T, Now);
+/// An upstream with free capacity, in one placement pass.
+struct StartableUpstream {
+  SenderUpstream *Upstream;
+  /// Run time there relative to an upstream of average speed.
+  double RunFactor;
+};
+
+/// Returns the upstreams that accept starts and have free capacity. Most are
+/// full under load, so that the tasks of the queue are compared with few.
+std::vector<StartableUpstream> startableUpstreams(SenderState &State,
+                                                  SteadyTime Now) {
+  std::vector<StartableUpstream> Found;
+  State.Counts.UpstreamsVisited += State.Upstreams.size();
+  for (auto &[Id, U] : State.Upstreams)
+    if (U.Free.CpuMillis > 0 && !(U.Probing && !U.Runs.empty()) &&
+        isUsable(U, Now))
+      Found.push_back({&U, std::exp(logRunTimeFactor(State.Learned, U))});
+  return Found;
 }
 
 /// Returns the upstream on which the task is expected to end first, or null.
 /// \p Expected is set to its run time there.
 SenderUpstream *chooseUpstream(SenderState &State, const SenderJob &J,
-                               const SenderTask &T, SteadyTime Now,
+                               const SenderTask &T, Duration TypicalRunTime,
+                               const std::vector<StartableUpstream> &Startable,
                                Duration &Expected) {
+  State.Counts.UpstreamsVisited += Startable.size();
   SenderUpstream *Best = nullptr;
-  for (auto &[Id, U] : State.Upstreams) {
-    if (!canStartNow(U, J.Order, T, Now))
+  double BestFactor = 0;
+  for (const StartableUpstream &S : Startable) {
+    SenderUpstream &U = *S.Upstream;
+    if (!U.Free.covers(J.Order.Step.PerTask) ||
+        (U.Probing && !U.Runs.empty()) || !fitsTask(U, J.Order, T))
       continue;
-    Duration RunTimeHere = expectedRunTime(State.Learned, J.Order, U);
     bool Better = !Best;
     if (Best) {
-      double Ratio =
-          toSeconds(RunTimeHere) / std::max(1e-6, toSeconds(Expected));
+      double Ratio = S.RunFactor / BestFactor;
       bool Similar = Ratio < SimilarityFactor && Ratio > 1 / SimilarityFactor;
       Better = Similar ? U.Free.CpuMillis < Best->Free.CpuMillis : Ratio < 1;
     }
     if (Better) {
       Best = &U;
-      Expected = RunTimeHere;
+      BestFactor = S.RunFactor;
     }
   }
+  Expected = std::chrono::duration_cast<Duration>(TypicalRunTime * BestFactor);
   return Best;
 }
 
+/// State of one placement pass.
+struct PlacementPass {
+  std::vector<StartableUpstream> Startable;
+  std::optional<SlotForecast> Forecast; ///< Made when a task first needs it.
+};
+
 /// Starts the waiting tasks of one job as far as there is free capacity. A task
 /// that fits only on a slow upstream may wait for a faster one instead.
-void startJobTasks(SenderState &State, SenderJob &J,
-                   std::optional<SlotForecast> &Forecast, SteadyTime Now,
-                   InstanceEffects &Out) {
+void startJobTasks(SenderState &State, SenderJob &J, PlacementPass &Pass,
+                   SteadyTime Now, InstanceEffects &Out) {
+  Duration Typical = typicalRunTime(State.Learned, J.Order);
   for (uint32_t Index = 0; Index < J.Tasks.size() && J.WaitingTasks > 0;
        ++Index) {
     SenderTask &T = J.Tasks[Index];
     if (T.State != SenderTaskState::Waiting)
       continue;
     Duration Expected{0};
-    SenderUpstream *U = chooseUpstream(State, J, T, Now, Expected);
+    SenderUpstream *U =
+        chooseUpstream(State, J, T, Typical, Pass.Startable, Expected);
     if (!U && !T.AvoidedUpstreams.empty() &&
         T.AvoidedUpstreams.size() + 1 >= State.Upstreams.size()) {
       // It avoids all upstreams but at most one; a retry on any beats none.
       T.AvoidedUpstreams.clear();
-      U = chooseUpstream(State, J, T, Now, Expected);
+      U = chooseUpstream(State, J, T, Typical, Pass.Startable, Expected);
     }
     if (!U) {
       // The other tasks of the job have the same needs, so they fit nowhere
@@ -99,11 +126,11 @@
         return;
       continue;
     }
-    if (!Forecast)
-      Forecast.emplace(State, Now);
-    if (Forecast->reserveEarlierSlot(
+    if (!Pass.Forecast)
+      Pass.Forecast.emplace(State, Now);
+    if (Pass.Forecast->reserveEarlierSlot(
             J, Expected, [&](const SenderUpstream &Other) {
-              return isEligible(Other, J.Order, T, Now);
+              return isUsable(Other, Now) && fitsTask(Other, J.Order, T);
             }))
       continue;
     T.State = SenderTaskState::Started;
@@ -125,11 +152,15 @@
   if (!State.PlacementDue)
     return;
   State.PlacementDue = false;
-  std::optional<SlotForecast>
-      Forecast; // Made on demand; most passes need none.
+  if (State.Jobs.empty())
+    return;
+  PlacementPass Pass;
+  Pass.Startable = startableUpstreams(State, Now);
+  if (Pass.Startable.empty())
+    return;
   for (const auto &[Rank, J] : rankedQueue(State, Now))
     if (!State.DetachedRuns.count(J->Order.Id) && MayStart(*J))
-      startJobTasks(State, *J, Forecast, Now, Out);
+      startJobTasks(State, *J, Pass, Now, Out);
 }
 
 } // namespace snipeshunt
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -69,7 +69,6 @@
   SteadyTime ClockOffsetUpdated{}; ///< When `ClockOffset` was last updated.
   /// All its runs have ended by then, unless their lease is renewed.
   SteadyTime LeaseExpiry{};
-  SteadyTime LeaseSent{};       ///< Not used.
   bool RenewalPending = false;  ///< A renewal awaits its answer.
   uint64_t RenewalSequence = 0; ///< Of the last renewal.
   SteadyTime RenewalSent{};     ///< When the last renewal was sent.
@@ -170,6 +169,8 @@
   uint64_t RunsStopped = 0;  ///< Stops that were accepted.
   uint64_t RunsStalled = 0;  ///< Runs stopped for lack of progress.
   uint64_t Renewals = 0;     ///< Renewal calls sent.
+  /// Upstreams and slots looked at by placement, as a measure of its cost.
+  uint64_t UpstreamsVisited = 0;
 };
 
 /// Sort key of a job in the queue; the lowest is placed first.
