cells: ping the own data centre when the list of upstreams arrives

Cause: CellProcessTest.ShutdownUnderLoadBreaksNoJob still failed in 1 of 12 runs: three instances claimed the cell in the same millisecond, 150 ms after their start, as the logs show (candidates=1 at two of them). The first pongs of the peers precede their first read of the upstreams, and the next pings come later than the first claims. Orders of two of the senders were fenced, and their first jobs were answered as lost. Change: the first list makes an instance ping its data centre at once.

--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -458,6 +458,15 @@
   }
 }
 
+void recordUpstreamList(CellState &State, bool HasList, SteadyTime Now) {
+  if (State.HasUpstreamList == HasList)
+    return;
+  State.HasUpstreamList = HasList;
+  for (auto &[Endpoint, P] : State.Peers)
+    if (isInOwnCentre(State, P))
+      pingBy(State, P, Now);
+}
+
 void schedulePingsNow(CellState &State, SteadyTime Now) {
   for (auto &[Endpoint, P] : State.Peers)
     pingBy(State, P, Now);
--- a/src/cells/cell_cmd.h
+++ b/src/cells/cell_cmd.h
@@ -41,6 +41,11 @@
 /// Makes the next ping to \p P due at \p When, unless it is due earlier.
 void pingBy(CellState &State, Peer &P, SteadyTime When);
 
+/// Records whether this instance has a list of upstreams. The peers of the own
+/// data centre are pinged at once if that changes, since it makes this instance
+/// a candidate.
+void recordUpstreamList(CellState &State, bool HasList, SteadyTime Now);
+
 /// Makes pings to all peers due now, so that they receive a change of this
 /// instance's claims or its shutdown without delay.
 void schedulePingsNow(CellState &State, SteadyTime Now);
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -285,7 +285,7 @@
   }
 
   void updateOwnCells() {
-    State.Cells.HasUpstreamList = !State.Directory.Upstreams.empty();
+    recordUpstreamList(State.Cells, !State.Directory.Upstreams.empty(), Now);
     ClaimChanges Changes = updateClaims(State.Cells, Now, Wall, Out);
     for (const CellId &Cell : Changes.Lost)
       releaseCell(State.Sender, Cell, Now, Out);
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -439,6 +439,29 @@
   }
 }
 
+// Guards against several instances that claim a cell at once after they have
+// started together: the first answers of peers come before these have read the
+// list of upstreams, so that each instance took itself for the only candidate.
+TEST(CellDiscovery, PeersAreToldAtOnceOfAListOfUpstreams) {
+  CellState State;
+  State.Self = {Address{"self:1"}, DataCentre{"centre-a"}, 0.5};
+  SteadyTime Now{seconds(100)};
+  addPeer(State, {Address{"near:1"}, DataCentre{"centre-a"}, 0.5}, Now);
+  InstanceEffects Out;
+  sendPings(State, Now, Out);
+  ASSERT_EQ(Out.size(), 1U);
+  PingAnswered Answer;
+  Answer.Endpoint = Address{"near:1"};
+  Answer.Reply.emplace();
+  Answer.Reply->From = {Address{"near:1"}, DataCentre{"centre-a"}, 0.5};
+  applyPong(State, Answer, Now + milliseconds(1), Out);
+  Out.clear();
+  recordUpstreamList(State, true, Now + milliseconds(2));
+  sendPings(State, Now + milliseconds(2), Out);
+  ASSERT_EQ(Out.size(), 1U);
+  EXPECT_TRUE(std::get<SendPing>(Out[0]).Message.HasUpstreamList);
+}
+
 // Guards against an instance that has only the sender's address, not its data
 // centre, and then pings it too rarely to see that it works.
 TEST(CellDiscovery, RestartedInstanceLeavesTheCellToTheSender) {
