cells: a fixed number of cells, spread over senders by shares

Cause: an upstream's cell was a hash modulo ceil(length of the list / 40). When the list of a data centre crossed a multiple of 40, most upstreams changed their cell, while instances with older lists kept the old partition: two senders held an upstream under tokens of different cells, and one read and acknowledged ends that the other awaited. Change: 24 cells for each data centre, always; a sender has as many as make its share of the upstreams (40 for a sender). A free cell goes to instances without their share first, so that a failed sender's cells go to one successor and not to the other senders. Ruled out: jump hashing with an agreed version of the partition; it moves fewer upstreams, but still needs a handover of each and its agreement.

--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -84,7 +84,9 @@
   std::map<CellId, SteadyTime> ClaimAfter;
   /// Since when cells of the own data centre have had no reachable sender.
   std::map<CellId, SteadyTime> UnservedSince;
-  uint32_t CellCount = 1; ///< Cells of the own data centre.
+  /// Senders that the upstreams of the own data centre are spread over while
+  /// enough instances are there.
+  uint32_t WantedSenders = 1;
   /// No ping is due before. Changed by `pingBy` and `sendPings` only.
   SteadyTime NextPingScan{};
   /// A message has changed what `updateClaims` decides by.
--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -71,16 +71,38 @@
   Out.push_back(LogDecision{DecisionPart::Cells, "", std::move(Message)});
 }
 
-/// Returns the cells of the own data centre with a sender that is reachable and
-/// not draining.
-std::set<CellId> servedCells(const CellState &State, SteadyTime Now) {
-  std::set<CellId> Served;
+/// Returns the cells of the own data centre that neither this instance nor a
+/// peer that is reachable and not draining claims. Forgets since when the
+/// others were unserved.
+std::vector<CellId> unservedCells(CellState &State, SteadyTime Now) {
+  std::vector<bool> Served(CellsPerCentre);
+  auto Record = [&](const CellId &Cell) {
+    if (Cell.Centre == State.Self.Centre && Cell.Index < CellsPerCentre)
+      Served[Cell.Index] = true;
+  };
+  for (const auto &[Cell, Claim] : State.Claims)
+    Record(Cell);
   for (const auto &[Endpoint, P] : State.Peers)
-    if (!P.Claims.empty() && isInOwnCentre(State, P) && !P.Draining &&
-        isReachable(P, Now))
+    if (!P.Claims.empty() && !P.Draining && isReachable(P, Now))
       for (const CellClaim &Claim : P.Claims)
-        Served.insert(Claim.Cell);
-  return Served;
+        Record(Claim.Cell);
+  std::vector<CellId> Unserved;
+  for (uint32_t I = 0; I < CellsPerCentre; ++I) {
+    CellId Cell{State.Self.Centre, I};
+    if (Served[I])
+      State.UnservedSince.erase(Cell);
+    else
+      Unserved.push_back(Cell);
+  }
+  return Unserved;
+}
+
+/// Indexes of \p Cells, for logs.
+std::string cellList(const std::vector<CellId> &Cells) {
+  std::string Text = "cells=";
+  for (const CellId &Cell : Cells)
+    Text += (Text.back() == '=' ? "" : ",") + std::to_string(Cell.Index);
+  return Text;
 }
 
 bool isCandidate(const CellState &State, const Peer &P, SteadyTime Now) {
@@ -90,41 +112,50 @@
          Now - Last < localIdlePeriod(State) + CandidateMaxSilence;
 }
 
-/// Returns the instances of the own data centre that can be senders, by falling
-/// weight and then by endpoint.
-std::vector<Address> rankCandidates(const CellState &State, SteadyTime Now) {
-  std::vector<const InstanceRecord *> Candidates;
+/// An instance of the own data centre that can be a sender.
+struct Candidate {
+  bool HasShare;        ///< It has its share of the cells already.
+  double Weight;        ///< See `InstanceRecord`.
+  const Address *Where; ///< Its endpoint.
+};
+
+/// Returns the instances of the own data centre that can be senders: those
+/// without their share of the cells first, by falling weight and then by
+/// endpoint.
+std::vector<Candidate> rankCandidates(const CellState &State, SteadyTime Now) {
+  size_t Share =
+      (CellsPerCentre + State.WantedSenders - 1) / State.WantedSenders;
+  std::vector<Candidate> Ranked;
   if (!State.Draining && State.HasUpstreamList)
-    Candidates.push_back(&State.Self);
+    Ranked.push_back({State.Claims.size() >= Share, State.Self.Weight,
+                      &State.Self.Endpoint});
   for (const auto &[Endpoint, P] : State.Peers)
     if (isInOwnCentre(State, P) && isCandidate(State, P, Now))
-      Candidates.push_back(&P.Record);
-  std::sort(Candidates.begin(), Candidates.end(),
-            [](const InstanceRecord *L, const InstanceRecord *R) {
-              return std::tie(R->Weight, L->Endpoint) <
-                     std::tie(L->Weight, R->Endpoint);
+      Ranked.push_back({P.Claims.size() >= Share, P.Record.Weight, &Endpoint});
+  std::sort(Ranked.begin(), Ranked.end(),
+            [](const Candidate &L, const Candidate &R) {
+              return std::tie(L.HasShare, R.Weight, *L.Where) <
+                     std::tie(R.HasShare, L.Weight, *R.Where);
             });
-  std::vector<Address> Ranked;
-  Ranked.reserve(Candidates.size());
-  for (const InstanceRecord *E : Candidates)
-    Ranked.push_back(E->Endpoint);
   return Ranked;
 }
 
 /// Returns true if this instance may claim a cell that has been unserved since
-/// \p Since. The cell's index gives the first candidate of \p Ranked, which
-/// spreads cells over instances; each later candidate waits `CandidateDelay`
+/// \p Since. The unserved cells are spread over \p Turns of the first
+/// candidates by their index; each later candidate waits `CandidateDelay`
 /// longer.
 bool isClaimTurn(const CellState &State, const CellId &Cell,
-                 const std::vector<Address> &Ranked, SteadyTime Since,
-                 SteadyTime Now) {
-  auto Own = std::find(Ranked.begin(), Ranked.end(), State.Self.Endpoint);
+                 const std::vector<Candidate> &Ranked, size_t Turns,
+                 SteadyTime Since, SteadyTime Now) {
+  auto Own =
+      std::find_if(Ranked.begin(), Ranked.end(), [&](const Candidate &C) {
+        return *C.Where == State.Self.Endpoint;
+      });
   if (Own == Ranked.end())
     return false;
-  size_t Count = Ranked.size();
+  auto Rank = static_cast<size_t>(Own - Ranked.begin());
   size_t Position =
-      (static_cast<size_t>(Own - Ranked.begin()) + Count - Cell.Index % Count) %
-      Count;
+      Rank < Turns ? (Rank + Turns - Cell.Index % Turns) % Turns : Rank;
   return Now - Since >= CandidateDelay * Position;
 }
 
@@ -508,25 +539,20 @@
   }
   if (State.Draining || awaitsFirstPongs(State, Now))
     return Changes;
-  std::set<CellId> Served = servedCells(State, Now);
-  std::vector<Address> Ranked;
-  for (uint32_t I = 0; I < State.CellCount; ++I) {
-    CellId Cell{State.Self.Centre, I};
-    if (State.Claims.count(Cell))
-      continue;
-    if (Served.count(Cell)) {
-      State.UnservedSince.erase(Cell);
-      continue;
-    }
+  std::vector<CellId> Unserved = unservedCells(State, Now);
+  if (Unserved.empty())
+    return Changes;
+  std::vector<Candidate> Ranked = rankCandidates(State, Now);
+  // As many candidates as the unserved cells make shares for.
+  size_t Turns = (Unserved.size() * State.WantedSenders + CellsPerCentre - 1) /
+                 CellsPerCentre;
+  Turns = std::min(Turns, Ranked.size());
+  for (const CellId &Cell : Unserved) {
     SteadyTime Since = State.UnservedSince.try_emplace(Cell, Now).first->second;
     auto After = State.ClaimAfter.find(Cell);
     if (After != State.ClaimAfter.end() && Now < After->second)
       continue;
-    if (Ranked.empty())
-      Ranked = rankCandidates(State, Now);
-    if (Ranked.empty())
-      break;
-    if (!isClaimTurn(State, Cell, Ranked, Since, Now) ||
+    if (!isClaimTurn(State, Cell, Ranked, Turns, Since, Now) ||
         !isSenderLossConfirmed(State, Cell, Now))
       continue;
     State.UnservedSince.erase(Cell);
@@ -534,10 +560,13 @@
     State.Claims[Cell] = {Token, Now};
     recordToken(State, {Cell, Token});
     Changes.Acquired.push_back(Cell);
-    log(Out, "cell=" + cellText(Cell) + " acquired, it had no " +
-                 "sender, token=" + std::to_string(Token.Value) +
-                 " candidates=" + std::to_string(Ranked.size()));
   }
+  if (!Changes.Acquired.empty())
+    log(Out,
+        "cells acquired, they had no sender: " + cellList(Changes.Acquired) +
+            " token=" +
+            std::to_string(State.Claims[Changes.Acquired.back()].Token.Value) +
+            " candidates=" + std::to_string(Ranked.size()));
   // Jobs at other entry instances wait for a sender, so report the claim at
   // once.
   if (!Changes.Acquired.empty())
--- a/src/cells/cell_table.h
+++ b/src/cells/cell_table.h
@@ -61,9 +61,15 @@
 constexpr Duration PauseThreshold = std::chrono::milliseconds(150);
 /// Silence after which a peer is removed.
 constexpr Duration PeerExpiry = std::chrono::seconds(30);
-/// Upstreams of one cell. A sender spends about 0.1 ms on a task, so that 40
+/// Cells of each data centre. The number is fixed, so that an upstream never
+/// changes its cell: with a number that follows the list of upstreams,
+/// instances with lists of different age disagree about the cell of most
+/// upstreams. It is a multiple of most small numbers of senders and bounds that
+/// number.
+constexpr uint32_t CellsPerCentre = 24;
+/// Upstreams for one sender. A sender spends about 0.1 ms on a task, so that 40
 /// upstreams with 300 starts a second take 3 % of a core.
-constexpr size_t CellSize = 40;
+constexpr size_t UpstreamsPerSender = 40;
 /// Limit on `PeerPong::KnownInstances`.
 constexpr size_t MaxListedPeers = 64;
 
--- a/src/cells/cell_type.h
+++ b/src/cells/cell_type.h
@@ -14,7 +14,7 @@
 /// Identifies a cell; `cellOf` assigns each upstream to one.
 struct CellId {
   DataCentre Centre;
-  uint32_t Index = 0; ///< Below the data centre's number of cells.
+  uint32_t Index = 0; ///< Below `CellsPerCentre`.
 
   friend bool operator<(const CellId &L, const CellId &R) {
     return std::tie(L.Centre, L.Index) < std::tie(R.Centre, R.Index);
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -61,20 +61,18 @@
 
 void applyListedUpstreams(FleetInstance &State, bool Complete, SteadyTime Now,
                           InstanceEffects &Out) {
-  uint32_t CellCount = State.Cells.CellCount;
-  applyUpstreams(
-      State.Sender, State.Directory.Upstreams, State.Cells.Claims,
-      [CellCount](const UpstreamRecord &E) { return cellOf(E, CellCount); },
-      Complete, Now, Out);
+  applyUpstreams(State.Sender, State.Directory.Upstreams, State.Cells.Claims,
+                 cellOf, Complete, Now, Out);
 }
 
-void updateCellCount(FleetInstance &State) {
+void updateWantedSenders(FleetInstance &State) {
   const DataCentre &Own = State.Settings.Self.Centre;
-  auto Count = std::count_if(
+  auto Count = static_cast<size_t>(std::count_if(
       State.Directory.Upstreams.begin(), State.Directory.Upstreams.end(),
-      [&](const UpstreamRecord &E) { return E.Centre == Own; });
-  State.Cells.CellCount = static_cast<uint32_t>(std::max<size_t>(
-      1, (static_cast<size_t>(Count) + CellSize - 1) / CellSize));
+      [&](const UpstreamRecord &E) { return E.Centre == Own; }));
+  size_t Wanted = (Count + UpstreamsPerSender - 1) / UpstreamsPerSender;
+  State.Cells.WantedSenders =
+      static_cast<uint32_t>(std::clamp<size_t>(Wanted, 1, CellsPerCentre));
 }
 
 /// Returns true if the entry of a job no longer awaits it: it is
@@ -247,7 +245,7 @@
       applyListedInstances(State.Cells, E.Instances, Now);
     if (E.Collection != StoreCollection::Upstreams)
       return;
-    updateCellCount(State);
+    updateWantedSenders(State);
     applyListedUpstreams(State, State.Directory.IsSender, Now, Out);
   }
   void operator()(const WatchAnswered &E) {
@@ -261,7 +259,7 @@
   }
   void operator()(const SnapshotFetched &E) {
     applySnapshot(State.Directory, E, Out);
-    updateCellCount(State);
+    updateWantedSenders(State);
   }
   void operator()(const LeaseRenewalAnswered &E) {
     applyLeaseRenewal(State.Directory, E, Now);
@@ -395,10 +393,11 @@
 
 } // namespace
 
-CellId cellOf(const UpstreamRecord &Record, uint32_t CellCount) {
+CellId cellOf(const UpstreamRecord &Record) {
   const std::string &Name = Record.Id.Value;
-  return {Record.Centre, static_cast<uint32_t>(
-                             XXH64(Name.data(), Name.size(), 0) % CellCount)};
+  return {Record.Centre,
+          static_cast<uint32_t>(XXH64(Name.data(), Name.size(), 0) %
+                                CellsPerCentre)};
 }
 
 FleetInstance startInstance(FleetSettings Settings, IncarnationId Incarnation,
--- a/src/instance/instance_reducer.h
+++ b/src/instance/instance_reducer.h
@@ -20,9 +20,9 @@
 /// a configuration and an available sender, and isn't shutting down.
 bool isReady(const FleetInstance &State, SteadyTime Now);
 
-/// Returns the cell of an upstream when its data centre has \p CellCount cells.
+/// Returns the cell of an upstream, which depends on its id alone.
 /// All instances assign an upstream to the same cell, by a hash of its id.
-CellId cellOf(const UpstreamRecord &Record, uint32_t CellCount);
+CellId cellOf(const UpstreamRecord &Record);
 
 } // namespace snipeshunt
 
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -408,6 +408,52 @@
     EXPECT_TRUE(done(J)) << J;
 }
 
+// Guards against upstreams that change hands because the length of the list
+// changes: cells were numbered modulo a count that followed the length, and two
+// senders held an upstream under tokens of different cells meanwhile.
+TEST(CellPartition, ChangesOfTheListMoveNoUpstream) {
+  CellWorld World;
+  for (int I = 0; I < 80; ++I)
+    World.addUpstream({"u" + std::to_string(I)});
+  std::vector<Address> Entries;
+  for (int I = 0; I < 4; ++I)
+    Entries.push_back(World.addInstance("i" + std::to_string(I), "centre-a"));
+  World.run(seconds(3));
+  auto Owners = [&] {
+    std::map<UpstreamId, Address> Found;
+    for (const Address &E : Entries)
+      for (const auto &[Id, U] : World.state(E).Sender.Upstreams)
+        Found[Id] = E;
+    return Found;
+  };
+  std::map<UpstreamId, Address> Before = Owners();
+  EXPECT_EQ(Before.size(), 80U);
+  EXPECT_EQ(World.senders().size(), 2U);
+  std::vector<size_t> Jobs;
+  for (int I = 0; I < 600; ++I) {
+    if (I == 200)
+      World.addUpstream({"late-1"});
+    if (I == 300)
+      World.addUpstream({"late-2"});
+    Jobs.push_back(World.submit(Entries[I % Entries.size()],
+                                "job-" + std::to_string(I), 2,
+                                milliseconds(150)));
+    World.run(milliseconds(10));
+  }
+  World.run(seconds(3));
+  std::map<UpstreamId, Address> After = Owners();
+  EXPECT_EQ(After.size(), 82U);
+  for (const auto &[Id, Owner] : Before)
+    EXPECT_EQ(After[Id], Owner) << Id.Value;
+  for (size_t J : Jobs) {
+    const auto &Answer = World.caller(J).Answer;
+    EXPECT_TRUE(Answer && Answer->Status == AnswerStatus::Done) << J;
+  }
+  for (const RunRecord &R : World.runs())
+    EXPECT_TRUE(R.Done) << runText(R.Key);
+  EXPECT_TRUE(World.overlappingRuns().empty());
+}
+
 // Guards against answers lost at the end of the process: the event loop writes
 // them to their connections after the reducer has returned them.
 TEST_F(CellTest, ProcessStaysAWhileAfterItsLastAnswer) {
