directory, cells: only likely senders read the upstreams; idle pings confirm nothing

Cause: each instance read and decoded the whole list of upstreams, a stall of 0.1 to 0.3 s on a machine with 0.09 of a core. A ping after a silence of 1 s caused a ping back at once, although only a job needs that confirmation; with the longer periods this doubled the pings. A ping that became due while one was pending was sent only with the next scan, up to 500 ms later. Placement visited upstreams with some capacity left, but too little for any task.

--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -24,7 +24,7 @@
   /// Set when a message arrives first or after a silence of `EntryTimeout`: it
   /// and those that follow may have been delayed by a link that was cut. Zero
   /// again once a ping sent since then has been answered. Until then, no task
-  /// of the peer's jobs is started.
+  /// of the peer's jobs is started. Only a job makes that ping due at once.
   SteadyTime UnconfirmedSince{};
   SteadyTime NextPing{};    ///< When the next ping is due.
   SteadyTime PingSent{};    ///< When the last ping was sent.
@@ -95,6 +95,9 @@
   std::set<Address> FollowedSenders;
   size_t LocalPeers = 0;  ///< Peers of the own data centre.
   size_t RemotePeers = 0; ///< All other peers.
+  /// This instance is among the strongest of its data centre, from which
+  /// senders are taken.
+  bool IsStandby = true;
   CellCounters Counts;
   /// Instances in the store's list, and when that was read.
   std::set<Address> ListedInstances;
--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -284,6 +284,31 @@
   P.UnconfirmedSince = {};
 }
 
+/// Updates whether this instance is a standby. One that is stays it somewhat
+/// beyond the limit, so that a peer that comes and goes does not change its
+/// role. All instances are standbys until they have discovered their peers.
+void updateStandby(CellState &State, SteadyTime Now) {
+  if (Now - State.Started < DiscoveryTime)
+    return;
+  size_t Stronger = 0;
+  size_t Senders = State.Claims.empty() ? 0 : 1;
+  for (const auto &[Endpoint, P] : State.Peers) {
+    SteadyTime Last = std::max(P.LastAnsweredPing, P.LastMessage);
+    bool Works = !P.ConnectionRefused && !P.Draining && Last != SteadyTime{} &&
+                 Now - Last < localIdlePeriod(State) + CandidateMaxSilence;
+    if (!isInOwnCentre(State, P) || !Works)
+      continue;
+    Senders += P.Claims.empty() ? 0 : 1;
+    Stronger += std::tie(State.Self.Weight, Endpoint) <
+                        std::tie(P.Record.Weight, State.Self.Endpoint)
+                    ? 1
+                    : 0;
+  }
+  Senders = std::max<size_t>(Senders, State.WantedSenders);
+  size_t Limit = std::max(MinStandbys, StandbysPerSender * Senders);
+  State.IsStandby = Stronger < (State.IsStandby ? Limit + Limit / 2 : Limit);
+}
+
 /// Sends a ping to \p P and schedules the next one.
 void sendPing(CellState &State, Peer &P, SteadyTime Now, InstanceEffects &Out) {
   P.PingPending = true;
@@ -342,16 +367,15 @@
 
 void pingBy(CellState &State, Peer &P, SteadyTime When) {
   P.NextPing = std::min(P.NextPing, When);
-  State.NextPingScan = std::min(State.NextPingScan, When);
+  // A scan leaves out peers with a pending ping, whose next one may be due.
+  State.NextPingScan = std::min(State.NextPingScan, P.NextPing);
 }
 
-void recordMessage(CellState &State, Peer &P, SteadyTime Now) {
+void recordMessage(Peer &P, SteadyTime Now) {
   // An entry that was cut off for this long has already released the jobs that
   // it forwarded here, and their callers may have submitted them elsewhere.
-  if (Now - P.LastMessageRaw >= EntryTimeout) {
+  if (Now - P.LastMessageRaw >= EntryTimeout)
     P.UnconfirmedSince = Now;
-    pingBy(State, P, Now);
-  }
   P.LastMessage = P.LastMessageRaw = Now;
 }
 
@@ -376,7 +400,7 @@
     applyIncarnation(State, P, Message.Incarnation);
     P.Record = Message.From;
     P.HasUpstreamList = Message.HasUpstreamList;
-    recordMessage(State, P, Now);
+    recordMessage(P, Now);
     P.ConnectionRefused = false;
     P.OldestAwaitedJob = std::max(P.OldestAwaitedJob, Message.OldestAwaitedJob);
     bool NewClaims = P.Claims.size() != Message.Claims.size();
@@ -441,8 +465,6 @@
   bool WasUnconfirmed = P.UnconfirmedSince != SteadyTime{};
   if (P.PingSent >= P.UnconfirmedSince)
     P.UnconfirmedSince = {};
-  else
-    pingBy(State, P, Now);
   State.ClaimsDue = State.ClaimsDue || P.Draining != Reply.Draining ||
                     P.HasUpstreamList != Reply.HasUpstreamList;
   P.Draining = Reply.Draining;
@@ -481,6 +503,7 @@
     ++It;
   }
   chooseFollowedSenders(State);
+  updateStandby(State, Now);
   for (auto &[Endpoint, P] : State.Peers) {
     if (!P.PingPending && Now >= P.NextPing)
       sendPing(State, P, Now, Out);
--- a/src/cells/cell_cmd.h
+++ b/src/cells/cell_cmd.h
@@ -72,7 +72,7 @@
 
 /// Records the arrival of a ping or job of a peer; see
 /// `Peer::UnconfirmedSince`.
-void recordMessage(CellState &State, Peer &P, SteadyTime Now);
+void recordMessage(Peer &P, SteadyTime Now);
 
 /// Returns true if \p P accepts connections, and the last ping that it answered
 /// or its last message is less than `SuspectAfter` old.
--- a/src/cells/cell_table.h
+++ b/src/cells/cell_table.h
@@ -70,6 +70,10 @@
 /// Upstreams for one sender. A sender spends about 0.1 ms on a task, so that 40
 /// upstreams with 300 starts a second take 3 % of a core.
 constexpr size_t UpstreamsPerSender = 40;
+/// Instances of a data centre that are ready to become senders: this many for
+/// each sender, and at least the minimum. They read the list of upstreams.
+constexpr size_t StandbysPerSender = 2;
+constexpr size_t MinStandbys = 4;
 /// Limit on `PeerPong::KnownInstances`.
 constexpr size_t MaxListedPeers = 64;
 
--- a/src/directory/directory_base.h
+++ b/src/directory/directory_base.h
@@ -46,6 +46,8 @@
   std::array<CollectionReader, CollectionCount> Readers;
   Registration OwnRegistration;
   bool IsSender = false; ///< This instance has claimed a cell.
+  /// This instance may become a sender soon, so it reads the upstreams.
+  bool IsStandby = true;
   Duration DrainNotice = std::chrono::seconds(2); ///< See `FleetBounds`.
   bool Leaving = false; ///< The registration was withdrawn.
   std::optional<FleetConfiguration> Configuration;
--- a/src/directory/directory_cmd.cpp
+++ b/src/directory/directory_cmd.cpp
@@ -114,6 +114,9 @@
   CollectionReader &Reader = readerOf(State, Collection);
   if (Reader.Phase != CollectionReaderPhase::Idle || Now < Reader.NextCall)
     return;
+  if (Collection == StoreCollection::Upstreams && !State.IsSender &&
+      !State.IsStandby)
+    return;
   bool Stale = Collection == StoreCollection::Instances ||
                (Collection == StoreCollection::Upstreams && !State.IsSender);
   startRead(Reader, Collection, Stale, Out);
@@ -233,12 +236,33 @@
                                                    : MaxStoreRetryDelay);
 }
 
+void applyRole(DirectoryState &State, bool IsSender, bool IsStandby,
+               SteadyTime Now, InstanceEffects &Out) {
+  bool HadUse = State.IsSender || State.IsStandby;
+  bool HasUse = IsSender || IsStandby;
+  State.IsSender = IsSender;
+  State.IsStandby = IsStandby;
+  if (HadUse == HasUse)
+    return;
+  if (HasUse) {
+    rereadNow(State, StoreCollection::Upstreams, Now);
+    return;
+  }
+  log(Out, "list of upstreams dropped, other instances are likelier senders");
+  State.Upstreams.clear();
+  State.Upstreams.shrink_to_fit();
+  // The answer to a pending read would bring the list back.
+  rereadNow(State, StoreCollection::Upstreams, Now);
+}
+
 bool needsSnapshot(const DirectoryState &State, SteadyTime Now) {
   const CollectionReader &Configuration =
       State.Readers[static_cast<size_t>(StoreCollection::Configuration)];
   const CollectionReader &Upstreams =
       State.Readers[static_cast<size_t>(StoreCollection::Upstreams)];
-  bool Incomplete = !State.Configuration || State.Upstreams.empty();
+  bool WantsUpstreams = State.IsSender || State.IsStandby;
+  bool Incomplete =
+      !State.Configuration || (WantsUpstreams && State.Upstreams.empty());
   bool StoreFails = Configuration.Failures > 0 || Upstreams.Failures > 0;
   return Incomplete && StoreFails && Now >= State.NextSnapshotRequest;
 }
@@ -247,7 +271,8 @@
                    InstanceEffects &Out) {
   if (Event.Configuration)
     applyConfiguration(State, *Event.Configuration, {}, Out);
-  if (!State.Upstreams.empty() || Event.Upstreams.empty())
+  bool WantsUpstreams = State.IsSender || State.IsStandby;
+  if (!WantsUpstreams || !State.Upstreams.empty() || Event.Upstreams.empty())
     return;
   State.Upstreams = Event.Upstreams;
   log(Out, "upstream list taken from a peer count=" +
--- a/src/directory/directory_cmd.h
+++ b/src/directory/directory_cmd.h
@@ -33,6 +33,12 @@
 void applyLeaseRenewal(DirectoryState &State, const LeaseRenewalAnswered &Event,
                        SteadyTime Now);
 
+/// Records whether this instance is a sender or may become one. Others neither
+/// read nor keep the list of upstreams, which is most of the memory and of the
+/// traffic of an instance in a large fleet.
+void applyRole(DirectoryState &State, bool IsSender, bool IsStandby,
+               SteadyTime Now, InstanceEffects &Out);
+
 /// Returns true if this instance lacks the configuration or the upstreams while
 /// calls to the store fail, and a peer may be asked again.
 bool needsSnapshot(const DirectoryState &State, SteadyTime Now);
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -105,6 +105,8 @@
 
   void operator()(const InstanceTick &) {
     compensateForPause(State.Cells, Now);
+    applyRole(State.Directory, !State.Cells.Claims.empty(),
+              State.Cells.IsStandby, Now, Out);
     advanceDirectory(State.Directory, Now, Out);
     requestSnapshot();
     updateOwnCells();
@@ -188,7 +190,10 @@
       if (P->second.Incarnation == IncarnationId{})
         P->second.Incarnation = E.Order.Incarnation;
       if (P->second.Incarnation == E.Order.Incarnation)
-        recordMessage(State.Cells, P->second, Now);
+        recordMessage(P->second, Now);
+      // The job is not started before the peer has confirmed that it awaits it.
+      if (P->second.UnconfirmedSince != SteadyTime{})
+        pingBy(State.Cells, P->second, Now);
     }
     acceptJob(State.Sender, E.Order, {E.Request, /*Local=*/false}, Now, Out);
   }
@@ -287,7 +292,8 @@
     ClaimChanges Changes = updateClaims(State.Cells, Now, Wall, Out);
     for (const CellId &Cell : Changes.Lost)
       releaseCell(State.Sender, Cell, Now, Out);
-    State.Directory.IsSender = !State.Cells.Claims.empty();
+    applyRole(State.Directory, !State.Cells.Claims.empty(),
+              State.Cells.IsStandby, Now, Out);
     if (Changes.Acquired.empty())
       return;
     State.Sender.UpstreamListPending = true;
--- a/src/sender/placement_cmd.cpp
+++ b/src/sender/placement_cmd.cpp
@@ -52,14 +52,26 @@
   double RunFactor;
 };
 
-/// Returns the upstreams that accept starts and have free capacity. Most are
-/// full under load, so that the tasks of the queue are compared with few.
-std::vector<StartableUpstream> startableUpstreams(SenderState &State,
-                                                  SteadyTime Now) {
+/// Returns the processors that the smallest waiting task needs, or nothing if
+/// no task waits.
+std::optional<int64_t> smallestNeed(const SenderState &State) {
+  std::optional<int64_t> Smallest;
+  for (const auto &[Id, J] : State.Jobs)
+    if (J.WaitingTasks > 0)
+      Smallest = std::min(Smallest.value_or(INT64_MAX),
+                          J.Order.Step.PerTask.CpuMillis);
+  return Smallest;
+}
+
+/// Returns the upstreams that accept starts and have \p Need processors free,
+/// in thousandths. Most are full under load, so that the tasks of the queue are
+/// compared with few.
+std::vector<StartableUpstream>
+startableUpstreams(SenderState &State, int64_t Need, SteadyTime Now) {
   std::vector<StartableUpstream> Found;
   State.Counts.UpstreamsVisited += State.Upstreams.size();
   for (auto &[Id, U] : State.Upstreams)
-    if (U.Free.CpuMillis > 0 && !(U.Probing && !U.Runs.empty()) &&
+    if (U.Free.CpuMillis >= Need && !(U.Probing && !U.Runs.empty()) &&
         isUsable(U, Now))
       Found.push_back({&U, std::exp(logRunTimeFactor(State.Learned, U))});
   return Found;
@@ -152,10 +164,11 @@
   if (!State.PlacementDue)
     return;
   State.PlacementDue = false;
-  if (State.Jobs.empty())
+  std::optional<int64_t> Need = smallestNeed(State);
+  if (!Need)
     return;
   PlacementPass Pass;
-  Pass.Startable = startableUpstreams(State, Now);
+  Pass.Startable = startableUpstreams(State, *Need, Now);
   if (Pass.Startable.empty())
     return;
   for (const auto &[Rank, J] : rankedQueue(State, Now))
