cells, entry: a job that its entry has given up is not started when it arrives late

Both senders were short of processor time; their log lines come in batches 250 to 500 ms apart. The first submission waited in sockets past the caller's deadline of 1.5 s; the caller submitted the job again 1.3 s later. The entry cancels the job with its next ping, which has another connection: a sender that reads the ping first did not know the job and forgot the cancellation, then read the job and started it as new. The check for pauses looks at gaps between events, and a process that is short of time has none. Ruled out: a time of submission in the order; clocks differ and are stepped.

--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -9,6 +9,12 @@
 
 namespace snipeshunt {
 
+/// Cancellation of a job by its entry instance.
+struct Cancellation {
+  uint64_t Number = 0; ///< `JobOrder::Number` of the cancelled order.
+  SteadyTime At{};     ///< When it was sent first or received last.
+};
+
 /// Another instance, as far as this one has received its state. Times are zero
 /// while the event has not occurred.
 struct Peer {
@@ -46,9 +52,12 @@
   uint64_t ConfigurationVersion = 0; ///< 0 if it has no configuration.
   /// `JobOrder::Number` of the jobs that this instance awaits from it.
   std::set<uint64_t> OpenJobs;
-  /// Jobs of this instance that it must stop, by time of the cancellation.
-  /// Pings carry them until one sent since then has been answered.
-  std::map<JobId, SteadyTime> CancelledJobs;
+  /// Jobs of this instance that it must stop. Pings and answers to its pings
+  /// carry them until a ping sent since then has been answered.
+  std::map<JobId, Cancellation> CancelledJobs;
+  /// Its jobs that it has cancelled here. A cancellation can arrive before the
+  /// job, since the two have different connections.
+  std::map<JobId, Cancellation> CancelledHere;
   /// It awaits none of its jobs at this instance with a lower
   /// `JobOrder::Number`.
   uint64_t OldestAwaitedJob = 0;
@@ -72,7 +81,9 @@
   IncarnationId Incarnation; ///< Of this process.
   SteadyTime Started{};      ///< Start of this process.
   SteadyTime LastTick{};     ///< Last call of `compensateForPause`.
-  bool Draining = false;     ///< This instance is shutting down.
+  /// Last tick that came late by `PauseThreshold` or more.
+  SteadyTime LateTick{};
+  bool Draining = false; ///< This instance is shutting down.
   /// This instance has a list of upstreams, so it can be a sender.
   bool HasUpstreamList = false;
   std::map<Address, Peer> Peers; ///< By endpoint.
--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -275,6 +275,7 @@
   State.ClaimsDue = true;
   if (P.Incarnation != IncarnationId{})
     P.CancelledJobs.clear();
+  P.CancelledHere.clear();
   P.Incarnation = Incarnation;
   P.Draining = false;
   P.RejectsJobs = false;
@@ -309,6 +310,21 @@
   State.IsStandby = Stronger < (State.IsStandby ? Limit + Limit / 2 : Limit);
 }
 
+void forgetOldCancellations(std::map<JobId, Cancellation> &Jobs,
+                            SteadyTime Now) {
+  for (auto C = Jobs.begin(); C != Jobs.end();)
+    C = Now - C->second.At > CancelRetention ? Jobs.erase(C) : std::next(C);
+}
+
+/// Returns the jobs that \p P must stop.
+std::vector<CancelledJob> cancelledJobs(Peer &P, SteadyTime Now) {
+  forgetOldCancellations(P.CancelledJobs, Now);
+  std::vector<CancelledJob> Jobs;
+  for (const auto &[Id, C] : P.CancelledJobs)
+    Jobs.push_back({Id, C.Number});
+  return Jobs;
+}
+
 /// Sends a ping to \p P and schedules the next one.
 void sendPing(CellState &State, Peer &P, SteadyTime Now, InstanceEffects &Out) {
   P.PingPending = true;
@@ -325,14 +341,7 @@
                                 (P.LastAnsweredPing == SteadyTime{} ||
                                  Now - State.Started < DiscoveryTime);
   Message.OldestAwaitedJob = oldestAwaitedJob(State, P);
-  for (auto C = P.CancelledJobs.begin(); C != P.CancelledJobs.end();) {
-    if (Now - C->second > CancelRetention) {
-      C = P.CancelledJobs.erase(C);
-      continue;
-    }
-    Message.CancelledJobs.push_back(C->first);
-    ++C;
-  }
+  Message.CancelledJobs = cancelledJobs(P, Now);
   for (const auto &[Cell, Claim] : State.Claims)
     Message.Claims.push_back({Cell, Claim.Token});
   ++State.Counts.PingsSent;
@@ -422,8 +431,11 @@
   if (State.Draining)
     Reply.UpstreamsInUse = Report.UpstreamsInUse;
   Reply.ConfigurationVersion = Report.ConfigurationVersion;
-  if (It != State.Peers.end())
+  if (It != State.Peers.end()) {
     Reply.OldestAwaitedJob = oldestAwaitedJob(State, It->second);
+    Reply.CancelledJobs = cancelledJobs(It->second, Now);
+    recordCancelledJobs(It->second, Message.CancelledJobs, Now);
+  }
   if (Message.WantsKnownInstances)
     for (const auto &[Endpoint, P] : State.Peers)
       if (Reply.KnownInstances.size() < MaxListedPeers &&
@@ -474,7 +486,8 @@
   P.Load = Reply.Load;
   P.ConfigurationVersion = Reply.ConfigurationVersion;
   for (auto C = P.CancelledJobs.begin(); C != P.CancelledJobs.end();)
-    C = C->second <= P.PingSent ? P.CancelledJobs.erase(C) : std::next(C);
+    C = C->second.At <= P.PingSent ? P.CancelledJobs.erase(C) : std::next(C);
+  recordCancelledJobs(P, Reply.CancelledJobs, Now);
   applyClaims(State, P, Reply.Claims);
   schedulePingEarlier(State, P, Now);
   for (const InstanceRecord &Record : Reply.KnownInstances)
@@ -530,6 +543,7 @@
   SteadyTime Last = std::exchange(State.LastTick, Now);
   if (Last == SteadyTime{} || Now - Last < PauseThreshold)
     return;
+  State.LateTick = Now;
   Duration Pause = Now - Last;
   auto Shift = [&](SteadyTime &T) {
     if (T != SteadyTime{})
@@ -541,6 +555,32 @@
   }
 }
 
+bool isLagging(const CellState &State, SteadyTime Now) {
+  if (State.LastTick == SteadyTime{})
+    return false;
+  // What arrived before a late tick is handled within some time after it.
+  return Now - State.LastTick >= PauseThreshold ||
+         (State.LateTick != SteadyTime{} &&
+          Now - State.LateTick < PauseThreshold);
+}
+
+void recordCancelledJobs(Peer &P, const std::vector<CancelledJob> &Cancelled,
+                         SteadyTime Now) {
+  if (Cancelled.empty())
+    return;
+  forgetOldCancellations(P.CancelledHere, Now);
+  for (const CancelledJob &Job : Cancelled) {
+    Cancellation &C = P.CancelledHere[Job.Id];
+    C.Number = std::max(C.Number, Job.Number);
+    C.At = Now;
+  }
+}
+
+bool isCancelledHere(const Peer &P, const JobId &Id, uint64_t Number) {
+  auto C = P.CancelledHere.find(Id);
+  return C != P.CancelledHere.end() && Number <= C->second.Number;
+}
+
 ClaimChanges updateClaims(CellState &State, SteadyTime Now, WallTime Wall,
                           InstanceEffects &Out) {
   ClaimChanges Changes;
--- a/src/cells/cell_cmd.h
+++ b/src/cells/cell_cmd.h
@@ -55,6 +55,18 @@
 /// with each tick.
 void compensateForPause(CellState &State, SteadyTime Now);
 
+/// Returns true if this process is behind: messages that it handles now may
+/// have waited in its sockets for `PauseThreshold` or longer.
+bool isLagging(const CellState &State, SteadyTime Now);
+
+/// Records that \p P no longer awaits the jobs \p Cancelled here. Those that
+/// arrive later are not started.
+void recordCancelledJobs(Peer &P, const std::vector<CancelledJob> &Cancelled,
+                         SteadyTime Now);
+
+/// Returns true if \p P has cancelled the job \p Id with the number \p Number.
+bool isCancelledHere(const Peer &P, const JobId &Id, uint64_t Number);
+
 /// What a call of `updateClaims` has changed.
 struct ClaimChanges {
   std::vector<CellId> Acquired;
--- a/src/cells/cell_type.h
+++ b/src/cells/cell_type.h
@@ -44,6 +44,16 @@
   uint32_t Waiting = 0; ///< Jobs with tasks that have not been started.
 };
 
+/// A job that its entry instance no longer awaits.
+struct CancelledJob {
+  JobId Id;
+  uint64_t Number = 0; ///< `JobOrder::Number`; a later order is not cancelled.
+
+  friend bool operator==(const CancelledJob &L, const CancelledJob &R) {
+    return L.Id == R.Id && L.Number == R.Number;
+  }
+};
+
 /// Reports the state of an instance to a peer and asks for that of the peer.
 struct PeerPing {
   InstanceRecord From;       ///< The pinging instance.
@@ -57,7 +67,7 @@
   /// `JobOrder::Number`; the receiver stops those.
   uint64_t OldestAwaitedJob = 0;
   /// Jobs of the pinging instance that the receiver must stop as well.
-  std::vector<JobId> CancelledJobs;
+  std::vector<CancelledJob> CancelledJobs;
   std::vector<CellClaim> Claims; ///< Cells that it is the sender of.
 };
 
@@ -76,6 +86,8 @@
   std::vector<InstanceRecord> KnownInstances;
   uint64_t ConfigurationVersion = 0; ///< 0 if it has no configuration.
   uint64_t OldestAwaitedJob = 0; ///< As in a ping, of the answering instance.
+  /// As in a ping, of the answering instance.
+  std::vector<CancelledJob> CancelledJobs;
 };
 
 // Effects.
--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -221,7 +221,7 @@
   auto P = Context.Cells.Peers.find(J.Sender);
   if (P == Context.Cells.Peers.end())
     return;
-  P->second.CancelledJobs[J.Order.Id] = Now;
+  P->second.CancelledJobs[J.Order.Id] = {J.Order.Number, Now};
   pingBy(Context.Cells, P->second, Now);
 }
 
@@ -276,6 +276,10 @@
   J.Order.Step = Event.Job.Step;
   State.ByCaller[J.Caller] = Forward;
   State.ByJob[J.Order.Id] = Forward;
+  // The caller may have left while the request waited in the socket. The next
+  // tick forwards the job, by when that has been read.
+  if (isLagging(Context.Cells, Now))
+    return;
   forwardOrWait(State, Context, Forward, NoSenderRetry, NoSender, Now, Out);
 }
 
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -191,9 +191,19 @@
         P->second.Incarnation = E.Order.Incarnation;
       if (P->second.Incarnation == E.Order.Incarnation)
         recordMessage(P->second, Now);
+      // The job may have waited in the socket while its entry gave it up.
+      if (isLagging(State.Cells, Now))
+        P->second.UnconfirmedSince = Now;
       // The job is not started before the peer has confirmed that it awaits it.
       if (P->second.UnconfirmedSince != SteadyTime{})
         pingBy(State.Cells, P->second, Now);
+      if (P->second.Incarnation == E.Order.Incarnation &&
+          isCancelledHere(P->second, E.Order.Id, E.Order.Number)) {
+        JobResult Result;
+        Result.Reason = "cancelled by its entry before it arrived";
+        Out.push_back(AnswerJob{E.Request, std::move(Result)});
+        return;
+      }
     }
     acceptJob(State.Sender, E.Order, {E.Request, /*Local=*/false}, Now, Out);
   }
@@ -203,13 +213,15 @@
 
   void operator()(const PingArrived &E) {
     applyPing(State.Cells, E, ownReport(State, Now), Now, Out);
-    stopCancelledJobs(E.Message);
+    stopCancelledJobs(E.Message.From.Endpoint, E.Message.CancelledJobs);
     if (State.Cells.ClaimsDue)
       updateOwnCells();
   }
   void operator()(const PingAnswered &E) {
     if (applyPong(State.Cells, E, Now, Out))
       State.Sender.PlacementDue = true;
+    if (E.Reply)
+      stopCancelledJobs(E.Endpoint, E.Reply->CancelledJobs);
     uint64_t Own = State.Directory.Configuration
                        ? State.Directory.Configuration->Version
                        : 0;
@@ -303,15 +315,22 @@
     advanceDirectory(State.Directory, Now, Out);
   }
 
-  void stopCancelledJobs(const PeerPing &Message) {
-    for (const JobId &Id : Message.CancelledJobs) {
-      auto It = State.Sender.Jobs.find(Id);
-      if (It == State.Sender.Jobs.end() || It->second.Waiter.Local ||
-          It->second.Order.Entry != Message.From.Endpoint ||
-          It->second.Order.Incarnation != Message.Incarnation)
+  /// Stops the jobs that the entry instance at \p From has cancelled here.
+  void stopCancelledJobs(const Address &From,
+                         const std::vector<CancelledJob> &Cancelled) {
+    auto P = State.Cells.Peers.find(From);
+    if (P == State.Cells.Peers.end())
+      return;
+    for (const CancelledJob &Job : Cancelled) {
+      auto It = State.Sender.Jobs.find(Job.Id);
+      if (It == State.Sender.Jobs.end() || It->second.Waiter.Local)
+        continue;
+      const JobOrder &Order = It->second.Order;
+      if (Order.Entry != From || Order.Incarnation != P->second.Incarnation ||
+          Order.Number > Job.Number)
         continue;
-      finishJob(State.Sender, Id, JobOutcome::Lost, "cancelled by its entry",
-                Now, Out);
+      finishJob(State.Sender, Job.Id, JobOutcome::Lost,
+                "cancelled by its entry", Now, Out);
     }
   }
 
--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -83,6 +83,24 @@
            });
 }
 
+Json::Value encodeCancelled(const CancelledJob &Job) {
+  Json::Value V(Json::objectValue);
+  V["id"] = Job.Id.Value;
+  V["number"] = Json::UInt64(Job.Number);
+  return V;
+}
+
+Result<CancelledJob> decodeCancelled(const Json::Value &Value) {
+  // Earlier versions send the id alone, for any number.
+  if (Value.isString())
+    return CancelledJob{JobId{Value.asString()}, UINT64_MAX};
+  ObjectReader Reader(Value, "cancelled job");
+  CancelledJob Job;
+  Reader.string("id", Job.Id.Value, MaxTextLength)
+      .unsignedId("number", Job.Number);
+  return finishReading(Reader, std::move(Job));
+}
+
 Json::Value encodeLoad(const SenderLoad &Load) {
   Json::Value V(Json::objectValue);
   V["delay_ms"] = encodeDuration(Load.Delay);
@@ -218,7 +236,7 @@
   V["wants_known"] = Message.WantsKnownInstances;
   V["knows_upstreams"] = Message.HasUpstreamList;
   V["oldest_job"] = Json::UInt64(Message.OldestAwaitedJob);
-  V["cancelled"] = encodeIds(Message.CancelledJobs);
+  V["cancelled"] = encodeList(Message.CancelledJobs, encodeCancelled);
   V["claims"] = encodeList(Message.Claims, encodeClaim);
   return V;
 }
@@ -232,7 +250,8 @@
       .boolean("wants_known", Message.WantsKnownInstances)
       .boolean("knows_upstreams", Message.HasUpstreamList)
       .unsignedId("oldest_job", Message.OldestAwaitedJob);
-  readIds(Reader, "cancelled", Message.CancelledJobs);
+  readList(Reader, "cancelled", MaxListLength, Message.CancelledJobs,
+           decodeCancelled);
   readList(Reader, "claims", MaxClaims, Message.Claims, decodeClaim);
   return finishReading(Reader, std::move(Message));
 }
@@ -249,6 +268,9 @@
   V["known"] = encodeList(Message.KnownInstances, encodeInstance);
   V["configuration"] = Json::UInt64(Message.ConfigurationVersion);
   V["oldest_job"] = Json::UInt64(Message.OldestAwaitedJob);
+  // Left out when empty, so that earlier versions accept the answer.
+  if (!Message.CancelledJobs.empty())
+    V["cancelled"] = encodeList(Message.CancelledJobs, encodeCancelled);
   return V;
 }
 
@@ -266,6 +288,9 @@
   readIds(Reader, "held", Message.UpstreamsInUse);
   readList(Reader, "known", MaxListLength, Message.KnownInstances,
            decodeInstance);
+  if (Reader.has("cancelled"))
+    readList(Reader, "cancelled", MaxListLength, Message.CancelledJobs,
+             decodeCancelled);
   return finishReading(Reader, std::move(Message));
 }
 
--- a/tests/cell_codec_test.cpp
+++ b/tests/cell_codec_test.cpp
@@ -53,7 +53,7 @@
 // Guards against a field missing from the encoded ping: the receiver would use
 // its default instead of the sender's value.
 TEST(CellCodecTest, PingKeepsItsFields) {
-  PeerPing In{Instance, {9}, true, true, true, 41, {{"job-1"}}, {Claim}};
+  PeerPing In{Instance, {9}, true, true, true, 41, {{{"job-1"}, 7}}, {Claim}};
   PeerPing Out = decoded(decodePing(encodePing(In)));
   expectSame(Out.From, In.From);
   EXPECT_EQ(Out.Incarnation, In.Incarnation);
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -2,6 +2,7 @@
 #include "cells/cell_cmd.h"
 #include "cells/cell_table.h"
 #include "directory/directory_cmd.h"
+#include "instance/instance_reducer.h"
 #include "support/cell_world.h"
 
 #include <gtest/gtest.h>
@@ -91,6 +92,102 @@
   }
 }
 
+namespace {
+
+PingArrived pingOf(const JobOrder &Order, std::vector<CancelledJob> Cancelled) {
+  PingArrived Ping;
+  Ping.Message.From = {Order.Entry, DataCentre{"centre-a"}, 0.1};
+  Ping.Message.Incarnation = Order.Incarnation;
+  Ping.Message.CancelledJobs = std::move(Cancelled);
+  return Ping;
+}
+
+template <typename T> size_t countOf(const InstanceEffects &Effects) {
+  size_t Count = 0;
+  for (const InstanceEffect &E : Effects)
+    Count += std::holds_alternative<T>(E) ? 1 : 0;
+  return Count;
+}
+
+/// A sender with one upstream, taken out of its world, to which single messages
+/// are given.
+struct LoneSender {
+  LoneSender() {
+    CellWorld World;
+    World.addUpstream({"u"});
+    Address Sender = World.addInstance("sender", "centre-a");
+    World.run(seconds(2));
+    State = World.state(Sender);
+    Now = World.now();
+    Order.Id = JobId{"a"};
+    Order.Entry = Address{"entry:1"};
+    Order.Incarnation = IncarnationId{9};
+    Order.Number = 5;
+    Order.Service = State.Sender.Upstreams.begin()->second.Record.Service;
+    Order.Stretch = 2;
+    Order.Remaining = seconds(2);
+    Order.Step.PerTask.CpuMillis = 1000;
+    Order.Step.Estimate = milliseconds(100);
+  }
+
+  InstanceEffects handle(InstanceEventBody Body) {
+    return reduce(State, {Now, WallTime{} + seconds(1000000), std::move(Body)});
+  }
+
+  /// The entry instance answers a ping that is sent now.
+  InstanceEffects confirm() {
+    PingAnswered Answer;
+    Answer.Endpoint = Order.Entry;
+    Answer.Reply.emplace();
+    Answer.Reply->From = {Order.Entry, DataCentre{"centre-a"}, 0.1};
+    Answer.Reply->Incarnation = Order.Incarnation;
+    return handle(std::move(Answer));
+  }
+
+  FleetInstance State;
+  SteadyTime Now;
+  JobOrder Order;
+};
+
+} // namespace
+
+// Guards against two runs of a task at once (TWICE of the bench's hunts): the
+// cancellation of a job overtakes the job, which has waited in the socket of a
+// sender short of processor time, and the caller's second submission runs
+// elsewhere.
+TEST(CellDelayedMessages, JobCancelledBeforeItArrivesIsNotStarted) {
+  LoneSender S;
+  S.handle(pingOf(S.Order, {}));
+  S.confirm();
+  S.handle(pingOf(S.Order, {{S.Order.Id, S.Order.Number}}));
+  InstanceEffects Out = S.handle(JobArrived{RequestId{1}, S.Order});
+  EXPECT_EQ(countOf<StartRun>(Out), 0U);
+  EXPECT_EQ(countOf<AnswerJob>(Out), 1U);
+  // A later submission through the same entry has a higher number.
+  S.Order.Number = 6;
+  Out = S.handle(JobArrived{RequestId{2}, S.Order});
+  EXPECT_EQ(countOf<StartRun>(Out), 1U);
+}
+
+// Guards against the same when the job is read first: a sender that is behind
+// asks the entry instance whether it still awaits the job.
+TEST(CellDelayedMessages, LaggingSenderConfirmsAJobBeforeItStartsIt) {
+  LoneSender S;
+  S.handle(pingOf(S.Order, {}));
+  S.confirm();
+  // Ticks stay away for 600 ms, while messages are handled all the time.
+  for (int I = 0; I < 6; ++I) {
+    S.Now += milliseconds(100);
+    S.handle(pingOf(S.Order, {}));
+  }
+  InstanceEffects Out = S.handle(JobArrived{RequestId{1}, S.Order});
+  EXPECT_EQ(countOf<StartRun>(Out), 0U);
+  EXPECT_GE(countOf<SendPing>(Out), 1U);
+  S.Now += milliseconds(2);
+  Out = S.confirm();
+  EXPECT_EQ(countOf<StartRun>(Out), 1U);
+}
+
 // Guards against two senders of one cell, each of which would renew the leases
 // of the other's runs.
 TEST_F(CellTest, StrongestInstanceBecomesTheOnlySender) {
