http, platform: an unexpected error drops one message, not the process

Cause, by reading: an exception of a handler passed through evhttp, which is C, and ended the process. A job with a count of 4,000,000,000 tasks made the sender allocate them, an array in place of a lease threw in jsoncpp, and waits of 2^63 ms overflowed. Change: requests whose handler throws are answered with 500, answers whose callback throws are dropped; both and errors of the reducer are logged. Test: HttpServerTest.SurvivesExceptionsOfHandlers.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -255,13 +255,20 @@
   Deferred.push_back([this, Endpoint] { dispatch(Endpoint); });
   DeferredTimer.startOnce(Duration::zero());
   if (Done)
+    report(Done, Outcome);
+}
+
+void HttpClient::report(const Callback &Done, const HttpOutcome &Outcome) {
+  try {
     Done(Outcome);
+  } catch (const std::exception &E) {
+    HandlerFailed.emit(E.what());
+  }
 }
 
 void HttpClient::failLater(Callback Done, HttpFailure Failure) {
-  Deferred.push_back([Done = std::move(Done), Failure = std::move(Failure)] {
-    Done(Failure);
-  });
+  Deferred.push_back([this, Done = std::move(Done),
+                      Failure = std::move(Failure)] { report(Done, Failure); });
   DeferredTimer.startOnce(Duration::zero());
 }
 
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -5,6 +5,8 @@
 #include "http/event_loop.h"
 #include "http/http_type.h"
 
+#include <sigc++/sigc++.h>
+
 #include <deque>
 #include <functional>
 #include <list>
@@ -45,6 +47,8 @@
   /// use. Calls \p Done with the outcome from the event loop, never from within
   /// `send`.
   void send(HttpCall Call, Callback Done);
+  /// The callback of a call has thrown an exception with this message.
+  sigc::signal<void(const std::string &)> HandlerFailed;
   /// Number of requests sent since this client was created.
   uint64_t callsSent() const { return CallsSent; }
   /// Bytes of requests and of replies since this client was created, including
@@ -71,6 +75,9 @@
   void dispatch(const Address &Endpoint);
   /// Releases a connection whose call has ended and reports the outcome.
   void finish(Connection *C, const HttpOutcome &Outcome, bool Reusable);
+  /// Calls \p Done. An exception of it must not reach evhttp, which is written
+  /// in C, and is reported by `HandlerFailed`.
+  void report(const Callback &Done, const HttpOutcome &Outcome);
   /// Calls \p Done with \p Failure from the event loop.
   void failLater(Callback Done, HttpFailure Failure);
   /// Runs what could not be done inside the callbacks of connections.
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -173,7 +173,14 @@
   Out.Body = bodyOf(Request);
 
   Open.emplace(Out.Id, std::move(Record));
-  RequestReceived.emit(Out);
+  // An exception must not reach evhttp, which is written in C: it would end the
+  // process because of one request.
+  try {
+    RequestReceived.emit(Out);
+  } catch (const std::exception &E) {
+    reply(Out.Id, {500, "{}"});
+    HandlerFailed.emit(E.what());
+  }
 }
 
 void HttpServer::handleClose(evhttp_connection *, void *Arg) {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -58,6 +58,9 @@
 
   /// Emitted when a complete request has been received.
   sigc::signal<void(const HttpRequest &)> RequestReceived;
+  /// A handler of `RequestReceived` has thrown an exception with this message.
+  /// The request was answered with 500, unless it had an answer.
+  sigc::signal<void(const std::string &)> HandlerFailed;
   /// Emitted when the client of an unanswered request has disconnected.
   sigc::signal<void(RequestId)> RequestClosed;
 
--- a/src/runtime/cell_daemon.cpp
+++ b/src/runtime/cell_daemon.cpp
@@ -97,11 +97,20 @@
       OnTerminate(Loop, SIGTERM, [this] { dispatch(ShutdownRequested{}); }),
       OnInterrupt(Loop, SIGINT, [this] { dispatch(ShutdownRequested{}); }) {
   registerPeerHandlers();
+  Server.HandlerFailed.connect(sigc::ptr_fun(logHandlerFailure));
+  PingClient.HandlerFailed.connect(sigc::ptr_fun(logHandlerFailure));
+  JobClient.HandlerFailed.connect(sigc::ptr_fun(logHandlerFailure));
   Effects.on<LogDecision>().connect(sigc::ptr_fun(writeLog));
   Effects.on<StopProcess>().connect(
       [this](const StopProcess &) { this->Loop.stop(); });
 }
 
+void CellDaemon::logHandlerFailure(const std::string &What) {
+  SNIPESHUNT_LOG(ERROR, "instance")
+      << "message dropped, its handler failed: " << What
+      << "; report it to the developers with the lines before";
+}
+
 HttpClientOptions CellDaemon::clientOptions(size_t MaxConnections) const {
   HttpClientOptions Options;
   Result<HostPort> Own = parseAddress(State.Settings.PeersListen);
@@ -139,8 +148,13 @@
     InstanceEvent Next{TimeSource.steadyNow(), TimeSource.wallNow(),
                        std::move(Pending.front())};
     Pending.pop_front();
-    for (const InstanceEffect &E : reduce(State, Next))
-      Effects.emit(E);
+    // Timers and requests call this from C code, which no exception may reach.
+    try {
+      for (const InstanceEffect &E : reduce(State, Next))
+        Effects.emit(E);
+    } catch (const std::exception &E) {
+      logHandlerFailure(E.what());
+    }
   }
   Dispatching = false;
 }
--- a/src/runtime/cell_daemon.h
+++ b/src/runtime/cell_daemon.h
@@ -40,6 +40,9 @@
 
   /// Returns client options whose connections have the IP of `peers_listen` as
   /// their source address.
+  /// Logs an error that the handler of a request or an answer has thrown. The
+  /// message is dropped; the process continues.
+  static void logHandlerFailure(const std::string &What);
   HttpClientOptions clientOptions(size_t MaxConnections) const;
 
 private:
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -43,6 +43,40 @@
   EXPECT_TRUE(std::holds_alternative<HttpFailure>(Outcome));
 }
 
+// Guards against one request or answer that ends the process, because an
+// exception of its handler passes through evhttp.
+TEST(HttpServerTest, SurvivesExceptionsOfHandlers) {
+  EventLoop Loop;
+  HttpServer Server(Loop, {});
+  Result<Address> Bound = Server.listen(Address{"127.0.0.1:0"});
+  ASSERT_FALSE(failed(Bound));
+  int Requests = 0;
+  Server.RequestReceived.connect([&](const HttpRequest &R) {
+    if (++Requests == 1)
+      throw std::length_error("too long");
+    Server.reply(R.Id, {200, "x"});
+  });
+  std::vector<std::string> Reported;
+  auto Report = [&](const std::string &What) { Reported.push_back(What); };
+  Server.HandlerFailed.connect(Report);
+  HttpClient Client(Loop, {});
+  Client.HandlerFailed.connect(Report);
+  HttpCall Call;
+  Call.Target = valueOf(Bound);
+  HttpOutcome First = callAndWait(Loop, Client, Call);
+  ASSERT_TRUE(std::holds_alternative<HttpReply>(First));
+  EXPECT_EQ(std::get<HttpReply>(First).Status, 500);
+  Client.send(Call, [&](const HttpOutcome &) {
+    Loop.stop();
+    throw std::length_error("too short");
+  });
+  Loop.run();
+  HttpOutcome Third = callAndWait(Loop, Client, Call);
+  ASSERT_TRUE(std::holds_alternative<HttpReply>(Third));
+  EXPECT_EQ(std::get<HttpReply>(Third).Status, 200);
+  EXPECT_EQ(Reported, (std::vector<std::string>{"too long", "too short"}));
+}
+
 // Guards against confusing a refused connection with a lost request: only the
 // former proves that nothing was sent.
 TEST(HttpClientTest, DistinguishesRefusedFromLost) {
