--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -45,6 +45,8 @@
   /// It answered a job by reporting that it takes no more of them.
   bool RejectsJobs = false;
   std::vector<CellClaim> Claims; ///< Cells that it is the sender of.
+  /// A sender of another data centre whose load this instance keeps up to date.
+  bool Followed = false;
   /// As reported last, less the processors of jobs forwarded to it since.
   SenderLoad Load;
   /// Upstreams that still have runs of it; reported only while it drains.
@@ -102,8 +104,6 @@
   SteadyTime NextPingScan{};
   /// A message has changed what `updateClaims` decides by.
   bool ClaimsDue = true;
-  /// Remote senders whose load this instance follows, by endpoint.
-  std::set<Address> FollowedSenders;
   size_t LocalPeers = 0;  ///< Peers of the own data centre.
   size_t RemotePeers = 0; ///< All other peers.
   /// This instance is among the strongest of its data centre, from which
--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -72,8 +72,8 @@
 }
 
 /// Returns the cells of the own data centre that neither this instance nor a
-/// peer that is reachable and not draining claims. Forgets since when the
-/// others were unserved.
+/// peer that is reachable and not draining claims. Clears the time since which
+/// the others were unserved.
 std::vector<CellId> unservedCells(CellState &State, SteadyTime Now) {
   std::vector<bool> Served(CellsPerCentre);
   auto Record = [&](const CellId &Cell) {
@@ -229,19 +229,20 @@
 /// Chooses the remote senders to follow: those of each data centre with the
 /// highest hash of both endpoints.
 void chooseFollowedSenders(CellState &State) {
-  std::map<DataCentre, std::vector<std::pair<uint64_t, Address>>> Ranked;
+  std::map<DataCentre, std::vector<std::pair<uint64_t, Peer *>>> Ranked;
   uint64_t Seed = XXH64(State.Self.Endpoint.Value.data(),
                         State.Self.Endpoint.Value.size(), 0);
-  for (const auto &[Endpoint, P] : State.Peers)
+  for (auto &[Endpoint, P] : State.Peers) {
+    P.Followed = false;
     if (!P.Claims.empty() && !isInOwnCentre(State, P))
       Ranked[P.Record.Centre].emplace_back(
-          XXH64(Endpoint.Value.data(), Endpoint.Value.size(), Seed), Endpoint);
-  State.FollowedSenders.clear();
+          XXH64(Endpoint.Value.data(), Endpoint.Value.size(), Seed), &P);
+  }
   for (auto &[Centre, Senders] : Ranked) {
     std::sort(Senders.rbegin(), Senders.rend());
     Senders.resize(std::min(Senders.size(), FollowedSendersPerCentre));
-    for (const auto &[Hash, Endpoint] : Senders)
-      State.FollowedSenders.insert(Endpoint);
+    for (const auto &[Hash, P] : Senders)
+      P->Followed = true;
   }
 }
 
@@ -254,9 +255,7 @@
   if (isInOwnCentre(State, P))
     return Now - State.Started < DiscoveryTime ? SenderPingPeriod
                                                : localIdlePeriod(State);
-  return State.FollowedSenders.count(P.Record.Endpoint)
-             ? RemoteSenderPingPeriod
-             : remoteIdlePeriod(State);
+  return P.Followed ? RemoteSenderPingPeriod : remoteIdlePeriod(State);
 }
 
 uint64_t oldestAwaitedJob(const CellState &State, const Peer &P) {
@@ -325,8 +324,9 @@
   return Jobs;
 }
 
-/// Sends a ping to \p P and schedules the next one.
-void sendPing(CellState &State, Peer &P, SteadyTime Now, InstanceEffects &Out) {
+/// Sends a ping to the peer \p P at \p Endpoint and schedules the next one.
+void sendPing(CellState &State, const Address &Endpoint, Peer &P,
+              SteadyTime Now, InstanceEffects &Out) {
   P.PingPending = true;
   P.PingSent = Now;
   P.NextPing = Now + pingPeriod(State, P, Now);
@@ -345,7 +345,7 @@
   for (const auto &[Cell, Claim] : State.Claims)
     Message.Claims.push_back({Cell, Claim.Token});
   ++State.Counts.PingsSent;
-  Out.push_back(SendPing{P.Record.Endpoint, std::move(Message)});
+  Out.push_back(SendPing{Endpoint, std::move(Message)});
 }
 
 } // namespace
@@ -519,7 +519,7 @@
   updateStandby(State, Now);
   for (auto &[Endpoint, P] : State.Peers) {
     if (!P.PingPending && Now >= P.NextPing)
-      sendPing(State, P, Now, Out);
+      sendPing(State, Endpoint, P, Now, Out);
     if (!P.PingPending)
       State.NextPingScan = std::min(State.NextPingScan, P.NextPing);
   }
