--- a/tests/cell_scale_test.cpp
+++ b/tests/cell_scale_test.cpp
@@ -78,7 +78,9 @@
   for (int I = 0; I < 20; ++I)
     World.addUpstream({"u" + std::to_string(I)});
   std::vector<Address> Strong;
+  Strong.reserve(4);
   std::vector<Address> Weak;
+  Weak.reserve(10);
   for (int I = 0; I < 4; ++I)
     Strong.push_back(World.addInstance("s" + std::to_string(I), "centre-a", 1));
   for (int I = 0; I < 10; ++I)
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -513,6 +513,7 @@
   for (int I = 0; I < 80; ++I)
     World.addUpstream({"u" + std::to_string(I)});
   std::vector<Address> Entries;
+  Entries.reserve(4);
   for (int I = 0; I < 4; ++I)
     Entries.push_back(World.addInstance("i" + std::to_string(I), "centre-a"));
   World.run(seconds(3));
