--- a/src/cells/cell_cmd.h
+++ b/src/cells/cell_cmd.h
@@ -67,34 +67,10 @@
 /// Returns true if \p P has cancelled the job \p Id with the number \p Number.
 bool isCancelledHere(const Peer &P, const JobId &Id, uint64_t Number);
 
-/// What a call of `updateClaims` has changed.
-struct ClaimChanges {
-  std::vector<CellId> Acquired;
-  std::vector<CellId> Lost; ///< Superseded by a peer's claim.
-};
-
-/// Drops claims that a peer's newer one supersedes, and claims cells of the own
-/// data centre that have no sender. \p Wall goes into new tokens. Called with
-/// each tick, and with messages that set `CellState::ClaimsDue`.
-ClaimChanges updateClaims(CellState &State, SteadyTime Now, WallTime Wall,
-                          InstanceEffects &Out);
-
-/// Releases a cell whose upstreams accept only a newer sender's orders.
-void releaseClaim(CellState &State, const CellId &Cell, SteadyTime Now);
-
 /// Records the arrival of a ping or job of a peer; see
 /// `Peer::UnconfirmedSince`.
 void recordMessage(Peer &P, SteadyTime Now);
 
-/// Returns true if \p P accepts connections, and the last ping that it answered
-/// or its last message is less than `SuspectAfter` old.
-bool isReachable(const Peer &P, SteadyTime Now);
-
-/// Returns true if \p P refuses connections, or has answered no ping for
-/// `SuspectAfter` and wasn't reached by other means since then. \p Reached is
-/// when it last was, such as by a forwarded job.
-bool isSuspected(const Peer &P, SteadyTime Reached, SteadyTime Now);
-
 /// Returns true if a draining peer still has runs on the upstream.
 bool isUsedByPredecessor(const CellState &State, const UpstreamId &Id,
                          SteadyTime Now);
--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -3,6 +3,7 @@
 
 #include "cells/cell_cmd.h"
 #include "cells/cell_table.h"
+#include "cells/peer_func.h"
 #include "sender/sender_table.h"
 
 #include <algorithm>
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -3,6 +3,8 @@
 
 #include "cells/cell_cmd.h"
 #include "cells/cell_table.h"
+#include "cells/claim_cmd.h"
+#include "cells/peer_func.h"
 #include "directory/directory_cmd.h"
 #include "directory/directory_table.h"
 #include "entry/entry_cmd.h"
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -2,7 +2,6 @@
 #include "cells/cell_cmd.h"
 #include "cells/cell_table.h"
 #include "directory/directory_cmd.h"
-#include "instance/instance_reducer.h"
 #include "support/cell_world.h"
 
 #include <gtest/gtest.h>
@@ -53,141 +52,6 @@
 
 } // namespace
 
-// Guards against overlapping runs: a job that a cut has delayed reaches its
-// sender after the entry has released it, while the caller's second submission
-// runs elsewhere.
-TEST(CellDelayedMessages, JobThatArrivesLateIsNotStarted) {
-  for (bool EntryIsKilled : {false, true}) {
-    CellWorld World;
-    World.setCutsDelayMessages(true);
-    for (const char *Centre : {"centre-b", "centre-c"})
-      World.addUpstream({std::string("up-") + Centre, Centre});
-    Address Entry = World.addInstance("entry", "centre-a");
-    Address Other = World.addInstance("other", "centre-a");
-    Address B = World.addInstance("b", "centre-b");
-    Address C = World.addInstance("c", "centre-c");
-    World.run(seconds(2));
-    // Cuts off both senders, since the entry may choose either.
-    World.cut({B, C});
-    size_t First = World.submit(Entry, "a", 1, milliseconds(900), seconds(3));
-    ASSERT_EQ(World.state(Entry).Entry.Jobs.size(), 1U);
-    Address Late = World.state(Entry).Entry.Jobs.begin()->second.Sender;
-    World.run(milliseconds(200));
-    if (EntryIsKilled)
-      World.kill(Entry);
-    World.run(milliseconds(900));
-    EXPECT_FALSE(World.caller(First).Answer &&
-                 World.caller(First).Answer->Status == AnswerStatus::Done);
-    World.run(CallerRetryPause);
-    World.cut({Late});
-    World.run(milliseconds(1500));
-    size_t Again = World.submit(Other, "a", 1, milliseconds(900), seconds(3));
-    World.run(milliseconds(100));
-    World.heal();
-    World.run(seconds(3));
-    ASSERT_TRUE(World.caller(Again).Answer);
-    EXPECT_EQ(World.caller(Again).Answer->Status, AnswerStatus::Done);
-    EXPECT_TRUE(World.overlappingRuns().empty());
-    EXPECT_EQ(World.runs().size(), 1U);
-  }
-}
-
-namespace {
-
-PingArrived pingOf(const JobOrder &Order, std::vector<CancelledJob> Cancelled) {
-  PingArrived Ping;
-  Ping.Message.From = {Order.Entry, DataCentre{"centre-a"}, 0.1};
-  Ping.Message.Incarnation = Order.Incarnation;
-  Ping.Message.CancelledJobs = std::move(Cancelled);
-  return Ping;
-}
-
-template <typename T> size_t countOf(const InstanceEffects &Effects) {
-  size_t Count = 0;
-  for (const InstanceEffect &E : Effects)
-    Count += std::holds_alternative<T>(E) ? 1 : 0;
-  return Count;
-}
-
-/// A sender with one upstream, taken out of its world, to which single messages
-/// are given.
-struct LoneSender {
-  LoneSender() {
-    CellWorld World;
-    World.addUpstream({"u"});
-    Address Sender = World.addInstance("sender", "centre-a");
-    World.run(seconds(2));
-    State = World.state(Sender);
-    Now = World.now();
-    Order.Id = JobId{"a"};
-    Order.Entry = Address{"entry:1"};
-    Order.Incarnation = IncarnationId{9};
-    Order.Number = 5;
-    Order.Service = State.Sender.Upstreams.begin()->second.Record.Service;
-    Order.Stretch = 2;
-    Order.Remaining = seconds(2);
-    Order.Step.PerTask.CpuMillis = 1000;
-    Order.Step.Estimate = milliseconds(100);
-  }
-
-  InstanceEffects handle(InstanceEventBody Body) {
-    return reduce(State, {Now, WallTime{} + seconds(1000000), std::move(Body)});
-  }
-
-  /// The entry instance answers a ping that is sent now.
-  InstanceEffects confirm() {
-    PingAnswered Answer;
-    Answer.Endpoint = Order.Entry;
-    Answer.Reply.emplace();
-    Answer.Reply->From = {Order.Entry, DataCentre{"centre-a"}, 0.1};
-    Answer.Reply->Incarnation = Order.Incarnation;
-    return handle(std::move(Answer));
-  }
-
-  FleetInstance State;
-  SteadyTime Now;
-  JobOrder Order;
-};
-
-} // namespace
-
-// Guards against two runs of a task at once (TWICE of the bench's hunts): the
-// cancellation of a job overtakes the job, which has waited in the socket of a
-// sender short of processor time, and the caller's second submission runs
-// elsewhere.
-TEST(CellDelayedMessages, JobCancelledBeforeItArrivesIsNotStarted) {
-  LoneSender S;
-  S.handle(pingOf(S.Order, {}));
-  S.confirm();
-  S.handle(pingOf(S.Order, {{S.Order.Id, S.Order.Number}}));
-  InstanceEffects Out = S.handle(JobArrived{RequestId{1}, S.Order});
-  EXPECT_EQ(countOf<StartRun>(Out), 0U);
-  EXPECT_EQ(countOf<AnswerJob>(Out), 1U);
-  // A later submission through the same entry has a higher number.
-  S.Order.Number = 6;
-  Out = S.handle(JobArrived{RequestId{2}, S.Order});
-  EXPECT_EQ(countOf<StartRun>(Out), 1U);
-}
-
-// Guards against the same when the job is read first: a sender that is behind
-// asks the entry instance whether it still awaits the job.
-TEST(CellDelayedMessages, LaggingSenderConfirmsAJobBeforeItStartsIt) {
-  LoneSender S;
-  S.handle(pingOf(S.Order, {}));
-  S.confirm();
-  // Ticks stay away for 600 ms, while messages are handled all the time.
-  for (int I = 0; I < 6; ++I) {
-    S.Now += milliseconds(100);
-    S.handle(pingOf(S.Order, {}));
-  }
-  InstanceEffects Out = S.handle(JobArrived{RequestId{1}, S.Order});
-  EXPECT_EQ(countOf<StartRun>(Out), 0U);
-  EXPECT_GE(countOf<SendPing>(Out), 1U);
-  S.Now += milliseconds(2);
-  Out = S.confirm();
-  EXPECT_EQ(countOf<StartRun>(Out), 1U);
-}
-
 // Guards against two senders of one cell, each of which would renew the leases
 // of the other's runs.
 TEST_F(CellTest, StrongestInstanceBecomesTheOnlySender) {
@@ -505,53 +369,6 @@
     EXPECT_TRUE(done(J)) << J;
 }
 
-// Guards against upstreams that change hands because the length of the list
-// changes: cells were numbered modulo a count that followed the length, and two
-// senders held an upstream under tokens of different cells meanwhile.
-TEST(CellPartition, ChangesOfTheListMoveNoUpstream) {
-  CellWorld World;
-  for (int I = 0; I < 80; ++I)
-    World.addUpstream({"u" + std::to_string(I)});
-  std::vector<Address> Entries;
-  Entries.reserve(4);
-  for (int I = 0; I < 4; ++I)
-    Entries.push_back(World.addInstance("i" + std::to_string(I), "centre-a"));
-  World.run(seconds(3));
-  auto Owners = [&] {
-    std::map<UpstreamId, Address> Found;
-    for (const Address &E : Entries)
-      for (const auto &[Id, U] : World.state(E).Sender.Upstreams)
-        Found[Id] = E;
-    return Found;
-  };
-  std::map<UpstreamId, Address> Before = Owners();
-  EXPECT_EQ(Before.size(), 80U);
-  EXPECT_EQ(World.senders().size(), 2U);
-  std::vector<size_t> Jobs;
-  for (int I = 0; I < 600; ++I) {
-    if (I == 200)
-      World.addUpstream({"late-1"});
-    if (I == 300)
-      World.addUpstream({"late-2"});
-    Jobs.push_back(World.submit(Entries[I % Entries.size()],
-                                "job-" + std::to_string(I), 2,
-                                milliseconds(150)));
-    World.run(milliseconds(10));
-  }
-  World.run(seconds(3));
-  std::map<UpstreamId, Address> After = Owners();
-  EXPECT_EQ(After.size(), 82U);
-  for (const auto &[Id, Owner] : Before)
-    EXPECT_EQ(After[Id], Owner) << Id.Value;
-  for (size_t J : Jobs) {
-    const auto &Answer = World.caller(J).Answer;
-    EXPECT_TRUE(Answer && Answer->Status == AnswerStatus::Done) << J;
-  }
-  for (const RunRecord &R : World.runs())
-    EXPECT_TRUE(R.Done) << runText(R.Key);
-  EXPECT_TRUE(World.overlappingRuns().empty());
-}
-
 // Guards against answers lost at the end of the process: the event loop writes
 // them to their connections after the reducer has returned them.
 TEST_F(CellTest, ProcessStaysAWhileAfterItsLastAnswer) {
@@ -564,66 +381,6 @@
   EXPECT_GE(World.endedAt(First) - World.caller(A).Answered, milliseconds(200));
 }
 
-// Guards against two instances that claim one cell because neither has
-// discovered the other: all start at once with the first as their only seed.
-TEST(CellDiscovery, InstancesThatStartTogetherDiscoverEachOther) {
-  CellWorld World;
-  World.addUpstream({"up-1"});
-  World.setSeedsOnly(true);
-  Address Seed = World.addInstance("seed", "centre-a", 0.9);
-  Address Second = World.addInstance("second", "centre-a", 0.8);
-  Address Third = World.addInstance("third", "centre-a", 0.7);
-  World.run(milliseconds(600));
-  for (auto [From, To] : {std::pair{Seed, Second}, std::pair{Second, Third},
-                          std::pair{Third, Second}}) {
-    const auto &Peers = World.state(From).Cells.Peers;
-    auto It = Peers.find(To);
-    ASSERT_NE(It, Peers.end());
-    EXPECT_NE(It->second.LastAnsweredPing, SteadyTime{});
-  }
-}
-
-// Guards against several instances that claim a cell at once after they have
-// started together: the first answers of peers come before these have read the
-// list of upstreams, so that each instance took itself for the only candidate.
-TEST(CellDiscovery, PeersAreToldAtOnceOfAListOfUpstreams) {
-  CellState State;
-  State.Self = {Address{"self:1"}, DataCentre{"centre-a"}, 0.5};
-  SteadyTime Now{seconds(100)};
-  addPeer(State, {Address{"near:1"}, DataCentre{"centre-a"}, 0.5}, Now);
-  InstanceEffects Out;
-  sendPings(State, Now, Out);
-  ASSERT_EQ(Out.size(), 1U);
-  PingAnswered Answer;
-  Answer.Endpoint = Address{"near:1"};
-  Answer.Reply.emplace();
-  Answer.Reply->From = {Address{"near:1"}, DataCentre{"centre-a"}, 0.5};
-  applyPong(State, Answer, Now + milliseconds(1), Out);
-  Out.clear();
-  recordUpstreamList(State, true, Now + milliseconds(2));
-  sendPings(State, Now + milliseconds(2), Out);
-  ASSERT_EQ(Out.size(), 1U);
-  EXPECT_TRUE(std::get<SendPing>(Out[0]).Message.HasUpstreamList);
-}
-
-// Guards against an instance that has only the sender's address, not its data
-// centre, and then pings it too rarely to see that it works.
-TEST(CellDiscovery, RestartedInstanceLeavesTheCellToTheSender) {
-  CellWorld World;
-  World.addUpstream({"up-1"});
-  World.setSeedsOnly(true);
-  Address Seed = World.addInstance("seed", "centre-a", 0.2);
-  World.run(seconds(1));
-  Address Second = World.addInstance("second", "centre-a", 0.9);
-  World.addInstance("third", "centre-a", 0.1);
-  World.run(seconds(3));
-  World.kill(Second);
-  World.run(milliseconds(500));
-  World.restart(Second);
-  World.run(seconds(3));
-  EXPECT_EQ(World.senders(), std::vector<Address>{Seed});
-}
-
 // Guards against requests on open connections that keep a shutting-down process
 // busy and are lost with it.
 TEST_F(CellTest, RequestsLateInAShutdownAreRejectedAndTheProcessEnds) {
