cells, sender: confirm each late job by itself

Cause, found in the re-read: a job that arrived while the sender was behind marked its entry as unconfirmed from then on. Each further job moved that time, so with steady arrivals no answered ping was recent enough, and none of the entry's jobs started until the sender had caught up. Change: a job keeps the time since which it needs a confirmation; an answered ping confirms all jobs that came before it was sent. Test: CellDelayedMessages.LaterJobsDoNotDelayTheConfirmationOfEarlierOnes, which failed on the code before.

--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -32,6 +32,11 @@
   /// again once a ping sent since then has been answered. Until then, no task
   /// of the peer's jobs is started. Only a job makes that ping due at once.
   SteadyTime UnconfirmedSince{};
+  /// Time at which the last answered ping was sent, without that shift.
+  SteadyTime LastConfirmation{};
+  /// Receipt of its last job that came while this process was behind; zero once
+  /// a ping sent since then has been answered. See `SenderJob::ConfirmSince`.
+  SteadyTime ConfirmSince{};
   SteadyTime NextPing{};    ///< When the next ping is due.
   SteadyTime PingSent{};    ///< When the last ping was sent.
   SteadyTime Discovered{};  ///< When this instance first received its address.
--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -112,6 +112,8 @@
   P.Claims.clear();
   P.OldestAwaitedJob = 0;
   P.UnconfirmedSince = {};
+  P.LastConfirmation = {};
+  P.ConfirmSince = {};
 }
 
 /// Updates whether this instance is a standby. One that is stays it somewhat
@@ -291,8 +293,12 @@
   P.LastAnsweredPing = P.PingSent;
   P.OldestAwaitedJob = std::max(P.OldestAwaitedJob, Reply.OldestAwaitedJob);
   bool WasUnconfirmed = P.UnconfirmedSince != SteadyTime{};
+  bool Confirms = P.ConfirmSince != SteadyTime{};
+  P.LastConfirmation = P.PingSent;
   if (P.PingSent >= P.UnconfirmedSince)
     P.UnconfirmedSince = {};
+  if (P.PingSent >= P.ConfirmSince)
+    P.ConfirmSince = {};
   State.ClaimsDue = State.ClaimsDue || P.Draining != Reply.Draining ||
                     P.HasUpstreamList != Reply.HasUpstreamList;
   P.Draining = Reply.Draining;
@@ -311,7 +317,7 @@
   if (!WasReachable)
     log(Out, "peer=" + Event.Endpoint.Value +
                  " is reachable, centre=" + P.Record.Centre.Value);
-  return WasUnconfirmed && P.UnconfirmedSince == SteadyTime{};
+  return Confirms || (WasUnconfirmed && P.UnconfirmedSince == SteadyTime{});
 }
 
 void sendPings(CellState &State, SteadyTime Now, InstanceEffects &Out) {
--- a/src/cells/cell_cmd.h
+++ b/src/cells/cell_cmd.h
@@ -30,7 +30,7 @@
                const OwnReport &Report, SteadyTime Now, InstanceEffects &Out);
 
 /// Applies the answer to a ping, or its failure. Returns true if the answer
-/// confirms an unconfirmed peer, so that its jobs may start.
+/// confirms an unconfirmed peer, or jobs of it, so that these may start.
 bool applyPong(CellState &State, const PingAnswered &Event, SteadyTime Now,
                InstanceEffects &Out);
 
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -91,11 +91,12 @@
 }
 
 /// Returns true if the entry of a job is confirmed to await it.
-bool isAwaitedByEntry(const CellState &Cells, const JobOrder &Order,
+bool isAwaitedByEntry(const CellState &Cells, const SenderJob &J,
                       SteadyTime Now) {
-  auto P = Cells.Peers.find(Order.Entry);
+  auto P = Cells.Peers.find(J.Order.Entry);
   return P != Cells.Peers.end() && P->second.UnconfirmedSince == SteadyTime{} &&
-         !isAbandonedByEntry(Cells, Order, Now);
+         P->second.LastConfirmation >= J.ConfirmSince &&
+         !isAbandonedByEntry(Cells, J.Order, Now);
 }
 
 /// Handles one event in the parts that it concerns.
@@ -191,23 +192,22 @@
     if (P != State.Cells.Peers.end()) {
       if (P->second.Incarnation == IncarnationId{})
         P->second.Incarnation = E.Order.Incarnation;
-      if (P->second.Incarnation == E.Order.Incarnation)
+      bool SameProcess = P->second.Incarnation == E.Order.Incarnation;
+      if (SameProcess)
         recordMessage(P->second, Now);
-      // The job may have waited in the socket while its entry gave it up.
-      if (isLagging(State.Cells, Now))
-        P->second.UnconfirmedSince = Now;
-      // The job is not started before the peer has confirmed that it awaits it.
-      if (P->second.UnconfirmedSince != SteadyTime{})
-        pingBy(State.Cells, P->second, Now);
-      if (P->second.Incarnation == E.Order.Incarnation &&
+      if (SameProcess &&
           isCancelledHere(P->second, E.Order.Id, E.Order.Number)) {
         JobResult Result;
         Result.Reason = "cancelled by its entry before it arrived";
         Out.push_back(AnswerJob{E.Request, std::move(Result)});
         return;
       }
+      confirmJob(P->second);
     }
     acceptJob(State.Sender, E.Order, {E.Request, /*Local=*/false}, Now, Out);
+    auto Job = State.Sender.Jobs.find(E.Order.Id);
+    if (Job != State.Sender.Jobs.end() && isLagging(State.Cells, Now))
+      Job->second.ConfirmSince = Now;
   }
   void operator()(const JobAbandoned &E) {
     abandonJob(State.Sender, {E.Request, /*Local=*/false}, Now, Out);
@@ -317,6 +317,15 @@
     advanceDirectory(State.Directory, Now, Out);
   }
 
+  /// Asks the entry instance \p P whether it still awaits a job that arrives,
+  /// if the job is not to be started without that.
+  void confirmJob(Peer &P) {
+    if (isLagging(State.Cells, Now))
+      P.ConfirmSince = Now;
+    if (P.UnconfirmedSince != SteadyTime{} || P.ConfirmSince != SteadyTime{})
+      pingBy(State.Cells, P, Now);
+  }
+
   /// Stops the jobs that the entry instance at \p From has cancelled here.
   void stopCancelledJobs(const Address &From,
                          const std::vector<CancelledJob> &Cancelled) {
@@ -453,8 +462,7 @@
         State.Sender,
         [&](const SenderJob &J) {
           return E.Now < J.Deadline &&
-                 (J.Waiter.Local ||
-                  isAwaitedByEntry(State.Cells, J.Order, E.Now));
+                 (J.Waiter.Local || isAwaitedByEntry(State.Cells, J, E.Now));
         },
         E.Now, Pending);
   renewUpstreams(
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -127,6 +127,10 @@
   /// It was not expected to meet its objective when it was admitted. It ranks
   /// behind the jobs that can, until it has started.
   bool AdmittedLate = false;
+  /// Receipt of the job if this process was behind then; zero otherwise. Its
+  /// entry may have given it up while it waited in the socket, so no task is
+  /// started before the entry has answered a ping sent since then.
+  SteadyTime ConfirmSince{};
   SteadyTime Arrived{};   ///< When the entry received the caller's request.
   SteadyTime Objective{}; ///< Answers until then meet the objective.
   SteadyTime LatestUsefulEnd{}; ///< The caller has no use for a later answer.
@@ -169,7 +173,7 @@
   uint64_t RunsStopped = 0;  ///< Stops that were accepted.
   uint64_t RunsStalled = 0;  ///< Runs stopped for lack of progress.
   uint64_t Renewals = 0;     ///< Renewal calls sent.
-  /// Upstreams and slots looked at by placement, as a measure of its cost.
+  /// Upstreams looked at by placement, as a measure of its cost.
   uint64_t UpstreamsVisited = 0;
 };
 
--- a/tests/cell_delayed_test.cpp
+++ b/tests/cell_delayed_test.cpp
@@ -61,6 +61,14 @@
     return handle(std::move(Answer));
   }
 
+  /// Ticks stay away for 600 ms, while messages are handled all the time.
+  void fallBehind() {
+    for (int I = 0; I < 6; ++I) {
+      Now += milliseconds(100);
+      handle(pingOf(Order, {}));
+    }
+  }
+
   FleetInstance State;
   SteadyTime Now;
   JobOrder Order;
@@ -131,11 +139,7 @@
   LoneSender S;
   S.handle(pingOf(S.Order, {}));
   S.confirm();
-  // Ticks stay away for 600 ms, while messages are handled all the time.
-  for (int I = 0; I < 6; ++I) {
-    S.Now += milliseconds(100);
-    S.handle(pingOf(S.Order, {}));
-  }
+  S.fallBehind();
   InstanceEffects Out = S.handle(JobArrived{RequestId{1}, S.Order});
   EXPECT_EQ(countOf<StartRun>(Out), 0U);
   EXPECT_GE(countOf<SendPing>(Out), 1U);
@@ -143,3 +147,26 @@
   Out = S.confirm();
   EXPECT_EQ(countOf<StartRun>(Out), 1U);
 }
+
+// Guards against a sender that is behind and never starts the jobs of an entry
+// instance, because each job that arrives asks for a newer confirmation than
+// the ping that is under way can give.
+TEST(CellDelayedMessages, LaterJobsDoNotDelayTheConfirmationOfEarlierOnes) {
+  LoneSender S;
+  S.handle(pingOf(S.Order, {}));
+  S.confirm();
+  S.fallBehind();
+  S.handle(JobArrived{RequestId{1}, S.Order});
+  S.Now += milliseconds(1);
+  JobOrder Later = S.Order;
+  Later.Id = JobId{"b"};
+  Later.Number = 6;
+  S.handle(JobArrived{RequestId{2}, Later});
+  S.Now += milliseconds(1);
+  // The answer to the ping that was sent between the two jobs.
+  InstanceEffects Out = S.confirm();
+  EXPECT_EQ(countOf<StartRun>(Out), 1U);
+  EXPECT_EQ(countOf<SendPing>(Out), 1U);
+  S.Now += milliseconds(1);
+  EXPECT_EQ(countOf<StartRun>(S.confirm()), 1U);
+}
