--- a/src/directory/directory_cmd.cpp
+++ b/src/directory/directory_cmd.cpp
@@ -114,8 +114,7 @@
   CollectionReader &Reader = readerOf(State, Collection);
   if (Reader.Phase != CollectionReaderPhase::Idle || Now < Reader.NextCall)
     return;
-  if (Collection == StoreCollection::Upstreams && !State.IsSender &&
-      !State.IsStandby)
+  if (Collection == StoreCollection::Upstreams && !wantsUpstreams(State))
     return;
   bool Stale = Collection == StoreCollection::Instances ||
                (Collection == StoreCollection::Upstreams && !State.IsSender);
@@ -139,6 +138,10 @@
 
 } // namespace
 
+bool wantsUpstreams(const DirectoryState &State) {
+  return State.IsSender || State.IsStandby;
+}
+
 void advanceDirectory(DirectoryState &State, SteadyTime Now,
                       InstanceEffects &Out) {
   for (StoreCollection Collection :
@@ -238,21 +241,19 @@
 
 void applyRole(DirectoryState &State, bool IsSender, bool IsStandby,
                SteadyTime Now, InstanceEffects &Out) {
-  bool HadUse = State.IsSender || State.IsStandby;
-  bool HasUse = IsSender || IsStandby;
+  bool WantedBefore = wantsUpstreams(State);
   State.IsSender = IsSender;
   State.IsStandby = IsStandby;
-  if (HadUse == HasUse)
+  if (WantedBefore == wantsUpstreams(State))
     return;
-  if (HasUse) {
-    rereadNow(State, StoreCollection::Upstreams, Now);
+  // Also ignores the answer to a pending read, which would bring a dropped list
+  // back.
+  rereadNow(State, StoreCollection::Upstreams, Now);
+  if (!WantedBefore)
     return;
-  }
   log(Out, "list of upstreams dropped, other instances are likelier senders");
   State.Upstreams.clear();
   State.Upstreams.shrink_to_fit();
-  // The answer to a pending read would bring the list back.
-  rereadNow(State, StoreCollection::Upstreams, Now);
 }
 
 bool needsSnapshot(const DirectoryState &State, SteadyTime Now) {
@@ -260,9 +261,8 @@
       State.Readers[static_cast<size_t>(StoreCollection::Configuration)];
   const CollectionReader &Upstreams =
       State.Readers[static_cast<size_t>(StoreCollection::Upstreams)];
-  bool WantsUpstreams = State.IsSender || State.IsStandby;
-  bool Incomplete =
-      !State.Configuration || (WantsUpstreams && State.Upstreams.empty());
+  bool Incomplete = !State.Configuration ||
+                    (wantsUpstreams(State) && State.Upstreams.empty());
   bool StoreFails = Configuration.Failures > 0 || Upstreams.Failures > 0;
   return Incomplete && StoreFails && Now >= State.NextSnapshotRequest;
 }
@@ -271,8 +271,8 @@
                    InstanceEffects &Out) {
   if (Event.Configuration)
     applyConfiguration(State, *Event.Configuration, {}, Out);
-  bool WantsUpstreams = State.IsSender || State.IsStandby;
-  if (!WantsUpstreams || !State.Upstreams.empty() || Event.Upstreams.empty())
+  if (!wantsUpstreams(State) || !State.Upstreams.empty() ||
+      Event.Upstreams.empty())
     return;
   State.Upstreams = Event.Upstreams;
   log(Out, "upstream list taken from a peer count=" +
--- a/src/directory/directory_cmd.h
+++ b/src/directory/directory_cmd.h
@@ -33,6 +33,9 @@
 void applyLeaseRenewal(DirectoryState &State, const LeaseRenewalAnswered &Event,
                        SteadyTime Now);
 
+/// Returns true if this instance has use for the list of upstreams.
+bool wantsUpstreams(const DirectoryState &State);
+
 /// Records whether this instance is a sender or may become one. Others neither
 /// read nor keep the list of upstreams, which is most of the memory and of the
 /// traffic of an instance in a large fleet.
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -262,6 +262,9 @@
   try {
     Done(Outcome);
   } catch (const std::exception &E) {
+    // Without a handler of `HandlerFailed`, the error would go unseen.
+    if (HandlerFailed.empty())
+      throw;
     HandlerFailed.emit(E.what());
   }
 }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -47,7 +47,8 @@
   /// use. Calls \p Done with the outcome from the event loop, never from within
   /// `send`.
   void send(HttpCall Call, Callback Done);
-  /// The callback of a call has thrown an exception with this message.
+  /// The callback of a call has thrown an exception with this message. While
+  /// nothing is connected here, the exception ends the process.
   sigc::signal<void(const std::string &)> HandlerFailed;
   /// Number of requests sent since this client was created.
   uint64_t callsSent() const { return CallsSent; }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -178,6 +178,9 @@
   try {
     RequestReceived.emit(Out);
   } catch (const std::exception &E) {
+    // Without a handler of `HandlerFailed`, the error would go unseen.
+    if (HandlerFailed.empty())
+      throw;
     reply(Out.Id, {500, "{}"});
     HandlerFailed.emit(E.what());
   }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -59,7 +59,8 @@
   /// Emitted when a complete request has been received.
   sigc::signal<void(const HttpRequest &)> RequestReceived;
   /// A handler of `RequestReceived` has thrown an exception with this message.
-  /// The request was answered with 500, unless it had an answer.
+  /// The request was answered with 500, unless it had an answer. While nothing
+  /// is connected here, the exception ends the process.
   sigc::signal<void(const std::string &)> HandlerFailed;
   /// Emitted when the client of an unanswered request has disconnected.
   sigc::signal<void(RequestId)> RequestClosed;
--- a/src/runtime/cell_metrics.cpp
+++ b/src/runtime/cell_metrics.cpp
@@ -20,6 +20,7 @@
 
 CellMetrics::CellMetrics(CellDaemon &Owner)
     : Owner(Owner), Server(Owner.loop(), metricsLimits()) {
+  Server.HandlerFailed.connect(sigc::ptr_fun(CellDaemon::logHandlerFailure));
   Server.RequestReceived.connect([this](const HttpRequest &Request) {
     if (Request.Path != "/metrics")
       return Server.reply(Request.Id, {404, "{}"});
