http: report clients that disconnect while their request is open

The tests on the fake clock deliver these events themselves and can't see this. HttpServerTest.ReportsClientsThatCloseWhileTheyWait failed before, on a first request and on one of a persistent connection:

Expected equality of these values: Closed, Which is: 0; 1

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -4,6 +4,7 @@
 #include "http/http_address.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
@@ -21,6 +22,37 @@
 
 namespace {
 
+// Bytes that a client can send ahead of the answer to its request. More stay in
+// the socket.
+constexpr size_t MaxReadAhead = 64 << 10;
+
+/// Makes evhttp notice while a request is open that its client disconnects.
+/// evhttp stops reading before it calls the handler of a request and would see
+/// the end of the connection only with the answer.
+void watchForClose(evhttp_connection *Connection) {
+  bufferevent *Buffers = evhttp_connection_get_bufferevent(Connection);
+  bufferevent_data_cb Write = nullptr;
+  bufferevent_event_cb Event = nullptr;
+  void *Arg = nullptr;
+  bufferevent_getcb(Buffers, nullptr, &Write, &Event, &Arg);
+  // The read callback of evhttp ends the process if a further request arrives
+  // now. evhttp sets its callbacks again with the answer and then reads what is
+  // in the buffer.
+  bufferevent_setcb(Buffers, nullptr, Write, Event, Arg);
+  bufferevent_setwatermark(Buffers, EV_READ, 0, MaxReadAhead);
+  // A client that awaits its answer sends nothing.
+  bufferevent_set_timeouts(Buffers, nullptr, nullptr);
+  bufferevent_enable(Buffers, EV_READ);
+}
+
+/// Undoes `watchForClose`; \p Timeout is that of the connection.
+void stopWatchingForClose(evhttp_connection *Connection,
+                          std::chrono::seconds Timeout) {
+  bufferevent *Buffers = evhttp_connection_get_bufferevent(Connection);
+  bufferevent_setwatermark(Buffers, EV_READ, 0, 0);
+  evhttp_connection_set_timeout(Connection, static_cast<int>(Timeout.count()));
+}
+
 const char *methodName(evhttp_cmd_type Type) {
   switch (Type) {
   case EVHTTP_REQ_GET:
@@ -147,6 +179,7 @@
   Record->Request = Request;
   Record->Connection = evhttp_request_get_connection(Request);
   evhttp_connection_set_closecb(Record->Connection, handleClose, Record.get());
+  watchForClose(Record->Connection);
 
   HttpRequest Out;
   Out.Id = Record->Id;
@@ -190,6 +223,9 @@
   auto *Record = static_cast<OpenRequest *>(Arg);
   HttpServer *Server = Record->Server;
   RequestId Id = Record->Id;
+  // evhttp leaves a request that it has taken off its connection to its user.
+  if (!evhttp_request_get_connection(Record->Request))
+    evhttp_request_free(Record->Request);
   Server->Open.erase(Id);
   Server->RequestClosed.emit(Id);
 }
@@ -229,6 +265,7 @@
   std::unique_ptr<OpenRequest> Record = std::move(It->second);
   Open.erase(It);
   evhttp_connection_set_closecb(Record->Connection, nullptr, nullptr);
+  stopWatchingForClose(Record->Connection, Limits.Timeout);
   evkeyvalq *Headers = evhttp_request_get_output_headers(Record->Request);
   evhttp_add_header(Headers, "Content-Type", Reply.ContentType.c_str());
   for (const auto &[Name, Value] : Reply.Headers)
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,9 +1,15 @@
 /// \file Tests of the HTTP server and client over loopback.
+#include "core/scope_guard.h"
+#include "http/http_address.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 namespace snipeshunt {
 namespace {
 
@@ -77,6 +83,79 @@
   EXPECT_EQ(Reported, (std::vector<std::string>{"too long", "too short"}));
 }
 
+// Guards against work for a client that has closed its connection, on its first
+// request and on a later one.
+TEST(HttpServerTest, ReportsClientsThatCloseWhileTheyWait) {
+  for (int Answered : {0, 1}) {
+    EventLoop Loop;
+    HttpServer Server(Loop, {});
+    Result<Address> Bound = Server.listen(Address{"127.0.0.1:0"});
+    ASSERT_FALSE(failed(Bound));
+    int Received = 0;
+    int Closed = 0;
+    Server.RequestReceived.connect([&](const HttpRequest &R) {
+      if (Received++ < Answered)
+        Server.reply(R.Id, {200, "x"});
+    });
+    Server.RequestClosed.connect([&](RequestId) {
+      ++Closed;
+      Loop.stop();
+    });
+    HttpClient Client(Loop, {});
+    HttpCall Call;
+    Call.Target = valueOf(Bound);
+    Call.Method = "POST";
+    Call.Body = "{}";
+    for (int I = 0; I < Answered; ++I)
+      callAndWait(Loop, Client, Call);
+    Call.Timeout = std::chrono::milliseconds(50);
+    Client.send(Call, [](const HttpOutcome &) {});
+    Timer Limit(Loop, [&] { Loop.stop(); });
+    Limit.startOnce(std::chrono::seconds(5));
+    Loop.run();
+    EXPECT_EQ(Received, Answered + 1);
+    EXPECT_EQ(Closed, 1) << "answered before: " << Answered;
+  }
+}
+
+// Guards against a client that ends the process by sending a second request
+// before it has the answer to the first.
+TEST(HttpServerTest, AnswersPipelinedRequests) {
+  EventLoop Loop;
+  HttpServer Server(Loop, {});
+  Result<Address> Bound = Server.listen(Address{"127.0.0.1:0"});
+  ASSERT_FALSE(failed(Bound));
+  std::vector<RequestId> Open;
+  Timer Answer(Loop, [&] {
+    for (RequestId Id : std::exchange(Open, {}))
+      Server.reply(Id, {200, "x"});
+  });
+  int Received = 0;
+  Server.RequestReceived.connect([&](const HttpRequest &R) {
+    Open.push_back(R.Id);
+    Answer.startOnce(std::chrono::milliseconds(30));
+    if (++Received == 2)
+      Loop.stop();
+  });
+  int Socket = socket(AF_INET, SOCK_STREAM, 0);
+  ScopeGuard Close([&] { close(Socket); });
+  Result<HostPort> Parts = parseAddress(valueOf(Bound));
+  ASSERT_FALSE(failed(Parts));
+  sockaddr_in To{};
+  To.sin_family = AF_INET;
+  To.sin_port = htons(valueOf(Parts).Port);
+  inet_pton(AF_INET, valueOf(Parts).Host.c_str(), &To.sin_addr);
+  ASSERT_EQ(connect(Socket, reinterpret_cast<sockaddr *>(&To), sizeof(To)), 0);
+  std::string Requests = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+                         "GET /b HTTP/1.1\r\nHost: x\r\n\r\n";
+  ASSERT_EQ(write(Socket, Requests.data(), Requests.size()),
+            static_cast<ssize_t>(Requests.size()));
+  Timer Limit(Loop, [&] { Loop.stop(); });
+  Limit.startOnce(std::chrono::seconds(5));
+  Loop.run();
+  EXPECT_EQ(Received, 2);
+}
+
 // Guards against confusing a refused connection with a lost request: only the
 // former proves that nothing was sent.
 TEST(HttpClientTest, DistinguishesRefusedFromLost) {
