http: ignore requests whose clients have disconnected before they are read

Cause: a caller whose connection is reset before it has sent its whole request sends the job to another instance at once. The bytes were delivered, though, and an instance that is behind reads them after the reset. evhttp hands a request over without a look at the connection, so the job of a caller that had left was forwarded and started beside the second submission.

The server now looks at the socket before it hands a request over, at the price of one system call, and drops the request if the client has closed or reset the connection. This also holds for jobs that instances forward to senders. HttpServerTest.IgnoresRequestsWhoseClientsHaveDisconnected failed before for both ways of closing ("Received, Which is: 1; 0").

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -12,7 +12,9 @@
 
 #include <arpa/inet.h>
 #include <strings.h>
+#include <sys/socket.h>
 
+#include <cerrno>
 #include <filesystem>
 #include <iterator>
 
@@ -26,6 +28,17 @@
 // the socket.
 constexpr size_t MaxReadAhead = 64 << 10;
 
+/// Returns true if the client has closed or reset \p Connection, from which all
+/// bytes of a request have been read.
+bool hasDisconnected(evhttp_connection *Connection) {
+  int Socket = bufferevent_getfd(evhttp_connection_get_bufferevent(Connection));
+  char Next = 0;
+  ssize_t Read = recv(Socket, &Next, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (Read < 0)
+    return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+  return Read == 0;
+}
+
 /// Makes evhttp notice while a request is open that its client disconnects.
 /// evhttp stops reading before it calls the handler of a request and would see
 /// the end of the connection only with the answer.
@@ -173,6 +186,12 @@
     evhttp_send_error(Request, 503, "too many open requests");
     return;
   }
+  // The request may have waited in the socket while its client gave up. The
+  // client may have sent it to another instance since.
+  if (hasDisconnected(evhttp_request_get_connection(Request))) {
+    ++Abandoned;
+    return freeLater(evhttp_request_get_connection(Request));
+  }
   auto Record = std::make_unique<OpenRequest>();
   Record->Server = this;
   Record->Id = RequestId{NextId++};
@@ -234,11 +253,15 @@
   auto It = Open.find(Id);
   if (It == Open.end())
     return;
+  evhttp_connection *Connection = It->second->Connection;
+  Open.erase(It);
+  freeLater(Connection);
+}
+
+void HttpServer::freeLater(evhttp_connection *Connection) {
   // evhttp may still use the connection after its request callback, so it is
   // freed later from the event loop. If the client disconnects before that,
   // evhttp frees the connection itself, and it is taken off the list.
-  evhttp_connection *Connection = It->second->Connection;
-  Open.erase(It);
   auto RemoveClosed = [](evhttp_connection *Closed, void *Arg) {
     auto &List = static_cast<HttpServer *>(Arg)->Dropped;
     List.erase(std::remove(List.begin(), List.end(), Closed), List.end());
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -55,8 +55,12 @@
   void drop(RequestId Id);
   /// Returns the number of unanswered requests.
   size_t openRequests() const { return Open.size(); }
+  /// Returns the number of requests that were not handled, since their clients
+  /// had disconnected before they were read.
+  uint64_t abandonedRequests() const { return Abandoned; }
 
-  /// Emitted when a complete request has been received.
+  /// Emitted when a complete request has been received and its client is still
+  /// connected.
   sigc::signal<void(const HttpRequest &)> RequestReceived;
   /// A handler of `RequestReceived` has thrown an exception with this message.
   /// The request was answered with 500, unless it had an answer. While nothing
@@ -79,6 +83,8 @@
 
   /// Called by evhttp for each complete request.
   void handle(evhttp_request *Request);
+  /// Frees \p Connection from the event loop.
+  void freeLater(evhttp_connection *Connection);
   /// Frees the connections of dropped requests.
   void closeDropped();
   /// Pauses or resumes accepting connections by the number of open descriptors.
@@ -95,6 +101,7 @@
   std::vector<evhttp_connection *> Dropped; ///< For `closeDropped`.
   Timer DropTimer;
   uint64_t NextId = 1;
+  uint64_t Abandoned = 0;
   Timer DescriptorCheckTimer;
 };
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,5 +1,4 @@
 /// \file Tests of the HTTP server and client over loopback.
-#include "core/scope_guard.h"
 #include "http/http_address.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -24,6 +23,37 @@
   return Out;
 }
 
+/// A connection on which any bytes can be sent.
+class RawClient {
+public:
+  explicit RawClient(const Address &Target)
+      : Socket(socket(AF_INET, SOCK_STREAM, 0)) {
+    HostPort Parts = valueOf(parseAddress(Target));
+    sockaddr_in To{};
+    To.sin_family = AF_INET;
+    To.sin_port = htons(Parts.Port);
+    inet_pton(AF_INET, Parts.Host.c_str(), &To.sin_addr);
+    EXPECT_EQ(connect(Socket, reinterpret_cast<sockaddr *>(&To), sizeof(To)),
+              0);
+  }
+  RawClient(const RawClient &) = delete;
+  RawClient &operator=(const RawClient &) = delete;
+  ~RawClient() { close(Socket); }
+
+  void send(std::string_view Bytes) const {
+    EXPECT_EQ(write(Socket, Bytes.data(), Bytes.size()),
+              static_cast<ssize_t>(Bytes.size()));
+  }
+  /// Has the connection end with a reset.
+  void resetOnClose() const {
+    linger Abort{1, 0};
+    setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Abort, sizeof(Abort));
+  }
+
+private:
+  int Socket;
+};
+
 // Guards against an unlimited number of connections: none is accepted while
 // more descriptors are open than allowed.
 TEST(HttpServerTest, PausesAcceptingAboveDescriptorLimit) {
@@ -118,6 +148,35 @@
   }
 }
 
+// Guards against two runs of a task at once (TWICE): a request has waited in
+// the socket of a busy instance, its client has disconnected meanwhile and sent
+// it to another instance.
+TEST(HttpServerTest, IgnoresRequestsWhoseClientsHaveDisconnected) {
+  for (bool Reset : {false, true}) {
+    EventLoop Loop;
+    HttpServer Server(Loop, {});
+    Result<Address> Bound = Server.listen(Address{"127.0.0.1:0"});
+    ASSERT_FALSE(failed(Bound));
+    int Received = 0;
+    Server.RequestReceived.connect([&](const HttpRequest &) { ++Received; });
+    {
+      RawClient Client(valueOf(Bound));
+      // The connection is accepted before the request is sent.
+      Loop.runFor(std::chrono::milliseconds(20));
+      Client.send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}");
+      if (Reset)
+        Client.resetOnClose();
+    }
+    for (int I = 0; I < 20; ++I)
+      Loop.runFor(std::chrono::milliseconds(10));
+    EXPECT_EQ(Received, 0) << "reset: " << Reset;
+    if (!Reset) {
+      EXPECT_EQ(Server.abandonedRequests(), 1U);
+    }
+    EXPECT_EQ(Server.openRequests(), 0U);
+  }
+}
+
 // Guards against a client that ends the process by sending a second request
 // before it has the answer to the first.
 TEST(HttpServerTest, AnswersPipelinedRequests) {
@@ -137,19 +196,9 @@
     if (++Received == 2)
       Loop.stop();
   });
-  int Socket = socket(AF_INET, SOCK_STREAM, 0);
-  ScopeGuard Close([&] { close(Socket); });
-  Result<HostPort> Parts = parseAddress(valueOf(Bound));
-  ASSERT_FALSE(failed(Parts));
-  sockaddr_in To{};
-  To.sin_family = AF_INET;
-  To.sin_port = htons(valueOf(Parts).Port);
-  inet_pton(AF_INET, valueOf(Parts).Host.c_str(), &To.sin_addr);
-  ASSERT_EQ(connect(Socket, reinterpret_cast<sockaddr *>(&To), sizeof(To)), 0);
-  std::string Requests = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
-                         "GET /b HTTP/1.1\r\nHost: x\r\n\r\n";
-  ASSERT_EQ(write(Socket, Requests.data(), Requests.size()),
-            static_cast<ssize_t>(Requests.size()));
+  RawClient Client(valueOf(Bound));
+  Client.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+              "GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
   Timer Limit(Loop, [&] { Loop.stop(); });
   Limit.startOnce(std::chrono::seconds(5));
   Loop.run();
