entry: cancel a job whose request to its sender failed

Callers would get a 502, submit the job again 1.3 s later at another instance and have both runs at the same time.

Cause: the job was ended as lost without a cancellation. A sender whose end of the connection stays open hears of it only once the entry awaits no earlier job there.

The next ping, due at once, carries the cancellation until one is answered, as it does for callers that disconnect.

--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -344,12 +344,15 @@
     return;
   EntryJob &J = It->second;
   if (!Event.Result) {
-    if (Event.NothingSent)
+    if (Event.NothingSent) {
       forwardOrWait(State, Context, Event.Request, NoSenderRetry,
                     "the sender could not be reached", Now, Out);
-    else
-      endJob(State, Context, Event.Request, AnswerStatus::Lost,
-             Duration::zero(), "the request to the sender failed", Now, Out);
+      return;
+    }
+    // The sender may not notice that the connection broke.
+    cancelAtSender(Context, J, Now);
+    endJob(State, Context, Event.Request, AnswerStatus::Lost, Duration::zero(),
+           "the request to the sender failed", Now, Out);
     return;
   }
   const JobResult &Result = *Event.Result;
--- /dev/null
+++ b/tests/cell_overlap_test.cpp
@@ -0,0 +1,47 @@
+/// \file Faults after which two runs of one task could overlap, on a fake
+/// clock.
+#include "support/cell_world.h"
+
+#include <gtest/gtest.h>
+
+using namespace snipeshunt;
+using namespace snipeshunt::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+std::string joined(const std::vector<std::string> &Lines) {
+  std::string Text;
+  for (const std::string &Line : Lines)
+    Text += Line + "\n";
+  return Text;
+}
+
+} // namespace
+
+// Guards against overlapping runs (TWICE): the connection of a forwarded job
+// breaks at the entry instance alone, which answers the caller with 502 but
+// tells the sender nothing, so that the run goes on beside the second one.
+TEST(CellOverlap, JobWhoseForwardBrokeIsCancelledAtItsSender) {
+  CellWorld World;
+  for (const char *Centre : {"centre-a", "centre-b"})
+    World.addUpstream({std::string("up-") + Centre, Centre});
+  World.addInstance("sender", "centre-a", 0.6);
+  Address Entry = World.addInstance("entry", "centre-a", 0.1);
+  Address Other = World.addInstance("other", "centre-b", 0.6);
+  World.run(seconds(2));
+  // While the entry awaits an earlier job, its pings do not end later ones.
+  World.submit(Entry, "earlier", 1, seconds(4), seconds(8));
+  size_t First = World.submit(Entry, "a", 1, seconds(4), seconds(8));
+  World.run(milliseconds(100));
+  ASSERT_EQ(World.runs().size(), 2U);
+  World.breakForwardAtEntry(Entry, "a");
+  ASSERT_TRUE(World.caller(First).Answer);
+  EXPECT_EQ(World.caller(First).Answer->Status, AnswerStatus::Lost);
+  World.run(CallerRetryPause);
+  World.submit(Other, "a", 1, seconds(4), seconds(8));
+  World.run(seconds(1));
+  EXPECT_EQ(World.runs().size(), 3U);
+  EXPECT_EQ(joined(World.overlappingRuns()), "");
+}
--- a/tests/support/cell_world.cpp
+++ b/tests/support/cell_world.cpp
@@ -243,6 +243,17 @@
   DelayedMessages.clear();
 }
 
+void CellWorld::breakForwardAtEntry(const Address &Entry,
+                                    const std::string &Job) {
+  Instance &I = Instances.at(Entry);
+  RequestId Forward = I.State.Entry.ByJob.at(JobId{Job});
+  ForwardAnswered Event;
+  Event.Sender = I.Forwarded.at(Forward);
+  Event.Request = Forward;
+  I.Forwarded.erase(Forward);
+  deliver(Entry, Event);
+}
+
 void CellWorld::sendMessage(const Address &From, const Address &To,
                             const std::function<void()> &Message) {
   auto Arrive = [this, From, To, Message] {
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -94,6 +94,9 @@
   /// them.
   void cut(const std::set<Address> &Group);
   void heal();
+  /// Breaks the connection of a forwarded job at its entry instance. The sender
+  /// is not informed, as if the packets to it were lost.
+  void breakForwardAtEntry(const Address &Entry, const std::string &Job);
   /// If set, messages between instances that a cut stops arrive once it heals,
   /// like bytes that TCP sends again. Otherwise they are lost.
   void setCutsDelayMessages(bool Delay) { CutsDelayMessages = Delay; }
