cells: confirm an entry instance whose process seems to have changed

A caller whose entry instance was restarted would see its second submission run beside the first one.

Cause: a ping with another incarnation was taken for one of a newer process, though a cut may have delayed it, and jobs of that incarnation were started without a confirmation.

Jobs now wait until the entry has answered a ping that was sent since the change; the answer names the process that is running.

--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -27,10 +27,11 @@
   SteadyTime LastMessage{};
   /// Arrival of its last ping or job, without that shift.
   SteadyTime LastMessageRaw{};
-  /// Set when a message arrives first or after a silence of `EntryTimeout`: it
-  /// and those that follow may have been delayed by a link that was cut. Zero
-  /// again once a ping sent since then has been answered. Until then, no task
-  /// of the peer's jobs is started. Only a job makes that ping due at once.
+  /// Set when a message arrives first, after a silence of `EntryTimeout` or
+  /// from another process than the messages before: it and those that follow
+  /// may have been delayed by a link that was cut. Zero again once a ping sent
+  /// since then has been answered. Until then, no task of the peer's jobs is
+  /// started. Only a job makes that ping due at once.
   SteadyTime UnconfirmedSince{};
   /// Time at which the last answered ping was sent, without that shift.
   SteadyTime LastConfirmation{};
--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -224,10 +224,16 @@
   auto It = State.Peers.find(Message.From.Endpoint);
   if (It != State.Peers.end()) {
     Peer &P = It->second;
+    bool OtherProcess = P.Incarnation != IncarnationId{} &&
+                        P.Incarnation != Message.Incarnation;
     applyIncarnation(State, P, Message.Incarnation);
     P.Record = Message.From;
     P.HasUpstreamList = Message.HasUpstreamList;
     recordMessage(P, Now);
+    // A ping of a former process may arrive after those of the present one. An
+    // answered ping tells which of the two is running.
+    if (OtherProcess)
+      P.UnconfirmedSince = Now;
     P.ConnectionRefused = false;
     P.OldestAwaitedJob = std::max(P.OldestAwaitedJob, Message.OldestAwaitedJob);
     bool NewClaims = P.Claims.size() != Message.Claims.size();
--- a/tests/cell_delayed_test.cpp
+++ b/tests/cell_delayed_test.cpp
@@ -170,3 +170,33 @@
   S.Now += milliseconds(1);
   EXPECT_EQ(countOf<StartRun>(S.confirm()), 1U);
 }
+
+// Guards against overlapping runs (TWICE): a ping and a job of an entry
+// instance's former process arrive after the pings of the present one, and the
+// job is started although its caller has submitted it again.
+TEST(CellDelayedMessages, JobOfAFormerProcessOfItsEntryIsNotStarted) {
+  LoneSender S;
+  JobOrder Present = S.Order;
+  Present.Incarnation = IncarnationId{10};
+  S.handle(pingOf(S.Order, {}));
+  S.confirm();
+  S.Now += milliseconds(100);
+  S.handle(InstanceTick{});
+  S.handle(pingOf(Present, {}));
+  S.Now += milliseconds(100);
+  S.handle(InstanceTick{});
+  S.handle(pingOf(S.Order, {}));
+  InstanceEffects Out = S.handle(JobArrived{RequestId{1}, S.Order});
+  EXPECT_EQ(countOf<StartRun>(Out), 0U);
+  EXPECT_GE(countOf<SendPing>(Out), 1U);
+  // A job of the present process is started once that has answered a ping.
+  S.Now += milliseconds(2);
+  S.Order.Incarnation = Present.Incarnation;
+  S.confirm();
+  S.Order.Id = JobId{"b"};
+  Out = S.handle(JobArrived{RequestId{2}, S.Order});
+  size_t Started = countOf<StartRun>(Out);
+  S.Now += milliseconds(2);
+  Started += countOf<StartRun>(S.confirm());
+  EXPECT_EQ(Started, 1U);
+}
