sender: only pings confirm that an entry still awaits its jobs

Callers would get a 502, submit the job again 1.3 s later at another instance and have both runs at the same time, for up to 0.5 s.

Cause: each job that arrived restarted EntryTimeout for all earlier jobs of its entry. An entry that gets no answers gives up its jobs after 0.9 s but forwards new ones for 1.7 s.

Evidence: CellOverlap.ArrivingJobsDoNotConfirmEarlierOnes failed before with "a/0/0#1 on up-centre-b and a/0/0#1 on up-centre-c" and passes now.

A sender now stops a job 1 s after the last ping or after the receipt of the job itself, before the second submission, which comes 2.2 s after that ping at the earliest.

--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -27,6 +27,9 @@
   SteadyTime LastMessage{};
   /// Arrival of its last ping or job, without that shift.
   SteadyTime LastMessageRaw{};
+  /// Arrival of its last ping, without that shift. Only pings tell which of its
+  /// jobs it awaits.
+  SteadyTime LastPingRaw{};
   /// Set when a message arrives first, after a silence of `EntryTimeout` or
   /// from another process than the messages before: it and those that follow
   /// may have been delayed by a link that was cut. Zero again once a ping sent
--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -230,6 +230,7 @@
     P.Record = Message.From;
     P.HasUpstreamList = Message.HasUpstreamList;
     recordMessage(P, Now);
+    P.LastPingRaw = Now;
     // A ping of a former process may arrive after those of the present one. An
     // answered ping tells which of the two is running.
     if (OtherProcess)
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -78,16 +78,19 @@
 }
 
 /// Returns true if the entry of a job no longer awaits it: it is
-/// unknown, was replaced by another process, reports so, or has sent nothing
-/// for `EntryTimeout`.
-bool isAbandonedByEntry(const CellState &Cells, const JobOrder &Order,
+/// unknown, was replaced by another process, reports so, or has sent neither
+/// the job nor a ping for `EntryTimeout`. Other jobs that it sends do not
+/// count: it goes on forwarding them for a time after it has given up earlier
+/// ones.
+bool isAbandonedByEntry(const CellState &Cells, const SenderJob &J,
                         SteadyTime Now) {
+  const JobOrder &Order = J.Order;
   auto P = Cells.Peers.find(Order.Entry);
   if (P == Cells.Peers.end())
     return true;
   return P->second.Incarnation != Order.Incarnation ||
          Order.Number < P->second.OldestAwaitedJob ||
-         Now - P->second.LastMessageRaw >= EntryTimeout;
+         Now - std::max(P->second.LastPingRaw, J.Received) >= EntryTimeout;
 }
 
 /// Returns true if the entry of a job is confirmed to await it.
@@ -96,7 +99,7 @@
   auto P = Cells.Peers.find(J.Order.Entry);
   return P != Cells.Peers.end() && P->second.UnconfirmedSince == SteadyTime{} &&
          P->second.LastConfirmation >= J.ConfirmSince &&
-         !isAbandonedByEntry(Cells, J.Order, Now);
+         !isAbandonedByEntry(Cells, J, Now);
 }
 
 /// Handles one event in the parts that it concerns.
@@ -116,8 +119,8 @@
     expireRuns(State.Sender, Now, Out);
     cancelAbandonedJobs(
         State.Sender,
-        [this](const JobOrder &O) {
-          return isAbandonedByEntry(State.Cells, O, Now);
+        [this](const SenderJob &J) {
+          return isAbandonedByEntry(State.Cells, J, Now);
         },
         Now, Out);
     expireSenderJobs(State.Sender, Now, Out);
@@ -206,7 +209,10 @@
     }
     acceptJob(State.Sender, E.Order, {E.Request, /*Local=*/false}, Now, Out);
     auto Job = State.Sender.Jobs.find(E.Order.Id);
-    if (Job != State.Sender.Jobs.end() && isLagging(State.Cells, Now))
+    if (Job == State.Sender.Jobs.end())
+      return;
+    Job->second.Received = Now;
+    if (isLagging(State.Cells, Now))
       Job->second.ConfirmSince = Now;
   }
   void operator()(const JobAbandoned &E) {
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -350,10 +350,11 @@
 }
 
 void cancelAbandonedJobs(
-    SenderState &State, const std::function<bool(const JobOrder &)> &IsOrphaned,
-    SteadyTime Now, InstanceEffects &Out) {
+    SenderState &State,
+    const std::function<bool(const SenderJob &)> &IsOrphaned, SteadyTime Now,
+    InstanceEffects &Out) {
   for (const JobId &Id : jobsWhere(State, [&](const SenderJob &J) {
-         return !J.Waiter.Local && IsOrphaned(J.Order);
+         return !J.Waiter.Local && IsOrphaned(J);
        }))
     finishJob(State, Id, JobOutcome::Lost,
               "its entry instance is unreachable or no longer awaits it", Now,
--- a/src/sender/job_cmd.h
+++ b/src/sender/job_cmd.h
@@ -29,8 +29,9 @@
 /// Ends jobs of other entry instances for which \p IsOrphaned returns true.
 /// Called on each tick.
 void cancelAbandonedJobs(
-    SenderState &State, const std::function<bool(const JobOrder &)> &IsOrphaned,
-    SteadyTime Now, InstanceEffects &Out);
+    SenderState &State,
+    const std::function<bool(const SenderJob &)> &IsOrphaned, SteadyTime Now,
+    InstanceEffects &Out);
 
 /// Ends started jobs whose deadline has passed, and rejects waiting jobs that
 /// can't finish while an answer is of use. Called on each tick.
--- a/tests/cell_overlap_test.cpp
+++ b/tests/cell_overlap_test.cpp
@@ -45,3 +45,36 @@
   EXPECT_EQ(World.runs().size(), 3U);
   EXPECT_EQ(joined(World.overlappingRuns()), "");
 }
+
+// Guards against overlapping runs (TWICE): the answers of a sender do not reach
+// the entry instance, which answers its callers with 502. Jobs that it goes on
+// forwarding on open connections must not make the sender take it for an entry
+// that still awaits the earlier ones.
+TEST(CellOverlap, ArrivingJobsDoNotConfirmEarlierOnes) {
+  CellWorld World;
+  for (const char *Centre : {"centre-b", "centre-c"})
+    World.addUpstream({std::string("up-") + Centre, Centre});
+  Address Entry = World.addInstance("entry", "centre-a");
+  std::vector<Address> Senders = {World.addInstance("b", "centre-b"),
+                                  World.addInstance("c", "centre-c")};
+  World.run(seconds(2));
+  size_t First = World.submit(Entry, "a", 1, seconds(5), seconds(9));
+  ASSERT_EQ(World.state(Entry).Entry.Jobs.size(), 1U);
+  Address Silent = World.state(Entry).Entry.Jobs.begin()->second.Sender;
+  Address Other = Silent == Senders[0] ? Senders[1] : Senders[0];
+  World.run(milliseconds(100));
+  World.cutOneWay(Silent, Entry);
+  SteadyTime Resubmission = SteadyTime::max();
+  for (int I = 0; World.now() < Resubmission && I < 100; ++I) {
+    World.submit(Entry, "short-" + std::to_string(I), 1, milliseconds(20),
+                 seconds(3), 1000);
+    World.run(milliseconds(50));
+    if (World.caller(First).Answer)
+      Resubmission = World.caller(First).Answered + CallerRetryPause;
+  }
+  ASSERT_TRUE(World.caller(First).Answer);
+  EXPECT_EQ(World.caller(First).Answer->Status, AnswerStatus::Lost);
+  World.submit(Other, "a", 1, seconds(1), seconds(9));
+  World.run(seconds(2));
+  EXPECT_EQ(joined(World.overlappingRuns()), "");
+}
--- a/tests/support/cell_world.cpp
+++ b/tests/support/cell_world.cpp
@@ -238,6 +238,7 @@
 
 void CellWorld::heal() {
   CutGroup.clear();
+  OneWayCuts.clear();
   for (std::function<void()> &Message : DelayedMessages)
     schedule(Now + Hop, std::move(Message));
   DelayedMessages.clear();
@@ -305,7 +306,7 @@
               return;
             auto [Entry, Forward] = It->second;
             I.Received.erase(It);
-            if (!areLinked(Self, Entry))
+            if (!areLinked(Self, Entry) || OneWayCuts.count({Self, Entry}))
               return;
             ForwardAnswered Event;
             Event.Sender = Self;
@@ -430,6 +431,8 @@
         P->second.PingPending && P->second.PingSent == Sent)
       deliver(From, PingAnswered{To, std::nullopt, false});
   });
+  if (OneWayCuts.count({From, To}) || OneWayCuts.count({To, From}))
+    return;
   PeerPing Message = E.Message;
   sendMessage(From, To, [this, From, To, Message] {
     auto Peer = Instances.find(To);
@@ -458,6 +461,8 @@
     });
     return;
   }
+  if (OneWayCuts.count({From, To}))
+    return;
   sendMessage(From, To, [this, From, To, E] {
     auto Peer = Instances.find(To);
     if (Peer == Instances.end() || !Peer->second.Alive)
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -97,6 +97,12 @@
   /// Breaks the connection of a forwarded job at its entry instance. The sender
   /// is not informed, as if the packets to it were lost.
   void breakForwardAtEntry(const Address &Entry, const std::string &Job);
+  /// Loses all that \p From sends to \p To. What \p To sends on open
+  /// connections still arrives, so jobs do; pings do not, since a ping that got
+  /// no answer closes its connection and no new one can be opened.
+  void cutOneWay(const Address &From, const Address &To) {
+    OneWayCuts.insert({From, To});
+  }
   /// If set, messages between instances that a cut stops arrive once it heals,
   /// like bytes that TCP sends again. Otherwise they are lost.
   void setCutsDelayMessages(bool Delay) { CutsDelayMessages = Delay; }
@@ -216,6 +222,8 @@
   std::map<JobId, Duration> TaskTimes; ///< Run time at speed 1.
   std::vector<RunRecord> Runs;
   std::set<Address> CutGroup; ///< Cut off from all other addresses.
+  /// Messages from the first address to the second one are lost.
+  std::set<std::pair<Address, Address>> OneWayCuts;
   bool CutsDelayMessages = false;
   std::vector<std::function<void()>> DelayedMessages;
   FleetConfiguration Configuration;
