sender: have the next process of an upstream reject an unanswered start

Two runs of one task on two upstreams could overlap for up to 1 s.

Cause: a start without an answer was taken as void once its lease had expired or a stop had been accepted. The next process of the upstream knows neither.

Evidence: CellOverlap.LateStartIsRejectedByTheNextProcessOfItsUpstream failed before with "a/0/0#2 on large and a/0/0#1 on small" and passes now.

A stop that the next process has accepted makes it reject the start. Not covered: a late start that reaches the next process before this sender does, and one whose upstream was unreachable for longer than the lease, see expireRuns.

--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -34,6 +34,9 @@
   SteadyTime StopSent{};       ///< When the last stop was sent.
   /// When the upstream's acceptance of the stop was received.
   std::optional<SteadyTime> StopAcknowledged;
+  /// The upstream's process changed before the start was answered. The next one
+  /// may still carry it out, and only its acceptance of the stop prevents that.
+  bool ProcessChanged = false;
 };
 
 /// Phase of an upstream, as its sender sees it.
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -139,8 +139,10 @@
     return *Run.StopAcknowledged + Bounds.StopTimeout < ReportRequested;
   if (Run.Phase == RunPhase::Running)
     return Run.Accepted < ReportRequested;
-  // An upstream rejects a start once the lease in it has expired.
-  return leaseExpiry(Bounds, Run.Ordered) < ReportRequested;
+  // An upstream rejects a start once the lease in it has expired, unless its
+  // clock has started anew since.
+  return !Run.ProcessChanged &&
+         leaseExpiry(Bounds, Run.Ordered) < ReportRequested;
 }
 
 /// Updates the progress of the reported runs, records unknown ones as orphaned,
--- a/src/sender/upstream_list_cmd.cpp
+++ b/src/sender/upstream_list_cmd.cpp
@@ -36,6 +36,12 @@
   logUpstream(Out, U,
               "was restarted or replaced, runs=" +
                   std::to_string(U.Runs.size()));
+  for (auto &[Key, Run] : U.Runs) {
+    if (Run.Phase == RunPhase::Running)
+      continue;
+    Run.ProcessChanged = true;
+    Run.StopAcknowledged.reset();
+  }
   U.OrphanedRuns.clear();
   U.AcknowledgeUpTo = 0;
   U.AcknowledgedUpTo = 0;
--- a/tests/cell_overlap_test.cpp
+++ b/tests/cell_overlap_test.cpp
@@ -78,3 +78,23 @@
   World.run(seconds(2));
   EXPECT_EQ(joined(World.overlappingRuns()), "");
 }
+
+// Guards against overlapping runs (TWICE): a start without an answer is carried
+// out by the next process of the upstream, which has the same id, no fencing
+// token, no memory of the stop and a clock that starts anew, so that the lease
+// in the start has not expired on it.
+TEST(CellOverlap, LateStartIsRejectedByTheNextProcessOfItsUpstream) {
+  CellWorld World;
+  // Of equal upstreams, the smaller one is chosen first.
+  UpstreamId Small = World.addUpstream({"small", "centre-a", 30000});
+  World.addUpstream({"large", "centre-a", 64000});
+  Address Sender = World.addInstance("sender", "centre-a");
+  World.run(seconds(2));
+  World.faults(Small).StartDelay = milliseconds(2500);
+  World.faults(Small).StartsOutliveProcess = true;
+  World.submit(Sender, "a", 1, seconds(3), seconds(8));
+  World.run(milliseconds(300));
+  World.restartUpstream(Small);
+  World.run(seconds(4));
+  EXPECT_EQ(joined(World.overlappingRuns()), "");
+}
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -27,6 +27,8 @@
   bool LosesStops = false;  ///< Stops get no answer and are not carried out.
   /// Starts get no answer and are carried out after this time.
   std::optional<Duration> StartDelay;
+  /// Delayed starts are carried out by the upstream's next process too.
+  bool StartsOutliveProcess = false;
 };
 
 /// A run as a simulated upstream has carried it out.
--- a/tests/support/cell_world_upstreams.cpp
+++ b/tests/support/cell_world_upstreams.cpp
@@ -90,9 +90,11 @@
     int64_t StartedAt = U.Record.StartedAt;
     schedule(Now + *U.Faults.StartDelay, [this, Id, E, StartedAt] {
       // Orders are for one process of the upstream and are dropped by the next
-      // one.
-      if (Upstreams[Id].Record.StartedAt == StartedAt)
-        applyStart(Upstreams[Id], E);
+      // one, unless that is taken for the same.
+      Upstream &Target = Upstreams[Id];
+      if (Target.Record.StartedAt == StartedAt ||
+          Target.Faults.StartsOutliveProcess)
+        applyStart(Target, E);
     });
     schedule(Now + OrderLimit, [this, From, Lost] { deliver(From, Lost); });
     return;
