sender: stop expired starts on the next process of an upstream

Two runs of one task on two upstreams could overlap for up to 1 s.

Cause: a start without an answer was forgotten once its lease had expired. If the upstream was down for longer than that, the process that followed was sent no stop and could carry out the start.

Each such stop is sent once. Not covered: a late start that reaches the next process before this sender does, and one of a former sender.

--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -60,6 +60,9 @@
   /// Runs of an earlier sender that have to be stopped, and when the last stop
   /// was sent for each.
   std::map<RunKey, SteadyTime> OrphanedRuns;
+  /// Starts without an answer whose lease has expired, and when that was found.
+  /// A process that follows must stop them too.
+  std::deque<std::pair<SteadyTime, RunKey>> ExpiredStarts;
   uint64_t AcknowledgeUpTo = 0;  ///< Highest number of an end that was applied.
   uint64_t AcknowledgedUpTo = 0; ///< Highest number that was acknowledged.
   /// When the first end that has not been acknowledged was received.
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -355,10 +355,16 @@
 
 void expireRuns(SenderState &State, SteadyTime Now, InstanceEffects &Out) {
   for (auto &[Id, U] : State.Upstreams) {
+    while (!U.ExpiredStarts.empty() &&
+           Now - U.ExpiredStarts.front().first > LateOrderTime)
+      U.ExpiredStarts.pop_front();
     if (U.Runs.empty() || Now <= U.LeaseExpiry)
       continue;
     logUpstream(Out, U,
                 "leases have expired, runs=" + std::to_string(U.Runs.size()));
+    for (const auto &[Key, Run] : U.Runs)
+      if (Run.Phase != RunPhase::Running)
+        U.ExpiredStarts.emplace_back(Now, Key);
     abortAllRuns(State, U, Now, Out);
   }
 }
--- a/src/sender/upstream_list_cmd.cpp
+++ b/src/sender/upstream_list_cmd.cpp
@@ -42,6 +42,9 @@
     Run.ProcessChanged = true;
     Run.StopAcknowledged.reset();
   }
+  for (const auto &[Expired, Key] : U.ExpiredStarts)
+    Out.push_back(StopRun{U.Record.Id, U.Record.Endpoint, U.Token, Key});
+  U.ExpiredStarts.clear();
   U.OrphanedRuns.clear();
   U.AcknowledgeUpTo = 0;
   U.AcknowledgedUpTo = 0;
--- a/tests/cell_overlap_test.cpp
+++ b/tests/cell_overlap_test.cpp
@@ -98,3 +98,23 @@
   World.run(seconds(4));
   EXPECT_EQ(joined(World.overlappingRuns()), "");
 }
+
+// As above, but the upstream is down for longer than its leases last, so that
+// the run counts as ended before the next process is known.
+TEST(CellOverlap, LateStartIsRejectedAfterAnOutageOfItsUpstream) {
+  CellWorld World;
+  UpstreamId Small = World.addUpstream({"small", "centre-a", 30000});
+  World.addUpstream({"large", "centre-a", 64000});
+  Address Sender = World.addInstance("sender", "centre-a");
+  World.run(seconds(2));
+  World.faults(Small).StartDelay = milliseconds(3500);
+  World.faults(Small).StartsOutliveProcess = true;
+  World.submit(Sender, "a", 1, seconds(4), seconds(9));
+  World.run(milliseconds(50));
+  World.faults(Small).Unreachable = true;
+  World.run(milliseconds(1500));
+  World.restartUpstream(Small);
+  World.faults(Small).Unreachable = false;
+  World.run(seconds(4));
+  EXPECT_EQ(joined(World.overlappingRuns()), "");
+}
