sender: ignore the clock of an upstream's former process

Starts and renewals could carry a lease that never runs out on the upstream's clock, so that a start carried out seconds late would not be rejected.

Cause: the clock reading of any answer to a start was used, also of one that the former process had given.

Evidence: CellDelayedMessages.ClockOfAFormerProcessOfAnUpstreamIsNotUsed failed before (6964, expected at most 20) and passes now. Of the 61 tests of Cell* and UpstreamList without the process tests, 60 pass; CellOverlap.LateStartIsRejectedAfterAnOutageOfItsUpstream fails as it did when it was added.

--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -375,12 +375,14 @@
   SenderUpstream *U = findUpstream(State, Event.Upstream, Event.Token);
   if (!U)
     return;
-  if (Event.ClockMs)
-    updateClockOffset(*U, *Event.ClockMs, Now);
   auto It = U->Runs.find(Event.Key);
   if (It == U->Runs.end())
     return;
   SenderRun &Run = It->second;
+  // The answer may be of a former process, whose clock has no meaning now.
+  bool ClockUsable = Event.ClockMs && !Run.ProcessChanged;
+  if (ClockUsable)
+    updateClockOffset(*U, *Event.ClockMs, Now);
   if (Event.Status == OrderStatus::Accepted) {
     Run.Phase = RunPhase::Running;
     Run.Accepted = Now;
@@ -418,8 +420,9 @@
     U->NextRenewal = Now + RetryDelay;
     break;
   case OrderStatus::TooLate:
-    U->ClockOffset.reset();
-    if (Event.ClockMs)
+    if (!Run.ProcessChanged)
+      U->ClockOffset.reset();
+    if (ClockUsable)
       updateClockOffset(*U, *Event.ClockMs, Now);
     break;
   case OrderStatus::Fenced:
--- a/tests/cell_delayed_test.cpp
+++ b/tests/cell_delayed_test.cpp
@@ -1,5 +1,6 @@
 /// \file Jobs and cancellations that arrive late at a sender, on a fake clock.
 #include "instance/instance_reducer.h"
+#include "sender/upstream_cmd.h"
 #include "support/cell_world.h"
 
 #include <gtest/gtest.h>
@@ -200,3 +201,41 @@
   Started += countOf<StartRun>(S.confirm());
   EXPECT_EQ(Started, 1U);
 }
+
+// Guards against leases without an end: an answer of an upstream's former
+// process arrives after the restart is known, and its clock reading stays in
+// use for the next process, whose clock started anew.
+TEST(CellDelayedMessages, ClockOfAFormerProcessOfAnUpstreamIsNotUsed) {
+  LoneSender S;
+  S.handle(pingOf(S.Order, {}));
+  S.confirm();
+  InstanceEffects Out = S.handle(JobArrived{RequestId{1}, S.Order});
+  ASSERT_EQ(countOf<StartRun>(Out), 1U);
+  StartRun Start;
+  for (const InstanceEffect &E : Out)
+    if (const auto *Found = std::get_if<StartRun>(&E))
+      Start = *Found;
+  int64_t FormerClock = Start.LeaseDeadlineMs - 1000;
+  SenderUpstream &U = S.State.Sender.Upstreams.begin()->second;
+  UpstreamRecord Record = U.Record;
+  ++Record.StartedAt;
+  S.Now += milliseconds(10);
+  Out.clear();
+  applyUpstreams(S.State.Sender, {Record}, S.State.Cells.Claims, cellOf, true,
+                 S.Now, Out);
+  S.Now += milliseconds(1);
+  S.handle(StartAnswered{Start.Upstream, Start.Token, Start.Key,
+                         OrderStatus::Accepted, FormerClock});
+  S.Now += milliseconds(1);
+  RenewalAnswered Renewal;
+  Renewal.Upstream = Start.Upstream;
+  Renewal.Token = U.Token;
+  Renewal.Sequence = U.RenewalSequence;
+  Renewal.Status = OrderStatus::Accepted;
+  Renewal.Report.emplace();
+  Renewal.Report->ClockMs = 20;
+  Renewal.Report->StartedAt = Record.StartedAt;
+  S.handle(Renewal);
+  ASSERT_TRUE(U.ClockOffset);
+  EXPECT_LE(toMilliseconds(S.Now.time_since_epoch()) + *U.ClockOffset, 20);
+}
