sender: stop all unanswered starts on the next process of an upstream

Two runs of one task on two upstreams could overlap for up to 1 s.

Cause: a start without an answer that the former process had accepted the stop of was forgotten, and the process that followed could carry it out.

Evidence: CellOverlap.LateStartIsRejectedAfterTheFormerProcessStoppedIt failed before (tests/cell_overlap_test.cpp:136: "a/0/0#2 on large and a/0/0#1 on small") and passes now, with all 180 tests of Cell* and CellChaos without the process tests.

--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -60,9 +60,10 @@
   /// Runs of an earlier sender that have to be stopped, and when the last stop
   /// was sent for each.
   std::map<RunKey, SteadyTime> OrphanedRuns;
-  /// Starts without an answer whose lease has expired, and when that was found.
-  /// A process that follows must stop them too.
-  std::deque<std::pair<SteadyTime, RunKey>> ExpiredStarts;
+  /// Starts of the last `LateOrderTime` that got no answer, and when that was
+  /// found. A process that follows must stop them, whatever became of them
+  /// here.
+  std::deque<std::pair<SteadyTime, RunKey>> UnansweredStarts;
   uint64_t AcknowledgeUpTo = 0;  ///< Highest number of an end that was applied.
   uint64_t AcknowledgedUpTo = 0; ///< Highest number that was acknowledged.
   /// When the first end that has not been acknowledged was received.
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -355,16 +355,16 @@
 
 void expireRuns(SenderState &State, SteadyTime Now, InstanceEffects &Out) {
   for (auto &[Id, U] : State.Upstreams) {
-    while (!U.ExpiredStarts.empty() &&
-           Now - U.ExpiredStarts.front().first > LateOrderTime)
-      U.ExpiredStarts.pop_front();
+    while (!U.UnansweredStarts.empty() &&
+           Now - U.UnansweredStarts.front().first > LateOrderTime)
+      U.UnansweredStarts.pop_front();
     if (U.Runs.empty() || Now <= U.LeaseExpiry)
       continue;
     logUpstream(Out, U,
                 "leases have expired, runs=" + std::to_string(U.Runs.size()));
     for (const auto &[Key, Run] : U.Runs)
-      if (Run.Phase != RunPhase::Running)
-        U.ExpiredStarts.emplace_back(Now, Key);
+      if (Run.Phase == RunPhase::Starting)
+        U.UnansweredStarts.emplace_back(Now, Key);
     abortAllRuns(State, U, Now, Out);
   }
 }
@@ -399,6 +399,7 @@
       /*Frequent=*/true});
   if (Event.Status == OrderStatus::Unknown) {
     Run.Phase = RunPhase::Unconfirmed;
+    U->UnansweredStarts.emplace_back(Now, Event.Key);
     // If the start arrives after the stop, the upstream rejects it.
     orderStop(*U, Run, Now, Out);
     U->NextRenewal = std::min(U->NextRenewal, Now);
--- a/src/sender/upstream_list_cmd.cpp
+++ b/src/sender/upstream_list_cmd.cpp
@@ -42,9 +42,9 @@
     Run.ProcessChanged = true;
     Run.StopAcknowledged.reset();
   }
-  for (const auto &[Expired, Key] : U.ExpiredStarts)
+  for (const auto &[Expired, Key] : U.UnansweredStarts)
     Out.push_back(StopRun{U.Record.Id, U.Record.Endpoint, U.Token, Key});
-  U.ExpiredStarts.clear();
+  U.UnansweredStarts.clear();
   U.OrphanedRuns.clear();
   U.AcknowledgeUpTo = 0;
   U.AcknowledgedUpTo = 0;
--- a/tests/cell_overlap_test.cpp
+++ b/tests/cell_overlap_test.cpp
@@ -118,3 +118,20 @@
   World.run(seconds(4));
   EXPECT_EQ(joined(World.overlappingRuns()), "");
 }
+
+// As above, but the former process accepts the stop of the start, so that the
+// run counts as ended before the next process is known.
+TEST(CellOverlap, LateStartIsRejectedAfterTheFormerProcessStoppedIt) {
+  CellWorld World;
+  UpstreamId Small = World.addUpstream({"small", "centre-a", 30000});
+  World.addUpstream({"large", "centre-a", 64000});
+  Address Sender = World.addInstance("sender", "centre-a");
+  World.run(seconds(2));
+  World.faults(Small).StartDelay = milliseconds(2500);
+  World.faults(Small).StartsOutliveProcess = true;
+  World.submit(Sender, "a", 1, seconds(4), seconds(9));
+  World.run(milliseconds(700));
+  World.restartUpstream(Small);
+  World.run(seconds(4));
+  EXPECT_EQ(joined(World.overlappingRuns()), "");
+}
