entry, http: close the connection of a job that is given up

What callers could see: two runs of one task at once. An entry instance tells a sender with its pings that a job is given up, and a ping waits for the answer to the one before, up to 390 ms with its time-out and retry.

The entry now also closes the connection on which it forwarded the job. The sender notices the end at once and stops the runs. The pings still carry the cancellation, for links that lose the end of the connection.

CellTest.JobOfADisconnectedCallerIsStoppedWithoutAPing can't pass without the effect: the ping under way is answered after the run has to be gone. HttpClientTest.CancelledCallClosesItsConnection tests the new call.

--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -216,7 +216,7 @@
 }
 
 /// Makes the pings to a job's sender carry its cancellation; the next one is
-/// due at once.
+/// due at once, or when the present one has been answered.
 void cancelAtSender(const EntryContext &Context, const EntryJob &J,
                     SteadyTime Now) {
   auto P = Context.Cells.Peers.find(J.Sender);
@@ -226,6 +226,16 @@
   pingBy(Context.Cells, P->second, Now);
 }
 
+/// Cancels a job whose answer is no longer awaited. The sender notices the end
+/// of the connection at once; the ping is for links that lose that.
+void abandonAtSender(const EntryContext &Context, const EntryJob &J,
+                     RequestId Forward, SteadyTime Now, InstanceEffects &Out) {
+  if (J.Sender.Value.empty() || J.Sender == Context.Cells.Self.Endpoint)
+    return;
+  cancelAtSender(Context, J, Now);
+  Out.push_back(AbandonForward{J.Sender, Forward});
+}
+
 } // namespace
 
 void submitJob(EntryState &State, const EntryContext &Context,
@@ -326,7 +336,7 @@
              ", sender=" + J->Sender.Value + " cancels the job");
   if (J->Sender == Context.Cells.Self.Endpoint)
     return Forward;
-  cancelAtSender(Context, *J, Now);
+  abandonAtSender(Context, *J, Forward, Now, Out);
   return std::nullopt;
 }
 
@@ -414,7 +424,7 @@
                         " is unresponsive, its jobs are answered as lost"});
   }
   for (const auto &[Forward, Expired] : Ended) {
-    cancelAtSender(Context, State.Jobs.at(Forward), Now);
+    abandonAtSender(Context, State.Jobs.at(Forward), Forward, Now, Out);
     endJob(State, Context, Forward,
            Expired ? AnswerStatus::Expired : AnswerStatus::Lost,
            Duration::zero(),
--- a/src/entry/entry_type.h
+++ b/src/entry/entry_type.h
@@ -72,6 +72,13 @@
   Duration Timeout{0}; ///< For the sender's answer.
 };
 
+/// Close the connection on which a job was forwarded, so that its sender stops
+/// the job. Answers that arrive later are ignored.
+struct AbandonForward {
+  Address Sender;
+  RequestId Request; ///< From `ForwardJob`.
+};
+
 // Events.
 
 /// A job as its caller describes it.
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -53,8 +53,9 @@
   Connection &operator=(const Connection &) = delete;
   ~Connection() { evhttp_connection_free(Http); }
 
-  void start(HttpCall Call, Callback WhenDone) {
+  void start(HttpCall Call, Callback WhenDone, uint64_t CallNumber) {
     Done = std::move(WhenDone);
+    Number = CallNumber;
     RequestBytesQueued = false;
     TimedOut = false;
     Request = evhttp_request_new(handleDone, this);
@@ -99,6 +100,9 @@
 
   const Address &endpoint() const { return Endpoint; }
   Callback takeCallback() { return std::exchange(Done, nullptr); }
+  uint64_t number() const { return Number; }
+  /// Ends the call, if it has not ended, and the connection with it.
+  void cancel() { end("cancelled request to "); }
   SteadyTime IdleSince{};
 
 private:
@@ -168,13 +172,16 @@
   }
 
   void expire() {
+    TimedOut = true;
+    end("timed out waiting for ");
+  }
+
+  void end(const char *Reason) {
     if (!Request)
       return;
-    TimedOut = true;
     // evhttp does not call `handleDone` for a cancelled request.
     evhttp_cancel_request(std::exchange(Request, nullptr));
-    complete(HttpFailure{!RequestBytesQueued,
-                         "timed out waiting for " + Endpoint.Value},
+    complete(HttpFailure{!RequestBytesQueued, Reason + Endpoint.Value},
              /*Reusable=*/false);
   }
 
@@ -187,6 +194,7 @@
   Address Endpoint;
   evhttp_connection *Http;
   evhttp_request *Request = nullptr;
+  uint64_t Number = 0; ///< Of the present call.
   Callback Done;
   std::function<void(std::string_view)> OnChunk;
   Timer Deadline;
@@ -203,17 +211,38 @@
 
 HttpClient::~HttpClient() = default;
 
-void HttpClient::send(HttpCall Call, Callback Done) {
+uint64_t HttpClient::send(HttpCall Call, Callback Done) {
   Address Endpoint = Call.Target;
+  uint64_t Number = NextCall++;
   Target &T = Targets[Endpoint];
   if (T.Queue.size() >= Options.MaxWaitingPerTarget) {
     failLater(std::move(Done),
               {true, "too many requests are queued for " + Endpoint.Value});
-    return;
+    return Number;
   }
-  T.Queue.push_back(
-      {std::move(Call), std::move(Done), std::chrono::steady_clock::now()});
+  T.Queue.push_back({std::move(Call), std::move(Done),
+                     std::chrono::steady_clock::now(), Number});
   dispatch(Endpoint);
+  return Number;
+}
+
+void HttpClient::cancel(const Address &Target, uint64_t Number) {
+  auto Found = Targets.find(Target);
+  if (Found == Targets.end())
+    return;
+  auto &Queue = Found->second.Queue;
+  auto Queued = std::find_if(Queue.begin(), Queue.end(), [&](const auto &Call) {
+    return Call.Number == Number;
+  });
+  if (Queued != Queue.end()) {
+    failLater(std::move(Queued->Done),
+              {true, "cancelled request to " + Target.Value});
+    Queue.erase(Queued);
+    return;
+  }
+  for (const std::unique_ptr<Connection> &C : Found->second.Busy)
+    if (C->number() == Number)
+      return C->cancel();
 }
 
 void HttpClient::dispatch(const Address &Endpoint) {
@@ -235,7 +264,7 @@
     }
     Connection *Started = C.get();
     T.Busy.push_back(std::move(C));
-    Started->start(std::move(Next.Call), std::move(Next.Done));
+    Started->start(std::move(Next.Call), std::move(Next.Done), Next.Number);
   }
 }
 
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -46,7 +46,11 @@
   /// Sends \p Call, or queues it while all connections to its target are in
   /// use. Calls \p Done with the outcome from the event loop, never from within
   /// `send`.
-  void send(HttpCall Call, Callback Done);
+  /// Returns the number of the call.
+  uint64_t send(HttpCall Call, Callback Done);
+  /// Ends call \p Number to \p Target with a failure and closes its connection.
+  /// Does nothing if the call has ended. Must not be called from a callback.
+  void cancel(const Address &Target, uint64_t Number);
   /// The callback of a call has thrown an exception with this message. While
   /// nothing is connected here, the exception ends the process.
   sigc::signal<void(const std::string &)> HandlerFailed;
@@ -64,6 +68,7 @@
     HttpCall Call;
     Callback Done;
     SteadyTime QueuedAt;
+    uint64_t Number;
   };
   /// Connections to one address and the calls that wait for one of them.
   struct Target {
@@ -98,6 +103,7 @@
   std::vector<std::function<void()>> Deferred;
   Timer DeferredTimer;
   Timer IdleTimer;
+  uint64_t NextCall = 1;
   uint64_t CallsSent = 0;
   uint64_t BytesSent = 0;
   uint64_t BytesReceived = 0;
--- a/src/runtime/cell_daemon.cpp
+++ b/src/runtime/cell_daemon.cpp
@@ -191,6 +191,8 @@
   Effects.on<FetchSnapshot>().connect(
       [this](const FetchSnapshot &E) { fetch(E); });
   Effects.on<ForwardJob>().connect([this](const ForwardJob &E) { forward(E); });
+  Effects.on<AbandonForward>().connect(
+      [this](const AbandonForward &E) { abandon(E); });
 }
 
 void CellDaemon::receiveJob(const HttpRequest &Request) {
@@ -266,8 +268,9 @@
   Call.Timeout = E.Timeout;
   Address Endpoint = E.Sender;
   RequestId Request = E.Request;
-  JobClient.send(
+  ForwardCalls[{Endpoint, Request}] = JobClient.send(
       std::move(Call), [this, Endpoint, Request](const HttpOutcome &Outcome) {
+        ForwardCalls.erase({Endpoint, Request});
         ForwardAnswered Event;
         Event.Sender = Endpoint;
         Event.Request = Request;
@@ -287,4 +290,10 @@
       });
 }
 
+void CellDaemon::abandon(const AbandonForward &E) {
+  auto Call = ForwardCalls.find({E.Sender, E.Request});
+  if (Call != ForwardCalls.end())
+    JobClient.cancel(E.Sender, Call->second);
+}
+
 } // namespace snipeshunt
--- a/src/runtime/cell_daemon.h
+++ b/src/runtime/cell_daemon.h
@@ -10,6 +10,7 @@
 #include "rpc/rpc_server.h"
 
 #include <deque>
+#include <map>
 
 namespace snipeshunt {
 
@@ -52,6 +53,8 @@
   void ping(const SendPing &E);
   /// Sends a job to a sender and dispatches `ForwardAnswered`.
   void forward(const ForwardJob &E);
+  /// Closes the connection of a forwarded job.
+  void abandon(const AbandonForward &E);
   /// Asks a peer for a snapshot and dispatches it if it arrives.
   void fetch(const FetchSnapshot &E);
   /// Dispatches a job of a peer, or answers 400 if it is malformed.
@@ -64,6 +67,8 @@
   HttpServer Server; ///< For requests of peers.
   HttpClient PingClient;
   HttpClient JobClient; ///< For jobs and snapshots.
+  /// Calls of `JobClient` for forwarded jobs, by sender and request.
+  std::map<std::pair<Address, RequestId>, uint64_t> ForwardCalls;
   RpcServer Rpc;
   Json::Value PongReply; ///< Reply to the ping that is being handled.
   std::deque<InstanceEventBody> Pending; ///< Events to be handled.
--- a/src/standins/relay_main.cpp
+++ b/src/standins/relay_main.cpp
@@ -166,8 +166,9 @@
     case Action::DropRequest:
       return Delayed.after(R.Delay, [this, Id] { Server.drop(Id); });
     case Action::DropReply:
-      return Client.send(std::move(Call),
-                         [this, Id](const HttpOutcome &) { Server.drop(Id); });
+      Client.send(std::move(Call),
+                  [this, Id](const HttpOutcome &) { Server.drop(Id); });
+      return;
     case Action::Duplicate:
       return duplicate(Id, Call);
     case Action::Delay:
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -168,6 +168,19 @@
     EXPECT_LT(R.Ended, World.now()) << runText(R.Key);
 }
 
+// Guards against a run that goes on beside the caller's second submission,
+// because the cancellation waits for the answer to a ping under way.
+TEST_F(CellTest, JobOfADisconnectedCallerIsStoppedWithoutAPing) {
+  size_t A = World.submit(First, "a", 2, milliseconds(4000), seconds(6));
+  while (!World.state(First).Cells.Peers.at(Strong).PingPending)
+    World.run(milliseconds(1));
+  World.disconnectCaller(A);
+  // One hop for the end of the connection, one for the stop, and its time.
+  World.run(milliseconds(23));
+  for (const RunRecord &R : World.runs())
+    EXPECT_LT(R.Ended, World.now()) << runText(R.Key);
+}
+
 // Guards against overlapping runs when a job is submitted again while it runs.
 TEST_F(CellTest, SecondCopyJoinsTheRunningJob) {
   size_t A = World.submit(First, "a", 2, milliseconds(500), seconds(5));
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -226,6 +226,45 @@
   EXPECT_TRUE(std::get<HttpFailure>(Refused).NothingSent);
 }
 
+// Guards against a server that works on after its client has given up a call:
+// the end of the connection has to tell it.
+TEST(HttpClientTest, CancelledCallClosesItsConnection) {
+  EventLoop Loop;
+  HttpServer Server(Loop, {});
+  Result<Address> Bound = Server.listen(Address{"127.0.0.1:0"});
+  ASSERT_FALSE(failed(Bound));
+  HttpClientOptions Options;
+  Options.MaxConnectionsPerTarget = 1;
+  HttpClient Client(Loop, Options);
+  std::vector<bool> NothingSent;
+  auto Record = [&](const HttpOutcome &Outcome) {
+    NothingSent.push_back(std::get<HttpFailure>(Outcome).NothingSent);
+  };
+  HttpCall Call;
+  Call.Target = valueOf(Bound);
+  uint64_t First = Client.send(Call, Record);
+  uint64_t Queued = Client.send(Call, Record);
+  Timer Cancel(Loop, [&] {
+    Client.cancel(Call.Target, Queued);
+    Client.cancel(Call.Target, First);
+    Client.cancel(Call.Target, First);
+  });
+  Server.RequestReceived.connect([&](const HttpRequest &) {
+    Cancel.startOnce(std::chrono::milliseconds(1));
+  });
+  int Closed = 0;
+  Server.RequestClosed.connect([&](RequestId) {
+    ++Closed;
+    Loop.stop();
+  });
+  Timer Limit(Loop, [&] { Loop.stop(); });
+  Limit.startOnce(std::chrono::seconds(5));
+  Loop.run();
+  Loop.runFor(std::chrono::milliseconds(20));
+  EXPECT_EQ(Closed, 1);
+  EXPECT_EQ(NothingSent, (std::vector<bool>{false, true}));
+}
+
 // Guards against repeating a call on a persistent connection that the server
 // closes at the moment of reuse: the call has to fail.
 TEST(HttpClientTest, NeverRepeatsOnAClosedConnection) {
--- a/tests/support/cell_world.cpp
+++ b/tests/support/cell_world.cpp
@@ -300,6 +300,7 @@
             Callers[It->second].Answered = Now;
           },
           [&](const ForwardJob &F) { forwardJob(I, F); },
+          [&](const AbandonForward &A) { abandonForward(Self, A); },
           [&](const AnswerJob &A) {
             auto It = I.Received.find(A.Request);
             if (It == I.Received.end())
@@ -473,4 +474,18 @@
   });
 }
 
+void CellWorld::abandonForward(const Address &From, const AbandonForward &E) {
+  sendMessage(From, E.Sender, [this, From, E] {
+    auto Sender = Instances.find(E.Sender);
+    if (Sender == Instances.end())
+      return;
+    for (const auto &[Request, Origin] : Sender->second.Received)
+      if (Origin == std::make_pair(From, E.Request)) {
+        RequestId Closed = Request;
+        Sender->second.Received.erase(Closed);
+        return deliver(E.Sender, JobAbandoned{Closed});
+      }
+  });
+}
+
 } // namespace snipeshunt::testing
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -195,6 +195,7 @@
   void executeOne(Instance &I, const InstanceEffect &E);
   void sendPing(Instance &I, const SendPing &E);
   void forwardJob(Instance &I, const ForwardJob &E);
+  void abandonForward(const Address &From, const AbandonForward &E);
   void sendOrder(Instance &I, const StartRun &E);
   void sendOrder(Instance &I, const StopRun &E);
   void sendOrder(Instance &I, const RenewUpstream &E);
