tests: give the codec between instances malformed messages

The codec of the platform had such a test, that between instances had none. 20,000 messages with up to three changes (values of other types, huge numbers, deep nesting, cut ends, single bytes) go through all 14 decoders, and 5,000 through the JSON-RPC server.

--- /dev/null
+++ b/tests/peer_codec_test.cpp
@@ -0,0 +1,215 @@
+/// \file Tests of the messages between instances: malformed ones, and numbers
+/// that overflow or exhaust the memory.
+#include "rpc/cell_codec.h"
+#include "rpc/rpc_codec.h"
+#include "rpc/rpc_server.h"
+
+#include "cells/cell_cmd.h"
+#include "cells/cell_table.h"
+#include "core/json_func.h"
+#include "instance/instance_reducer.h"
+#include "support/cell_world.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace snipeshunt {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const InstanceRecord Sender{{"10.0.0.1:7000"}, {"centre-a"}, 0.25};
+const CellClaim Claim{{{"centre-a"}, 2}, {77}};
+
+JobOrder someOrder() {
+  JobOrder Order;
+  Order.Id = {"job-1"};
+  Order.Entry = Sender.Endpoint;
+  Order.Incarnation = {9};
+  Order.Number = 44;
+  Order.Queue = "queue";
+  Order.Service = {"service"};
+  Order.MaxAttempts = 3;
+  Order.Stretch = 1.6;
+  Order.Slack = milliseconds(60);
+  Order.Remaining = milliseconds(1500);
+  Order.Age = milliseconds(20);
+  Order.Spec = "spec";
+  Order.Step = {8, {14000, 64, 1}, milliseconds(51), "r1-1", "b", 2};
+  return Order;
+}
+
+UpstreamRecord someUpstream() {
+  UpstreamRecord U;
+  U.Id = {"up-1"};
+  U.Endpoint = {"10.1.0.1:8000"};
+  U.Centre = {"centre-a"};
+  U.Service = {"service"};
+  U.Kind = "plain";
+  U.Rack = "r1";
+  U.Capacity = {64000, 262144, 1};
+  U.StartedAt = 1700000000000;
+  return U;
+}
+
+/// Returns a message of each kind that instances exchange.
+std::vector<std::string> validMessages() {
+  PeerPing Ping{Sender, {9}, true, true, true, 41, {{{"job-1"}, 7}}, {Claim}};
+  PeerPong Pong;
+  Pong.From = Sender;
+  Pong.Claims = {Claim};
+  Pong.Load = {milliseconds(12), 3000, 64000, 5};
+  Pong.UpstreamsInUse = {{"up-1"}};
+  Pong.KnownInstances = {Sender};
+  Pong.CancelledJobs = {{{"job-2"}, 8}};
+  SnapshotFetched Snapshot;
+  Snapshot.Configuration.emplace();
+  Snapshot.Configuration->Version = 3;
+  Snapshot.Configuration->Routes.push_back(
+      {"q", "h", "/p/", {"service"}, 1, 3, 1.6, milliseconds(60)});
+  Snapshot.Upstreams = {someUpstream()};
+  JobResult Result{
+      JobOutcome::NotRun,         "reason", milliseconds(1200), true, true,
+      {milliseconds(12), 1, 2, 3}};
+  HandoverMessage Handover;
+  Handover.Tasks.emplace_back();
+  Handover.Tasks.back().Spec = std::make_shared<TaskSpec>();
+  ReportMessage Report;
+  Report.Reports.emplace_back();
+  RevokeMessage Revoke;
+  Revoke.Tasks.emplace_back();
+  Heartbeat Beat;
+  Beat.Successor = IncarnationId{4};
+  Beat.KnownInstances.emplace_back();
+  Beat.Departed.emplace_back();
+  SendAnswers Answers;
+  Answers.Answers.emplace_back();
+  std::vector<std::string> Texts;
+  for (const Json::Value &V :
+       {encodePing(Ping), encodePong(Pong), encodeSnapshot(Snapshot),
+        encodeJobOrder(someOrder()), encodeJobResult(Result),
+        encodeHandover(Handover), encodeHandoverReply({}), encodeReport(Report),
+        encodeReportReply({}), encodeRevoke(Revoke), encodeRevokeReply({}),
+        encodeHeartbeat(Beat), encodeConfiguration({}),
+        encodeAnswers({1}, Answers)})
+    Texts.push_back(writeJson(V));
+  return Texts;
+}
+
+// Values that replace parts of a message.
+const char *const Values[] = {
+    "null", "[]",          "{}",       "\"\"",
+    "-1",   "1e300",       "[1]",      "18446744073709551615",
+    "true", "\"\\u0000\"", "0",        "9223372036854775808",
+    "[{}]", "[[\"a\"]]",   "\"\xff\"", "4294967296"};
+
+/// Counts the decoders that accept \p Message.
+size_t decodeAll(const Json::Value &Message) {
+  size_t Accepted = 0;
+  auto Count = [&Accepted](const auto &Decoded) {
+    Accepted += failed(Decoded) ? 0 : 1;
+  };
+  Count(decodePing(Message));
+  Count(decodePong(Message));
+  Count(decodeSnapshot(Message));
+  Count(decodeJobOrder(Message));
+  Count(decodeJobResult(Message));
+  Count(decodeHandover(Message));
+  Count(decodeHandoverReply(Message));
+  Count(decodeReport(Message));
+  Count(decodeReportReply(Message));
+  Count(decodeRevoke(Message));
+  Count(decodeRevokeReply(Message));
+  Count(decodeHeartbeat(Message));
+  Count(decodeConfiguration(Message));
+  Count(decodeAnswers(Message));
+  return Accepted;
+}
+
+/// Changes \p Text in one place: a value, a byte, a deeply nested value, or the
+/// end.
+std::string mutated(std::string Text, std::mt19937 &Random) {
+  size_t At = Random() % Text.size();
+  switch (Random() % 8) {
+  case 0:
+    return Text.substr(0, At);
+  case 1:
+    Text[At] = static_cast<char>(Random() % 256);
+    return Text;
+  case 2:
+    return Text.substr(0, At) + std::string(2000, "[{"[Random() % 2]) +
+           Text.substr(At);
+  default: {
+    size_t Begin = Text.find(':', At);
+    if (Begin == std::string::npos)
+      return Text + Values[Random() % std::size(Values)];
+    size_t End = Text.find_first_of(",}", Begin);
+    return Text.substr(0, Begin + 1) + Values[Random() % std::size(Values)] +
+           Text.substr(std::min(End, Text.size()));
+  }
+  }
+}
+
+} // namespace
+
+// Guards against a peer's malformed message that ends the process: jsoncpp
+// throws an exception where a value has another type than the caller assumes,
+// and on deep nesting.
+TEST(PeerCodecTest, MalformedMessagesAreErrorsNotExceptions) {
+  std::mt19937 Random(20261204);
+  const std::vector<std::string> Valid = validMessages();
+  for (const std::string &Text : Valid)
+    EXPECT_EQ(decodeAll(valueOf(parseJson(Text))), 1U) << Text;
+  size_t Accepted = 0;
+  for (int Case = 0; Case < 20000; ++Case) {
+    std::string Text = Valid[Random() % Valid.size()];
+    for (uint32_t I = 0, Count = 1 + Random() % 3; I < Count && !Text.empty();
+         ++I)
+      Text = mutated(Text, Random);
+    ASSERT_NO_THROW({
+      Result<Json::Value> Parsed = parseJson(Text);
+      if (!failed(Parsed))
+        Accepted += decodeAll(valueOf(Parsed));
+      decodeRpcResponse(Text);
+    }) << Text;
+  }
+  // Mutations that leave a message valid show that the decoders are reached.
+  EXPECT_GT(Accepted, 100U);
+}
+
+// Guards against the same in the JSON-RPC envelope, and against a request
+// without an answer, whose connection would stay open.
+TEST(PeerCodecTest, MalformedRequestsGetAnErrorResponse) {
+  RpcServer Server;
+  size_t Handled = 0;
+  Server.bind("cell.ping", [&Handled](const Json::Value &Message) {
+    Result<PeerPing> Decoded = decodePing(Message);
+    if (failed(Decoded))
+      return encodeRpcError(errorOf(Decoded));
+    ++Handled;
+    return Json::Value(Json::objectValue);
+  });
+  std::string Valid = encodeRpcRequest(
+      "cell.ping", valueOf(parseJson(validMessages().front())));
+  EXPECT_FALSE(failed(decodeRpcResponse(Server.handle(Valid))));
+  std::mt19937 Random(20261204);
+  for (int Case = 0; Case < 5000; ++Case) {
+    std::string Text = Valid;
+    for (uint32_t I = 0, Count = 1 + Random() % 3; I < Count && !Text.empty();
+         ++I)
+      Text = mutated(Text, Random);
+    std::string Response;
+    ASSERT_NO_THROW(Response = Server.handle(Text)) << Text;
+    // A request without an id is a notification, which JSON-RPC does not
+    // answer.
+    if (Text.find("\"id\":1") != std::string::npos) {
+      EXPECT_FALSE(Response.empty()) << Text;
+    }
+    ASSERT_NO_THROW(decodeRpcResponse(Response)) << Text;
+  }
+  EXPECT_GT(Handled, 100U);
+}
+
+} // namespace snipeshunt
