rpc, platform: bound the tasks of a job and their needs

A job order of a peer could have 4 billion tasks: the sender allocates them all before it decides about the job, so that one message exhausts the memory. An order without tasks was accepted and never ended, since the end of a task ends its job. Needs of 2^40 units and more overflow in sums over a queue; the needs in a caller's request were not bounded at all.

Failed before: JobsWithTooManyOrNoTasksAreRejected (decodeJobOrder accepted 0, 10,001 and 4,000,000,000 tasks) and NeedsOfTasksAreBounded (accepted 2^40 of each need). The additional check in HugeNumbersAreBounded of the platform's codec was not run on the earlier code.

--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -11,7 +11,12 @@
 constexpr size_t MaxClaims = 1024;
 constexpr size_t MaxListLength = 20000;
 constexpr size_t MaxSpecBytes = 1 << 20;
-constexpr int64_t MaxResourceAmount = int64_t{1} << 40;
+// Largest processor time in a load, which is a sum over upstreams.
+constexpr int64_t MaxLoadCpu = int64_t{1} << 40;
+// Largest fencing token. Tokens contain the time of day in milliseconds,
+// shifted by 10 bits; a higher one would leave no room for the tokens of later
+// senders.
+constexpr uint64_t MaxToken = uint64_t{1} << 62;
 
 void readDuration(ObjectReader &Reader, const char *Name, Duration &Out) {
   std::chrono::milliseconds Ms{0};
@@ -116,8 +121,8 @@
     return;
   ObjectReader Inner(*Value, "load");
   readDuration(Inner, "delay_ms", Out.Delay);
-  Inner.integer("free_cpu", Out.FreeCpu, -MaxResourceAmount, MaxResourceAmount)
-      .integer("total_cpu", Out.TotalCpu, 0, MaxResourceAmount);
+  Inner.integer("free_cpu", Out.FreeCpu, -MaxLoadCpu, MaxLoadCpu)
+      .integer("total_cpu", Out.TotalCpu, 0, MaxLoadCpu);
   readCount(Inner, "waiting", Out.Waiting);
   if (std::optional<Error> Problem = Inner.finish())
     Reader.fail(*Problem);
@@ -214,7 +219,10 @@
   if (!Value)
     return;
   ObjectReader Inner(*Value, "step");
-  readCount(Inner, "count", Out.Count);
+  // A job without tasks would never end.
+  int64_t Count = 0;
+  Inner.integer("count", Count, 1, MaxTasks);
+  Out.Count = static_cast<uint32_t>(Count);
   readResources(Inner, Out.PerTask);
   Inner.optionalString("rack", Out.Rack, MaxTextLength)
       .optionalString("requirement", Out.Requirement, MaxTextLength);
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -212,4 +212,28 @@
   EXPECT_GT(Handled, 100U);
 }
 
+// Guards against a job of a peer that exhausts the memory by the number of its
+// tasks, and against one without tasks, which never ends.
+TEST(PeerCodecTest, JobsWithTooManyOrNoTasksAreRejected) {
+  for (int64_t Count : {int64_t{0}, int64_t{10001}, int64_t{4000000000}}) {
+    Json::Value Order = encodeJobOrder(someOrder());
+    Order["step"]["count"] = Json::Int64(Count);
+    EXPECT_TRUE(failed(decodeJobOrder(Order))) << Count;
+  }
+  Json::Value Largest = encodeJobOrder(someOrder());
+  Largest["step"]["count"] = 10000;
+  EXPECT_FALSE(failed(decodeJobOrder(Largest)));
+}
+
+// Guards against needs of tasks whose sum over a job and its queue overflows:
+// the sender would count a full queue as free capacity.
+TEST(PeerCodecTest, NeedsOfTasksAreBounded) {
+  Json::Value Order = encodeJobOrder(someOrder());
+  for (const char *Name : {"cpu", "memory_mb", "accelerators"}) {
+    Json::Value Huge = Order;
+    Huge["step"][Name] = Json::Int64(int64_t{1} << 40);
+    EXPECT_TRUE(failed(decodeJobOrder(Huge))) << Name;
+  }
+}
+
 } // namespace snipeshunt
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -85,13 +85,14 @@
 TEST(PlatformCodecTest, HugeNumbersAreBounded) {
   for (const char *Count : {"4000000000", "1e300", "9223372036854775807"}) {
     Result<JobSubmission> Job = decodeSubmission(
-        "5c0e7a21d94b36f8", std::string(R"({"best_effort":true,"steps":[{)") +
-                                R"("cpu":1,"estimate_ms":1e300,"count":)" +
-                                Count + "}]}");
+        "5c0e7a21d94b36f8",
+        std::string(R"({"best_effort":true,"steps":[{)") + R"("cpu":)" + Count +
+            R"(,"estimate_ms":1e300,"count":)" + Count + "}]}");
     ASSERT_FALSE(failed(Job)) << Count;
     EXPECT_EQ(valueOf(Job).UnsupportedFeature, "more than 10000 tasks");
     EXPECT_LE(valueOf(Job).Step.Count, 10000U);
     EXPECT_GT(valueOf(Job).Step.Estimate, Duration::zero());
+    EXPECT_LE(valueOf(Job).Step.PerTask.CpuMillis, MaxResourceAmount);
   }
   Result<FleetConfiguration> Configuration = decodeConfiguration(
       R"({"version":1,"routes":[{"stretch":1e308,"max_attempts":1e300}]})");
