sender, entry: no overflow in products of durations

A duration times a factor was cast to 64 bits without a check. An estimate of 20 days and a stretch of 1e6, both within the limits of the messages, gave an objective in the past: an idle sender rejected the job as late. The expected delay of a queue could overflow in the same way.

Failed before: PeerNumbers.LongObjectivesDoNotOverflow, the job was not admitted (count 0, expected 1).

--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -4,6 +4,7 @@
 #include "cells/cell_cmd.h"
 #include "cells/cell_table.h"
 #include "cells/peer_func.h"
+#include "core/duration_func.h"
 #include "sender/sender_table.h"
 
 #include <algorithm>
@@ -132,10 +133,8 @@
 /// before its deadline and within `LateLimit` times its objective.
 SteadyTime latestUsefulStart(const EntryJob &J) {
   const JobOrder &O = J.Order;
-  auto Objective = std::chrono::duration_cast<Duration>(
-      O.Step.Estimate * O.Stretch + O.Slack);
-  auto Useful =
-      std::chrono::duration_cast<Duration>(Objective * MaxLatenessFactor);
+  Duration Objective = scaled(O.Step.Estimate, O.Stretch) + O.Slack;
+  Duration Useful = scaled(Objective, MaxLatenessFactor);
   return std::min(J.Deadline, J.Arrived + Useful) - O.Step.Estimate;
 }
 
--- a/src/sender/estimate.cpp
+++ b/src/sender/estimate.cpp
@@ -1,6 +1,7 @@
 /// \file Expected run times on upstreams of different speed.
 #include "sender/estimate_func.h"
 
+#include "core/duration_func.h"
 #include "sender/sender_table.h"
 
 #include <algorithm>
@@ -28,11 +29,6 @@
   F.Value += Error * std::max(LearningRate, 0.5 / F.Samples);
 }
 
-Duration fromSeconds(double Seconds) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Seconds));
-}
-
 /// A kind with few samples is assumed to be faster, so that new upstreams are
 /// used.
 constexpr uint32_t MinSamples = 4;
--- a/src/sender/forecast.cpp
+++ b/src/sender/forecast.cpp
@@ -1,6 +1,7 @@
 /// \file Forecast of when capacity on busy upstreams becomes free.
 #include "sender/forecast.h"
 
+#include "core/duration_func.h"
 #include "sender/estimate_func.h"
 
 #include <algorithm>
@@ -19,8 +20,7 @@
 
 Duration expectedRest(const SenderRun &Run, SteadyTime Now) {
   Duration Taken = Now - Run.Ordered;
-  auto Tail = std::chrono::duration_cast<Duration>(Taken * OverdueRestShare);
-  return std::max(Run.ExpectedRunTime - Taken, Tail);
+  return std::max(Run.ExpectedRunTime - Taken, scaled(Taken, OverdueRestShare));
 }
 
 } // namespace
@@ -44,15 +44,13 @@
     const SenderJob &J, Duration RunTimeHere,
     const std::function<bool(const SenderUpstream &)> &IsAllowed) {
   auto Best = Slots.end();
-  auto Limit =
-      std::chrono::duration_cast<Duration>(RunTimeHere * (1 - MinGain));
+  Duration Limit = scaled(RunTimeHere, 1 - MinGain);
   // The limit falls with each better slot, so most of the slots are skipped.
   for (auto It = Slots.begin(); It != Slots.end() && It->Wait < Limit; ++It) {
     if (!It->FreeAfter.covers(J.Order.Step.PerTask) ||
         !IsAllowed(*It->Upstream))
       continue;
-    Duration End = It->Wait + std::chrono::duration_cast<Duration>(
-                                  J.ExpectedRunTime * It->RunFactor);
+    Duration End = It->Wait + scaled(J.ExpectedRunTime, It->RunFactor);
     if (End >= Limit)
       continue;
     Best = It;
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -1,6 +1,7 @@
 /// \file State changes of a sender's jobs.
 #include "sender/job_cmd.h"
 
+#include "core/duration_func.h"
 #include "sender/estimate_func.h"
 #include "sender/sender_table.h"
 #include "sender/upstream_cmd.h"
@@ -12,10 +13,6 @@
 
 namespace {
 
-Duration scale(Duration D, double Factor) {
-  return std::chrono::duration_cast<Duration>(D * Factor);
-}
-
 void answer(SenderState &State, const JobWaiter &Waiter, JobResult Result,
             SteadyTime Now, InstanceEffects &Out) {
   Result.Load = senderLoad(State, Now);
@@ -86,10 +83,10 @@
   J.Arrived = Now - Order.Age;
   J.Deadline = Now + Order.Remaining;
   J.ExpectedRunTime = typicalRunTime(State.Learned, Order);
-  Duration Objective = scale(J.ExpectedRunTime, Order.Stretch) + Order.Slack;
+  Duration Objective = scaled(J.ExpectedRunTime, Order.Stretch) + Order.Slack;
   J.Objective = J.Arrived + Objective;
   J.LatestUsefulEnd =
-      std::min(J.Deadline, J.Arrived + scale(Objective, MaxLatenessFactor));
+      std::min(J.Deadline, J.Arrived + scaled(Objective, MaxLatenessFactor));
   return J;
 }
 
@@ -142,8 +139,7 @@
   if (Cpu <= Usage.FreeCpu / 2)
     return Duration::zero();
   double Usable = static_cast<double>(Usage.TotalCpu) * UsableCpuShare;
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-      (Work + Usage.RunningWork * FirstEndShare) / Usable));
+  return fromSeconds((Work + Usage.RunningWork * FirstEndShare) / Usable);
 }
 
 double decayedWork(const OfferedWork &Offered, SteadyTime Now) {
@@ -190,13 +186,13 @@
   if (Now + Delay <= J.Objective - J.ExpectedRunTime)
     return Delay;
   // A late job also waits for jobs in time that arrive after it.
-  return scale(delayBehind(Usage, LateCpu, LateWork),
-               1 / spareShare(State, Usage, Now));
+  return scaled(delayBehind(Usage, LateCpu, LateWork),
+                1 / spareShare(State, Usage, Now));
 }
 
 /// Returns true if a job that waits for \p Delay can end by `LatestUsefulEnd`.
 bool endsInTime(const SenderJob &J, Duration Delay, SteadyTime Now) {
-  return Now + Delay + scale(J.ExpectedRunTime, StartMargin) <
+  return Now + Delay + scaled(J.ExpectedRunTime, StartMargin) <
          J.LatestUsefulEnd;
 }
 
@@ -374,9 +370,9 @@
   int64_t Cpu = 0;
   double Work = 0;
   for (const auto &[Rank, J] : rankedQueue(State, Now)) {
-    Duration Delay = scale(delayBehind(Usage, Cpu, Work), CertainDelayShare);
+    Duration Delay = scaled(delayBehind(Usage, Cpu, Work), CertainDelayShare);
     if (Rank.LateClass > 0)
-      Delay = scale(Delay, 1 / Spare);
+      Delay = scaled(Delay, 1 / Spare);
     if (!J->Started && !endsInTime(*J, Delay, Now)) {
       TooLate.push_back(J->Order.Id);
       continue;
@@ -432,7 +428,7 @@
   SteadyTime LatestStart = J.Objective - J.ExpectedRunTime;
   // Estimates are rough, so a slight delay does not lower a job's rank.
   SteadyTime Limit =
-      LatestStart + scale(J.Objective - J.Arrived, LateStartTolerance);
+      LatestStart + scaled(J.Objective - J.Arrived, LateStartTolerance);
   bool Late = !J.Started && (J.AdmittedLate || Limit < Now);
   return {Late ? 1 : 0, LatestStart, J.Order.Id};
 }
--- a/src/sender/placement_cmd.cpp
+++ b/src/sender/placement_cmd.cpp
@@ -1,6 +1,7 @@
 /// \file Placement of waiting tasks on upstreams with free capacity.
 #include "sender/placement_cmd.h"
 
+#include "core/duration_func.h"
 #include "sender/estimate_func.h"
 #include "sender/forecast.h"
 #include "sender/job_cmd.h"
@@ -104,7 +105,7 @@
       BestFactor = S.RunFactor;
     }
   }
-  Expected = std::chrono::duration_cast<Duration>(TypicalRunTime * BestFactor);
+  Expected = scaled(TypicalRunTime, BestFactor);
   return Best;
 }
 
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -236,4 +236,29 @@
   }
 }
 
+// Guards against an objective that overflows and lies in the past: a job with a
+// long estimate, or of a queue with a large factor, would be rejected as late
+// by an idle sender. The same limits apply to callers' jobs.
+TEST(PeerNumbers, LongObjectivesDoNotOverflow) {
+  testing::CellWorld World;
+  World.addUpstream({"u"});
+  Address Endpoint = World.addInstance("sender", "centre-a");
+  World.run(seconds(2));
+  FleetInstance State = World.state(Endpoint);
+  JobOrder Order = someOrder();
+  Order.Step = {1, {1000, 64, 0}, std::chrono::hours(24 * 20), "", "", 0};
+  Order.Stretch = 1e6;
+  Order.Remaining = std::chrono::hours(24 * 30);
+  ASSERT_FALSE(failed(decodeJobOrder(encodeJobOrder(Order))));
+  PingArrived Ping;
+  Ping.Message.From = {Order.Entry, {"centre-a"}, 0.1};
+  Ping.Message.Incarnation = Order.Incarnation;
+  WallTime Wall = WallTime{} + seconds(1000000);
+  reduce(State, {World.now(), Wall, Ping});
+  reduce(State, {World.now(), Wall, JobArrived{RequestId{1}, Order}});
+  EXPECT_EQ(State.Sender.Jobs.count(Order.Id), 1U);
+  for (const auto &[Id, J] : State.Sender.Jobs)
+    EXPECT_GT(J.Objective, World.now());
+}
+
 } // namespace snipeshunt
