--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -178,7 +178,7 @@
   V["kind"] = U.Kind;
   V["rack"] = U.Rack;
   V["draining"] = U.Draining;
-  V["born"] = Json::UInt64(U.StartedAt);
+  V["born"] = Json::Int64(U.StartedAt);
   writeResources(V, U.Capacity);
   return V;
 }
@@ -186,7 +186,6 @@
 Result<UpstreamRecord> decodeUpstream(const Json::Value &Value) {
   ObjectReader Reader(Value, "upstream");
   UpstreamRecord U;
-  uint64_t StartedAt = 0;
   Reader.string("id", U.Id.Value, MaxTextLength)
       .string("address", U.Endpoint.Value, MaxTextLength)
       .string("data_centre", U.Centre.Value, MaxTextLength)
@@ -194,8 +193,7 @@
       .string("kind", U.Kind, MaxTextLength)
       .string("rack", U.Rack, MaxTextLength)
       .boolean("draining", U.Draining)
-      .unsignedId("born", StartedAt);
-  U.StartedAt = static_cast<int64_t>(StartedAt);
+      .integer("born", U.StartedAt, 0, INT64_MAX);
   readResources(Reader, U.Capacity);
   return finishReading(Reader, std::move(U));
 }
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -236,6 +236,16 @@
   }
 }
 
+// Guards against the start time of an upstream that becomes negative by a
+// cast: each later record of the upstream would count as a new process.
+TEST(PeerCodecTest, StartTimesOfUpstreamsAreBounded) {
+  SnapshotFetched Message;
+  Message.Upstreams = {someUpstream()};
+  Json::Value Snapshot = encodeSnapshot(Message);
+  Snapshot["upstreams"][0]["born"] = Json::UInt64(UINT64_MAX);
+  EXPECT_TRUE(failed(decodeSnapshot(Snapshot)));
+}
+
 // Guards against an objective that overflows and lies in the past: a job with a
 // long estimate, or of a queue with a large factor, would be rejected as late
 // by an idle sender. The same limits apply to callers' jobs.
