rpc: bound the ids in lists of pings and pongs

Ids of upstreams in use and of cancelled jobs, as earlier versions send them, were the only texts of any length. An instance keeps them for seconds.

Failed before: IdsInListsAreBounded, decodePong and decodePing accepted ids of 100,000 bytes.

--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -71,6 +71,21 @@
   return finishReading(Reader, std::move(Claim));
 }
 
+/// Reads an id that is an item of a list. Returns false if it is not a string
+/// or too long.
+bool readId(const Json::Value &Value, std::string &Out) {
+  if (!Value.isString())
+    return false;
+  Out = Value.asString();
+  return Out.size() <= MaxTextLength;
+}
+
+Error idError(const std::string &List) {
+  return {ErrorKind::InvalidField, List + " has an item that is not an id",
+          "send strings of at most " + std::to_string(MaxTextLength) +
+              " bytes"};
+}
+
 template <typename Id> Json::Value encodeIds(const std::vector<Id> &Ids) {
   return encodeList(Ids, [](const Id &I) { return Json::Value(I.Value); });
 }
@@ -79,12 +94,9 @@
 void readIds(ObjectReader &Reader, const char *Name, std::vector<Id> &Out) {
   readList(Reader, Name, MaxListLength, Out,
            [Name](const Json::Value &V) -> Result<Id> {
-             if (!V.isString())
-               return Error{ErrorKind::InvalidField,
-                            std::string(Name) + " has an item that is not a "
-                                                "string",
-                            "send a list of ids"};
-             return Id{V.asString()};
+             if (std::string Text; readId(V, Text))
+               return Id{std::move(Text)};
+             return idError(Name);
            });
 }
 
@@ -97,8 +109,11 @@
 
 Result<CancelledJob> decodeCancelled(const Json::Value &Value) {
   // Earlier versions send the id alone, for any number.
-  if (Value.isString())
-    return CancelledJob{JobId{Value.asString()}, UINT64_MAX};
+  if (Value.isString()) {
+    if (std::string Text; readId(Value, Text))
+      return CancelledJob{JobId{std::move(Text)}, UINT64_MAX};
+    return idError("cancelled");
+  }
   ObjectReader Reader(Value, "cancelled job");
   CancelledJob Job;
   Reader.string("id", Job.Id.Value, MaxTextLength)
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -246,6 +246,16 @@
   EXPECT_TRUE(failed(decodeSnapshot(Snapshot)));
 }
 
+// Guards against ids of any length, which a peer would make this instance keep.
+TEST(PeerCodecTest, IdsInListsAreBounded) {
+  PeerPong Pong;
+  Pong.UpstreamsInUse = {{std::string(100000, 'x')}};
+  EXPECT_TRUE(failed(decodePong(encodePong(Pong))));
+  Json::Value Ping = encodePing({});
+  Ping["cancelled"].append(std::string(100000, 'x'));
+  EXPECT_TRUE(failed(decodePing(Ping)));
+}
+
 // Guards against an objective that overflows and lies in the past: a job with a
 // long estimate, or of a queue with a large factor, would be rejected as late
 // by an idle sender. The same limits apply to callers' jobs.
