rpc: shorten durations that a peer would reject

Decoders accept durations up to 30 days, but nothing kept an instance from sending a longer one, for instance as the expected delay of a queue. Its peers would have rejected each of its pongs, regarded it as unreachable and replaced it as a sender.

Failed before: LongDurationsAreShortenedBeforeTheyAreSent, decodeJobResult and decodePong rejected the encoded message.

--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -24,7 +24,11 @@
   Out = Ms;
 }
 
-Json::Int64 encodeDuration(Duration D) { return toMilliseconds(D); }
+/// Returns \p D in milliseconds. Peers reject a message with a longer duration
+/// than `MaxDurationMs`, and would regard its sender as unreachable.
+Json::Int64 encodeDuration(Duration D) {
+  return std::min<int64_t>(toMilliseconds(D), MaxDurationMs);
+}
 
 Json::Value encodeInstance(const InstanceRecord &Record) {
   Json::Value V(Json::objectValue);
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -256,6 +256,17 @@
   EXPECT_TRUE(failed(decodePing(Ping)));
 }
 
+// Guards against an instance that its peers regard as unreachable, because they
+// reject a duration in its messages as too long.
+TEST(PeerCodecTest, LongDurationsAreShortenedBeforeTheyAreSent) {
+  JobResult Result;
+  Result.RetryAfter = Result.Load.Delay = std::chrono::hours(24 * 365);
+  EXPECT_FALSE(failed(decodeJobResult(encodeJobResult(Result))));
+  PeerPong Pong;
+  Pong.Load.Delay = std::chrono::hours(24 * 365);
+  EXPECT_FALSE(failed(decodePong(encodePong(Pong))));
+}
+
 // Guards against an objective that overflows and lies in the past: a job with a
 // long estimate, or of a queue with a large factor, would be rejected as late
 // by an idle sender. The same limits apply to callers' jobs.
