--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -72,6 +72,9 @@
   Reader.string("data_centre", Claim.Cell.Centre.Value, MaxTextLength)
       .unsignedId("token", Claim.Token.Value);
   readCount(Reader, "index", Claim.Cell.Index);
+  if (Claim.Token.Value > MaxToken)
+    Reader.fail("token",
+                "a whole number from 0 to " + std::to_string(MaxToken));
   return finishReading(Reader, std::move(Claim));
 }
 
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -292,4 +292,17 @@
     EXPECT_GT(J.Objective, World.now());
 }
 
+// Guards against a cell that no instance can claim any more: after a claim with
+// the highest token, the next token overflowed to the lowest one.
+TEST(PeerNumbers, HighestTokenOfAClaimDoesNotOverflow) {
+  Json::Value Ping = encodePing({});
+  Ping["claims"].append(Json::Value(Json::objectValue));
+  Ping["claims"][0]["data_centre"] = "centre-a";
+  Ping["claims"][0]["index"] = 0;
+  for (uint64_t Token : {UINT64_MAX, uint64_t{1} << 63}) {
+    Ping["claims"][0]["token"] = Json::UInt64(Token);
+    EXPECT_TRUE(failed(decodePing(Ping))) << Token;
+  }
+}
+
 } // namespace snipeshunt
