cells: remember tokens of own cells only

The highest token was kept for each cell that a message named, of any data centre and any index, for as long as the process ran. Only the tokens of the own data centre's cells are used.

Failed before: ClaimsToUnknownCellsAreNotRemembered, 201 tokens after 100 pings (expected 1).

--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -27,6 +27,11 @@
 }
 
 void recordToken(CellState &State, const CellClaim &Claim) {
+  // This instance claims no other cells, and messages could name any number of
+  // them.
+  if (Claim.Cell.Centre != State.Self.Centre ||
+      Claim.Cell.Index >= CellsPerCentre)
+    return;
   FencingToken &Highest = State.HighestToken[Claim.Cell];
   Highest = std::max(Highest, Claim.Token);
 }
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -305,4 +305,22 @@
   }
 }
 
+// Guards against claims to cells that don't exist, which each receiver would
+// remember for as long as it runs.
+TEST(PeerNumbers, ClaimsToUnknownCellsAreNotRemembered) {
+  CellState State;
+  State.Self = {{"10.0.0.2:7000"}, {"centre-a"}, 0.5};
+  SteadyTime Now{seconds(100)};
+  InstanceEffects Out;
+  for (uint32_t I = 0; I < 100; ++I) {
+    PingArrived Ping;
+    Ping.Message.From = Sender;
+    Ping.Message.Claims = {{{{"centre-a"}, CellsPerCentre + I}, {77}},
+                           {{{"centre-" + std::to_string(I)}, 1}, {77}},
+                           {{{"centre-a"}, 1}, {77}}};
+    applyPing(State, Ping, {}, Now, Out);
+  }
+  EXPECT_EQ(State.HighestToken.size(), 1U);
+}
+
 } // namespace snipeshunt
