directory: ignore a stale list that is older than the one before

Standbys read the list of upstreams with permission for a stale answer, which may be seconds old. A list of a lower revision replaced a newer one, so that an upstream that had begun to drain or had left was back: a sender that loses its cell and claims it again while the store is down would start tasks on it.

Such an answer is now ignored, and the next read must be current. A current answer is applied whatever its revision, so that a store that was restored with a lower one is followed.

Failed before: OutdatedListDoesNotReplaceANewerOne (the list of revision 8 was applied after that of revision 10, Draining false) and OutdatedListIsFollowedByACurrentRead.

--- a/src/directory/directory_base.h
+++ b/src/directory/directory_base.h
@@ -21,6 +21,10 @@
   StoreRevision Revision; ///< Of the last answer.
   uint32_t Failures = 0;  ///< Consecutive calls that failed.
   uint32_t CompletedReads = 0; ///< Reads that succeeded.
+  bool ReadIsStale = false;    ///< The last read allowed a stale answer.
+  /// A stale answer was older than the one before, so the next read must be
+  /// current.
+  bool NeedsCurrentRead = false;
 };
 
 /// Phase of the registration of this instance: it acquires a lease, publishes
--- a/src/directory/directory_cmd.cpp
+++ b/src/directory/directory_cmd.cpp
@@ -58,6 +58,7 @@
 void startRead(CollectionReader &Reader, StoreCollection Collection, bool Stale,
                InstanceEffects &Out) {
   Reader.Phase = CollectionReaderPhase::Reading;
+  Reader.ReadIsStale = Stale;
   Out.push_back(ReadCollection{Collection, Stale, ++Reader.Sequence});
 }
 
@@ -117,7 +118,8 @@
   if (Collection == StoreCollection::Upstreams && !wantsUpstreams(State))
     return;
   bool Stale = Collection == StoreCollection::Instances ||
-               (Collection == StoreCollection::Upstreams && !State.IsSender);
+               (Collection == StoreCollection::Upstreams && !State.IsSender &&
+                !Reader.NeedsCurrentRead);
   startRead(Reader, Collection, Stale, Out);
 }
 
@@ -163,6 +165,18 @@
     return false;
   }
   recordAnswer(Reader, Event.Collection, Out);
+  // The replica that answered may be behind the one before. A list from it
+  // would show upstreams as usable that have begun to drain or have left. The
+  // revision can also be lower because the store was restored, which a current
+  // read decides.
+  Reader.NeedsCurrentRead = Event.Collection == StoreCollection::Upstreams &&
+                            Reader.ReadIsStale &&
+                            Event.Revision < Reader.Revision;
+  if (Reader.NeedsCurrentRead) {
+    Reader.Phase = CollectionReaderPhase::Idle;
+    Reader.NextCall = Now;
+    return false;
+  }
   Reader.Revision = Event.Revision;
   ++Reader.CompletedReads;
   if (Event.Configuration)
--- a/src/directory/directory_cmd.h
+++ b/src/directory/directory_cmd.h
@@ -13,7 +13,7 @@
                       InstanceEffects &Out);
 
 /// Applies the answer to a read. Returns false if the read failed, or if the
-/// answer is not to the last call for the collection.
+/// answer is not to the last call for the collection or is out of date.
 bool applyCollectionRead(DirectoryState &State,
                          const CollectionReadAnswered &Event, SteadyTime Now,
                          InstanceEffects &Out);
--- /dev/null
+++ b/tests/directory_test.cpp
@@ -0,0 +1,99 @@
+/// \file Reads of the store that are out of date, and snapshots of peers, on a
+/// fake clock.
+#include "directory/directory_cmd.h"
+#include "support/cell_world.h"
+
+#include <gtest/gtest.h>
+
+using namespace snipeshunt;
+using namespace snipeshunt::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+UpstreamRecord upstream(const std::string &Name, bool Draining) {
+  UpstreamRecord U;
+  U.Id = {Name};
+  U.Centre = {"centre-a"};
+  U.Draining = Draining;
+  return U;
+}
+
+/// A directory whose calls to the store are answered one by one.
+struct AnsweredDirectory {
+  /// Makes the calls that are due and returns the read of the upstreams.
+  std::optional<ReadCollection> advance() {
+    InstanceEffects Out;
+    advanceDirectory(State, Now, Out);
+    for (const InstanceEffect &E : Out)
+      if (const auto *Read = std::get_if<ReadCollection>(&E);
+          Read && Read->Collection == StoreCollection::Upstreams)
+        return *Read;
+    return std::nullopt;
+  }
+
+  bool answer(const ReadCollection &Read, uint64_t Revision,
+              std::vector<UpstreamRecord> Upstreams) {
+    CollectionReadAnswered Event;
+    Event.Collection = Read.Collection;
+    Event.Sequence = Read.Sequence;
+    Event.Status = StoreStatus::Done;
+    Event.Revision = {Revision};
+    Event.Upstreams = std::move(Upstreams);
+    InstanceEffects Out;
+    return applyCollectionRead(State, Event, Now, Out);
+  }
+
+  void setSender(bool IsSender) {
+    InstanceEffects Out;
+    applyRole(State, IsSender, /*IsStandby=*/true, Now, Out);
+  }
+
+  DirectoryState State;
+  SteadyTime Now{seconds(100)};
+};
+
+} // namespace
+
+// Guards against a draining upstream that is used again: a stale read may be
+// answered by a replica of the store that is behind the one read before.
+TEST(DirectoryReads, OutdatedListDoesNotReplaceANewerOne) {
+  AnsweredDirectory D;
+  D.setSender(true);
+  std::optional<ReadCollection> Read = D.advance();
+  ASSERT_TRUE(Read);
+  EXPECT_TRUE(D.answer(*Read, 10, {upstream("u", /*Draining=*/true)}));
+  D.setSender(false);
+  D.Now += seconds(20);
+  Read = D.advance();
+  ASSERT_TRUE(Read);
+  EXPECT_TRUE(Read->AllowStale);
+  EXPECT_FALSE(D.answer(*Read, 8, {upstream("u", /*Draining=*/false)}));
+  ASSERT_EQ(D.State.Upstreams.size(), 1U);
+  EXPECT_TRUE(D.State.Upstreams[0].Draining);
+}
+
+// Guards against a list that is never updated again after the store was
+// restored with a lower revision.
+TEST(DirectoryReads, OutdatedListIsFollowedByACurrentRead) {
+  AnsweredDirectory D;
+  std::optional<ReadCollection> Read = D.advance();
+  ASSERT_TRUE(Read);
+  EXPECT_TRUE(D.answer(*Read, 10, {upstream("u", false)}));
+  D.Now += seconds(20);
+  Read = D.advance();
+  ASSERT_TRUE(Read);
+  EXPECT_FALSE(D.answer(*Read, 3, {}));
+  Read = D.advance();
+  ASSERT_TRUE(Read);
+  EXPECT_FALSE(Read->AllowStale);
+  EXPECT_TRUE(D.answer(*Read, 3, {upstream("v", false)}));
+  ASSERT_EQ(D.State.Upstreams.size(), 1U);
+  EXPECT_EQ(D.State.Upstreams[0].Id.Value, "v");
+  D.Now += seconds(20);
+  Read = D.advance();
+  ASSERT_TRUE(Read);
+  EXPECT_TRUE(Read->AllowStale);
+  EXPECT_TRUE(D.answer(*Read, 4, {upstream("v", false)}));
+}
