--- a/src/directory/directory_table.h
+++ b/src/directory/directory_table.h
@@ -27,6 +27,10 @@
 /// Interval of the requests to peers for a snapshot while the store does not
 /// answer.
 constexpr Duration SnapshotPeriod = std::chrono::milliseconds(200);
+/// Time after the start in which a snapshot is requested from senders only.
+/// Their list is newer than that of a standby; a new process learns of them
+/// from the first peers that answer.
+constexpr Duration SenderSnapshotTime = std::chrono::milliseconds(500);
 /// Delay after a failed call, doubled with each further one up to the limit.
 constexpr Duration StoreRetryDelay = std::chrono::milliseconds(150);
 constexpr Duration MaxStoreRetryDelay = std::chrono::milliseconds(1200);
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -291,20 +291,28 @@
   }
 
 private:
-  /// Requests the configuration and the upstreams from a peer if the store
-  /// doesn't answer. A process that starts in a data centre that is cut off can
-  /// work this way.
+  /// Requests the configuration and the upstreams from a peer, preferably a
+  /// sender, if the store doesn't answer. A process that starts in a data
+  /// centre that is cut off can work this way.
   void requestSnapshot() {
     if (!needsSnapshot(State.Directory, Now))
       return;
+    const Address *Source = nullptr;
+    bool FromSender = false;
     for (const auto &[Endpoint, P] : State.Cells.Peers) {
       if (!P.HasUpstreamList || P.ConfigurationVersion == 0 ||
-          !isReachable(P, Now))
+          !isReachable(P, Now) || (Source && P.Claims.empty()))
         continue;
-      State.Directory.NextSnapshotRequest = Now + SnapshotPeriod;
-      Out.push_back(FetchSnapshot{Endpoint});
-      return;
+      Source = &Endpoint;
+      FromSender = !P.Claims.empty();
+      if (FromSender)
+        break;
     }
+    bool Wait = !FromSender && Now - State.Cells.Started < SenderSnapshotTime;
+    if (!Source || Wait)
+      return;
+    State.Directory.NextSnapshotRequest = Now + SnapshotPeriod;
+    Out.push_back(FetchSnapshot{*Source});
   }
 
   void updateOwnCells() {
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -97,3 +97,41 @@
   EXPECT_TRUE(Read->AllowStale);
   EXPECT_TRUE(D.answer(*Read, 4, {upstream("v", false)}));
 }
+
+// Guards against starts on an upstream that is leaving, by a process that has
+// its list from a peer: standbys read the list each 8 s, senders within the
+// drain notice.
+TEST(DirectorySnapshot, IsTakenFromASenderRatherThanAStandby) {
+  CellWorld World;
+  std::vector<UpstreamId> Upstreams;
+  for (int I = 0; I < 4; ++I)
+    Upstreams.push_back(World.addUpstream({"up-" + std::to_string(I)}));
+  World.addInstance("standby", "centre-a", 0.1);
+  Address Sender = World.addInstance("sender", "centre-a", 0.6);
+  World.run(seconds(3));
+  ASSERT_EQ(World.senders(), std::vector<Address>{Sender});
+  World.setDraining(Upstreams[0]);
+  World.run(milliseconds(1500));
+  World.setStoreUp(false);
+  World.run(milliseconds(100));
+  // It knows only the standby at first.
+  World.setSeedsOnly(true);
+  Address Late = World.addInstance("late", "centre-a", 0.9);
+  World.run(seconds(2));
+  World.kill(Sender);
+  World.run(seconds(2));
+  ASSERT_EQ(World.senders(), std::vector<Address>{Late});
+  std::vector<size_t> Jobs;
+  for (int I = 0; I < 20; ++I) {
+    Jobs.push_back(
+        World.submit(Late, "job-" + std::to_string(I), 2, milliseconds(100)));
+    World.run(milliseconds(50));
+  }
+  World.run(seconds(2));
+  for (size_t J : Jobs) {
+    const auto &Answer = World.caller(J).Answer;
+    EXPECT_TRUE(Answer && Answer->Status == AnswerStatus::Done) << J;
+  }
+  for (const RunRecord &R : World.runs())
+    EXPECT_NE(R.Upstream, Upstreams[0]) << runText(R.Key);
+}
