--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -17,6 +17,8 @@
 
 /// A caller's pause before it submits a job again elsewhere.
 inline constexpr std::chrono::milliseconds CallerRetryPause{1300};
+/// Delay of the orders that `UpstreamFaults::LateOrders` chooses.
+inline constexpr std::chrono::milliseconds LateOrderDelay{700};
 
 /// Faults of a simulated upstream.
 struct UpstreamFaults {
@@ -29,6 +31,11 @@
   std::optional<Duration> StartDelay;
   /// Delayed starts are carried out by the upstream's next process too.
   bool StartsOutliveProcess = false;
+  /// Share of the starts and stops that get no answer and are carried out after
+  /// `LateOrderDelay`.
+  double LateOrders = 0;
+  /// Share of the renewals that get no answer and are not carried out.
+  double LostRenewalShare = 0;
 };
 
 /// A run as a simulated upstream has carried it out.
@@ -210,6 +217,9 @@
   /// Returns the time on the upstream's clock, in milliseconds.
   int64_t clockOf(const Upstream &U) const;
   OrderStatus applyStart(Upstream &U, const StartRun &E);
+  OrderStatus applyStop(Upstream &U, const StopRun &E);
+  /// Returns true in the given share of the calls.
+  bool occurs(double Share);
   void endRun(Upstream &U, const RunKey &Key, RunEnd Outcome);
   /// Ends the runs that are complete or whose lease has lapsed.
   void advanceUpstreams();
@@ -219,6 +229,7 @@
   std::multimap<SteadyTime, std::function<void()>> Events;
   std::map<Address, Instance> Instances;
   std::map<UpstreamId, Upstream> Upstreams;
+  std::mt19937_64 Random{20261204}; ///< Used by `occurs` only.
   std::vector<CallerRecord> Callers;
   /// Index in `Callers` by entry instance and request.
   std::map<std::pair<Address, RequestId>, size_t> CallerByRequest;
--- a/tests/support/cell_world_upstreams.cpp
+++ b/tests/support/cell_world_upstreams.cpp
@@ -81,14 +81,21 @@
   return OrderStatus::Accepted;
 }
 
+bool CellWorld::occurs(double Share) {
+  return Share > 0 && std::bernoulli_distribution(Share)(Random);
+}
+
 void CellWorld::sendOrder(Instance &I, const StartRun &E) {
   Address From = I.Record.Endpoint;
   UpstreamId Id = E.Upstream;
   StartAnswered Lost{Id, E.Token, E.Key, OrderStatus::Unknown, {}};
   Upstream &U = Upstreams[Id];
-  if (U.Faults.StartDelay) {
+  std::optional<Duration> Delay = U.Faults.StartDelay;
+  if (occurs(U.Faults.LateOrders))
+    Delay = LateOrderDelay;
+  if (Delay) {
     int64_t StartedAt = U.Record.StartedAt;
-    schedule(Now + *U.Faults.StartDelay, [this, Id, E, StartedAt] {
+    schedule(Now + *Delay, [this, Id, E, StartedAt] {
       // Orders are for one process of the upstream and are dropped by the next
       // one, unless that is taken for the same.
       Upstream &Target = Upstreams[Id];
@@ -112,27 +119,36 @@
   });
 }
 
+OrderStatus CellWorld::applyStop(Upstream &U, const StopRun &E) {
+  if (E.Token < U.Token)
+    return OrderStatus::Fenced;
+  U.Token = E.Token;
+  uint32_t &Last = U.LastEnded[{E.Key.Job, E.Key.Step, E.Key.Index}];
+  Last = std::max(Last, E.Key.Run);
+  schedule(Now + StopTime, [this, Id = U.Record.Id, E] {
+    endRun(Upstreams[Id], E.Key, RunEnd::Stopped);
+  });
+  return OrderStatus::Accepted;
+}
+
 void CellWorld::sendOrder(Instance &I, const StopRun &E) {
   Address From = I.Record.Endpoint;
   UpstreamId Id = E.Upstream;
-  if (!canReach(From, Upstreams[Id]) || Upstreams[Id].Faults.LosesStops) {
+  bool Late = occurs(Upstreams[Id].Faults.LateOrders);
+  if (Late)
+    schedule(Now + LateOrderDelay,
+             [this, Id, E, StartedAt = Upstreams[Id].Record.StartedAt] {
+               if (Upstreams[Id].Record.StartedAt == StartedAt)
+                 applyStop(Upstreams[Id], E);
+             });
+  if (Late || !canReach(From, Upstreams[Id]) ||
+      Upstreams[Id].Faults.LosesStops) {
     StopAnswered Lost{Id, E.Token, E.Key, OrderStatus::Unknown};
     schedule(Now + OrderLimit, [this, From, Lost] { deliver(From, Lost); });
     return;
   }
   schedule(Now + Hop, [this, From, Id, E] {
-    Upstream &U = Upstreams[Id];
-    StopAnswered Event{Id, E.Token, E.Key, OrderStatus::Accepted};
-    if (E.Token < U.Token) {
-      Event.Status = OrderStatus::Fenced;
-    } else {
-      U.Token = E.Token;
-      uint32_t &Last = U.LastEnded[{E.Key.Job, E.Key.Step, E.Key.Index}];
-      Last = std::max(Last, E.Key.Run);
-      schedule(Now + StopTime, [this, Id, E] {
-        endRun(Upstreams[Id], E.Key, RunEnd::Stopped);
-      });
-    }
+    StopAnswered Event{Id, E.Token, E.Key, applyStop(Upstreams[Id], E)};
     schedule(Now + Hop, [this, From, Event] { deliver(From, Event); });
   });
 }
@@ -172,7 +188,8 @@
   };
   schedule(Now + Duration(E.Wait) + RenewalLimit,
            [Answer] { Answer(OrderStatus::Unknown, std::nullopt); });
-  if (!canReach(From, Upstreams[Id]))
+  if (!canReach(From, Upstreams[Id]) ||
+      occurs(Upstreams[Id].Faults.LostRenewalShare))
     return;
   schedule(Now + Hop, [this, From, Id, E, Answer] {
     Upstream &U = Upstreams[Id];
