sender: a stop under way does not prove the end of its run

A report that does not list a run was taken as the proof of its end as soon as a stop had been sent, and the time of the acceptance was read though there was none. The task was started elsewhere while an unconfirmed start could still begin: callers would see two runs of one task at once.

CellLateOrders.NoRunsOverlapAndAnswersAreTrue failed before:

The other tests of cells passed with the fault. Only an accepted stop counts again.

--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -135,7 +135,7 @@
 /// doesn't list the run proves that the run has ended or will not begin.
 bool absenceProvesEnd(const SenderRun &Run, const FleetBounds &Bounds,
                       SteadyTime ReportRequested) {
-  if (Run.StopPending || Run.StopAcknowledged)
+  if (Run.StopAcknowledged)
     return *Run.StopAcknowledged + Bounds.StopTimeout < ReportRequested;
   if (Run.Phase == RunPhase::Running)
     return Run.Accepted < ReportRequested;
