--- a/tests/cell_late_orders_test.cpp
+++ b/tests/cell_late_orders_test.cpp
@@ -16,6 +16,7 @@
 struct LateOrdersRun {
   LateOrdersRun(double Orders, double Renewals) {
     std::vector<UpstreamId> Upstreams;
+    Upstreams.reserve(12);
     for (int I = 0; I < 12; ++I)
       Upstreams.push_back(World.addUpstream({"up-" + std::to_string(I)}));
     std::vector<Address> Entries{World.addInstance("a", "centre-a"),
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -104,6 +104,7 @@
 TEST(DirectorySnapshot, IsTakenFromASenderRatherThanAStandby) {
   CellWorld World;
   std::vector<UpstreamId> Upstreams;
+  Upstreams.reserve(4);
   for (int I = 0; I < 4; ++I)
     Upstreams.push_back(World.addUpstream({"up-" + std::to_string(I)}));
   World.addInstance("standby", "centre-a", 0.1);
