sender: fail a job whose task crashes its upstreams

A task may crash each upstream that starts it. Its callers waited until their deadline and submitted it again, and each start took another upstream down, with the runs of other jobs beside it.

Cause: a run that is lost with its upstream ends as aborted, which counts towards nothing, and nothing is remembered past the job.

A sender now records a crash when an upstream with runs refuses connections, when another process answers there, or when its process has started anew. A lease that expired alone is no proof: the runs are noted and suspected only if the upstream turns out to have crashed, and cleared by its next answer. All tasks on a crashed upstream are suspected, unless exactly one of them was suspected before, which then explains the crash. A suspected task is started only on an upstream without other runs, so a second crash under it can have no other cause, and its job ends as failed. Under load no upstream is idle, so one in eight at most is reserved until its runs have ended. Counts outlive the job for 30 s, bounded by 4,096 updates, and travel with the answer to the entry and with the next order. The field is left out if it is empty, since earlier versions reject unknown ones.

An upstream that crashes is not counted as failing, so no probe follows.

--- a/src/entry/entry_base.h
+++ b/src/entry/entry_base.h
@@ -3,6 +3,7 @@
 #define SNIPESHUNT_ENTRY_ENTRY_BASE_H
 
 #include "entry/entry_type.h"
+#include "sender/crash_base.h"
 
 #include <map>
 #include <set>
@@ -42,6 +43,7 @@
   /// Keys in `Jobs`, by the request of the caller and by the id of the job.
   std::unordered_map<RequestId, RequestId> ByCaller;
   std::unordered_map<JobId, RequestId> ByJob;
+  CrashHistory Crashes; ///< Reported by senders.
   EntryCounters Counts;
 };
 
--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -5,6 +5,7 @@
 #include "cells/cell_table.h"
 #include "cells/peer_func.h"
 #include "core/duration_func.h"
+#include "sender/crash_cmd.h"
 #include "sender/sender_table.h"
 
 #include <algorithm>
@@ -152,6 +153,7 @@
   J.Order.Number = Context.Cells.NextJob++;
   J.Order.Remaining = J.Deadline - Now;
   J.Order.Age = Now - J.Arrived;
+  J.Order.Crashes = crashedTasks(State.Crashes, J.Order.Id);
   auto P = Context.Cells.Peers.find(J.Sender);
   if (P != Context.Cells.Peers.end()) {
     P->second.OpenJobs.insert(J.Order.Number);
@@ -352,6 +354,8 @@
   if (It == State.Jobs.end() || It->second.Sender != Event.Sender)
     return;
   EntryJob &J = It->second;
+  if (Event.Result)
+    mergeCrashes(State.Crashes, J.Order.Id, Event.Result->Crashes, Now);
   if (!Event.Result) {
     if (Event.NothingSent) {
       forwardOrWait(State, Context, Event.Request, NoSenderRetry,
--- a/src/orders/order_type.h
+++ b/src/orders/order_type.h
@@ -119,6 +119,7 @@
   OtherProcess, ///< Another process has the upstream's address now.
   Rejected,     ///< The order is invalid, or rejected for another reason.
   NothingSent,  ///< No byte of the order has left this process.
+  Refused,      ///< As `NothingSent`: no process accepts connections there.
   Unknown,      ///< No usable answer; the order may still be carried out.
 };
 
@@ -143,6 +144,8 @@
     return "rejected";
   case OrderStatus::NothingSent:
     return "nothing_sent";
+  case OrderStatus::Refused:
+    return "refused";
   case OrderStatus::Unknown:
     return "no_answer";
   }
--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -254,6 +254,33 @@
     Reader.fail(*Problem);
 }
 
+Json::Value encodeCrashedTask(const CrashedTask &Task) {
+  Json::Value V(Json::objectValue);
+  V["index"] = Task.Index;
+  V["crashes"] = Task.Crashes;
+  return V;
+}
+
+Result<CrashedTask> decodeCrashedTask(const Json::Value &Value) {
+  ObjectReader Reader(Value, "crashed task");
+  CrashedTask Task;
+  readCount(Reader, "index", Task.Index);
+  readCount(Reader, "crashes", Task.Crashes);
+  return finishReading(Reader, Task);
+}
+
+/// Writes the list unless it is empty, so that earlier versions accept the
+/// messages about jobs without crashes.
+void writeCrashes(Json::Value &V, const std::vector<CrashedTask> &Crashes) {
+  if (!Crashes.empty())
+    V["crashes"] = encodeList(Crashes, encodeCrashedTask);
+}
+
+void readCrashes(ObjectReader &Reader, std::vector<CrashedTask> &Out) {
+  if (Reader.has("crashes"))
+    readList(Reader, "crashes", MaxListLength, Out, decodeCrashedTask);
+}
+
 } // namespace
 
 Json::Value encodePing(const PeerPing &Message) {
@@ -362,6 +389,7 @@
   V["age_ms"] = std::max<Json::Int64>(0, encodeDuration(Order.Age));
   V["spec"] = Order.Spec;
   V["step"] = encodeStep(Order.Step);
+  writeCrashes(V, Order.Crashes);
   return V;
 }
 
@@ -384,6 +412,7 @@
   readDuration(Reader, "remaining_ms", Order.Remaining);
   readDuration(Reader, "age_ms", Order.Age);
   readStep(Reader, Order.Step);
+  readCrashes(Reader, Order.Crashes);
   return finishReading(Reader, std::move(Order));
 }
 
@@ -395,6 +424,7 @@
   V["moved"] = R.Moved;
   V["leaving"] = R.Leaving;
   V["load"] = encodeLoad(R.Load);
+  writeCrashes(V, R.Crashes);
   return V;
 }
 
@@ -407,6 +437,7 @@
       .boolean("leaving", R.Leaving);
   readDuration(Reader, "retry_after_ms", R.RetryAfter);
   readSenderLoad(Reader, R.Load);
+  readCrashes(Reader, R.Crashes);
   return finishReading(Reader, std::move(R));
 }
 
--- a/src/runtime/cell_metrics.cpp
+++ b/src/runtime/cell_metrics.cpp
@@ -75,6 +75,9 @@
                     S.RunsRejected);
   Values.setCounter("runs_stuck_total", "Runs stopped because they stalled.",
                     S.RunsStalled);
+  Values.setCounter("upstream_crashes_total",
+                    "Upstreams that crashed with runs of this sender.",
+                    S.UpstreamCrashes);
   Values.setCounter("renewals_total", "Lease renewals sent.", S.Renewals);
   Values.setCounter("pings_total", "Pings sent to peers.",
                     State.Cells.Counts.PingsSent);
--- a/src/sender/forecast.cpp
+++ b/src/sender/forecast.cpp
@@ -18,13 +18,13 @@
 // of the time.
 constexpr double MinGain = 0.15;
 
+} // namespace
+
 Duration expectedRest(const SenderRun &Run, SteadyTime Now) {
   Duration Taken = Now - Run.Ordered;
   return std::max(Run.ExpectedRunTime - Taken, scaled(Taken, OverdueRestShare));
 }
 
-} // namespace
-
 SlotForecast::SlotForecast(const SenderState &State, SteadyTime Now) {
   for (const auto &[Id, U] : State.Upstreams) {
     if (!acceptsStarts(U, Now) || U.Probing)
--- a/src/sender/forecast.h
+++ b/src/sender/forecast.h
@@ -9,6 +9,9 @@
 
 namespace snipeshunt {
 
+/// Time until a run is expected to end.
+Duration expectedRest(const SenderRun &Run, SteadyTime Now);
+
 /// Expected ends of the current runs. Each frees a slot that can be reserved
 /// for one waiting task. A forecast is made anew for each placement pass.
 ///
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -2,6 +2,7 @@
 #include "sender/job_cmd.h"
 
 #include "core/duration_func.h"
+#include "sender/crash_cmd.h"
 #include "sender/estimate_func.h"
 #include "sender/sender_table.h"
 #include "sender/upstream_cmd.h"
@@ -13,8 +14,12 @@
 
 namespace {
 
-void answer(SenderState &State, const JobWaiter &Waiter, JobResult Result,
-            SteadyTime Now, InstanceEffects &Out) {
+constexpr const char *CrashReason =
+    "upstreams crashed under one of its tasks in an earlier submission";
+
+void answer(SenderState &State, const JobId &Id, const JobWaiter &Waiter,
+            JobResult Result, SteadyTime Now, InstanceEffects &Out) {
+  Result.Crashes = crashedTasks(State.Crashes, Id);
   Result.Load = senderLoad(State, Now);
   if (Result.Outcome == JobOutcome::NotRun)
     Result.RetryAfter = std::max(MinRetryAfter, Result.Load.Delay);
@@ -41,7 +46,7 @@
   Result.Moved = Moved;
   Result.Leaving = State.Draining;
   logJob(Out, Order.Id, "rejected, nothing was started: " + Result.Reason);
-  answer(State, Waiter, std::move(Result), Now, Out);
+  answer(State, Order.Id, Waiter, std::move(Result), Now, Out);
 }
 
 /// Returns true if the total capacity of an upstream covers a task of \p Order,
@@ -229,13 +234,27 @@
   logJob(Out, Order.Id, "duplicate submission attached to the unfinished job");
   JobResult Result;
   Result.Reason = "superseded by a later submission of the job";
-  answer(State, Earlier, std::move(Result), Now, Out);
+  answer(State, Order.Id, Earlier, std::move(Result), Now, Out);
+  if (applyCrashHistory(State.Crashes, J))
+    finishJob(State, Order.Id, JobOutcome::Failed, CrashReason, Now, Out);
+}
+
+/// Answers a job that can't succeed, as known from an earlier submission.
+void failJob(SenderState &State, const JobOrder &Order, const JobWaiter &Waiter,
+             SteadyTime Now, InstanceEffects &Out) {
+  ++State.Counts.JobsFailed;
+  JobResult Result;
+  Result.Outcome = JobOutcome::Failed;
+  Result.Reason = CrashReason;
+  logJob(Out, Order.Id, "not started: " + Result.Reason);
+  answer(State, Order.Id, Waiter, std::move(Result), Now, Out);
 }
 
 } // namespace
 
 void acceptJob(SenderState &State, const JobOrder &Order, JobWaiter Waiter,
                SteadyTime Now, InstanceEffects &Out) {
+  mergeCrashes(State.Crashes, Order.Id, Order.Crashes, Now);
   auto Existing = State.Jobs.find(Order.Id);
   if (Existing != State.Jobs.end())
     return joinJob(State, Existing->second, Order, Waiter, Now, Out);
@@ -248,8 +267,11 @@
     Result.Reason = "retained result of an earlier submission";
     logJob(Out, Order.Id,
            "duplicate submission answered with the retained result");
-    return answer(State, Waiter, std::move(Result), Now, Out);
+    return answer(State, Order.Id, Waiter, std::move(Result), Now, Out);
   }
+  SenderJob J = makeJob(State, Order, Waiter, Now);
+  if (applyCrashHistory(State.Crashes, J))
+    return failJob(State, Order, Waiter, Now, Out);
   if (State.Draining)
     return rejectJob(State, Order, Waiter, "sender is shutting down", true, Now,
                      Out);
@@ -257,7 +279,6 @@
     return rejectJob(State, Order, Waiter,
                      "no upstream of this sender fits its tasks", true, Now,
                      Out);
-  SenderJob J = makeJob(State, Order, Waiter, Now);
   Duration Delay = expectedDelay(State, J, Now);
   if (!endsInTime(J, Delay, Now))
     return rejectJob(
@@ -332,7 +353,7 @@
   Result.Reason = Reason;
   if (Outcome == JobOutcome::NotRun)
     Result.Moved = Result.Leaving = State.Draining;
-  answer(State, J.Waiter, std::move(Result), Now, Out);
+  answer(State, Id, J.Waiter, std::move(Result), Now, Out);
 }
 
 void abandonJob(SenderState &State, const JobWaiter &Waiter, SteadyTime Now,
--- a/src/sender/placement_cmd.cpp
+++ b/src/sender/placement_cmd.cpp
@@ -112,9 +112,112 @@
 /// State of one placement pass.
 struct PlacementPass {
   std::vector<StartableUpstream> Startable;
+  /// Upstreams that must become free of runs for a suspected task.
+  std::set<UpstreamId> Reserved;
   std::optional<SlotForecast> Forecast; ///< Made when a task first needs it.
 };
 
+/// Starts a waiting task on \p U.
+void startTask(SenderState &State, SenderJob &J, uint32_t Index,
+               SenderUpstream &U, Duration Expected, SteadyTime Now,
+               InstanceEffects &Out) {
+  SenderTask &T = J.Tasks[Index];
+  T.State = SenderTaskState::Started;
+  T.Upstream = U.Record.Id;
+  ++T.Run;
+  --J.WaitingTasks;
+  J.Started = true;
+  ++State.Counts.RunsStarted;
+  RunKey Key{J.Order.Id, 0, Index, T.Run};
+  orderStart(U, J, Key, Expected, State.Bounds, Now, Out);
+  U.Runs.at(Key).Exclusive = T.Crashes > 0;
+}
+
+/// Returns the time until an upstream is expected to have no runs.
+Duration timeUntilFree(const SenderUpstream &U, SteadyTime Now) {
+  Duration Time{0};
+  for (const auto &[Key, Run] : U.Runs)
+    Time = std::max(Time, expectedRest(Run, Now));
+  return Time;
+}
+
+/// Returns the upstream for a task that must run alone: one without runs on
+/// which it is expected to end first, or the one that becomes free of runs
+/// first. Null if no upstream fits the task.
+SenderUpstream *chooseExclusively(SenderState &State, const SenderJob &J,
+                                  const SenderTask &T,
+                                  const PlacementPass &Pass, SteadyTime Now) {
+  State.Counts.UpstreamsVisited += State.Upstreams.size();
+  SenderUpstream *Best = nullptr;
+  std::pair<Duration, double> BestCost;
+  for (auto &[Id, U] : State.Upstreams) {
+    if (!isUsable(State, U, Now) || Pass.Reserved.count(Id) ||
+        !U.Record.Capacity.covers(J.Order.Step.PerTask) ||
+        !fitsTask(U, J.Order, T))
+      continue;
+    std::pair<Duration, double> Cost{timeUntilFree(U, Now),
+                                     logRunTimeFactor(State.Learned, U)};
+    if (!Best || Cost < BestCost) {
+      Best = &U;
+      BestCost = Cost;
+    }
+  }
+  return Best;
+}
+
+/// Starts a task that is suspected of a crash on an upstream without other
+/// runs. Under load there is none, so one is reserved, on which nothing is
+/// started until its runs have ended.
+void startSuspectedTask(SenderState &State, SenderJob &J, uint32_t Index,
+                        PlacementPass &Pass, SteadyTime Now,
+                        InstanceEffects &Out) {
+  SenderTask &T = J.Tasks[Index];
+  SenderUpstream *U = chooseExclusively(State, J, T, Pass, Now);
+  if (!U && T.AvoidedUpstreams.size() + 1 >= State.Upstreams.size()) {
+    T.AvoidedUpstreams.clear();
+    U = chooseExclusively(State, J, T, Pass, Now);
+  }
+  if (!U)
+    return;
+  if (U->Runs.empty()) {
+    auto Expected = std::chrono::duration_cast<Duration>(
+        typicalRunTime(State.Learned, J.Order) *
+        std::exp(logRunTimeFactor(State.Learned, *U)));
+    startTask(State, J, Index, *U, Expected, Now, Out);
+  } else if (Pass.Reserved.size() <
+             std::max<size_t>(1,
+                              State.Upstreams.size() / UpstreamsPerReserved)) {
+    Pass.Reserved.insert(U->Record.Id);
+  }
+}
+
+/// Starts the tasks in \p Queue that are suspected of a crash, as far as
+/// upstreams are free for them, and takes those off the startable ones.
+void startSuspectedTasks(SenderState &State,
+                         const std::vector<SenderJob *> &Queue,
+                         PlacementPass &Pass, SteadyTime Now,
+                         InstanceEffects &Out) {
+  bool Any = false;
+  for (SenderJob *J : Queue) {
+    if (!J->HasSuspectedTasks)
+      continue;
+    Any = true;
+    for (uint32_t Index = 0; Index < J->Tasks.size(); ++Index)
+      if (J->Tasks[Index].State == SenderTaskState::Waiting &&
+          J->Tasks[Index].Crashes > 0)
+        startSuspectedTask(State, *J, Index, Pass, Now, Out);
+  }
+  if (!Any)
+    return;
+  auto Taken = [&](const StartableUpstream &S) {
+    return Pass.Reserved.count(S.Upstream->Record.Id) ||
+           hasExclusiveRun(*S.Upstream);
+  };
+  Pass.Startable.erase(
+      std::remove_if(Pass.Startable.begin(), Pass.Startable.end(), Taken),
+      Pass.Startable.end());
+}
+
 /// Starts the waiting tasks of one job as far as there is free capacity. A task
 /// that fits only on a slow upstream may wait for a faster one instead.
 void startJobTasks(SenderState &State, SenderJob &J, PlacementPass &Pass,
@@ -123,7 +226,7 @@
   for (uint32_t Index = 0; Index < J.Tasks.size() && J.WaitingTasks > 0;
        ++Index) {
     SenderTask &T = J.Tasks[Index];
-    if (T.State != SenderTaskState::Waiting)
+    if (T.State != SenderTaskState::Waiting || T.Crashes > 0)
       continue;
     Duration Expected{0};
     SenderUpstream *U =
@@ -145,17 +248,12 @@
       Pass.Forecast.emplace(State, Now);
     if (Pass.Forecast->reserveEarlierSlot(
             J, Expected, [&](const SenderUpstream &Other) {
-              return isUsable(State, Other, Now) && fitsTask(Other, J.Order, T);
+              return isUsable(State, Other, Now) &&
+                     !Pass.Reserved.count(Other.Record.Id) &&
+                     fitsTask(Other, J.Order, T);
             }))
       continue;
-    T.State = SenderTaskState::Started;
-    T.Upstream = U->Record.Id;
-    ++T.Run;
-    --J.WaitingTasks;
-    J.Started = true;
-    ++State.Counts.RunsStarted;
-    orderStart(*U, J, {J.Order.Id, 0, Index, T.Run}, Expected, State.Bounds,
-               Now, Out);
+    startTask(State, J, Index, *U, Expected, Now, Out);
   }
 }
 
@@ -174,9 +272,13 @@
   Pass.Startable = startableUpstreams(State, *Need, Now);
   if (Pass.Startable.empty())
     return;
+  std::vector<SenderJob *> Queue;
   for (const auto &[Rank, J] : rankedQueue(State, Now))
     if (!State.DetachedRuns.count(J->Order.Id) && MayStart(*J))
-      startJobTasks(State, *J, Pass, Now, Out);
+      Queue.push_back(J);
+  startSuspectedTasks(State, Queue, Pass, Now, Out);
+  for (SenderJob *J : Queue)
+    startJobTasks(State, *J, Pass, Now, Out);
 }
 
 } // namespace snipeshunt
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -2,9 +2,11 @@
 #ifndef SNIPESHUNT_SENDER_SENDER_BASE_H
 #define SNIPESHUNT_SENDER_SENDER_BASE_H
 
+#include "sender/crash_base.h"
 #include "sender/sender_type.h"
 #include "settings/fleet_settings_type.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <set>
@@ -37,6 +39,10 @@
   /// The upstream's process changed before the start was answered. The next one
   /// may still carry it out, and only its acceptance of the stop prevents that.
   bool ProcessChanged = false;
+  /// No other run is started on the upstream meanwhile, so that a crash can be
+  /// attributed to this one.
+  bool Exclusive = false;
+  bool CrashCounted = false; ///< A crash of the upstream was attributed.
 };
 
 /// Phase of an upstream, as its sender sees it.
@@ -89,12 +95,21 @@
   double LogSlowdown = 0; ///< Smoothed ln(observed / expected run time).
   /// Since when it is absent from the store's list; zero if it is listed.
   SteadyTime UnlistedSince{};
+  /// Runs whose lease expired while the upstream did not answer. They are
+  /// suspected if it turns out to have crashed.
+  std::vector<RunKey> LapsedRuns;
 };
 
+/// Returns true if \p U has a run beside which nothing is started.
+inline bool hasExclusiveRun(const SenderUpstream &U) {
+  return std::any_of(U.Runs.begin(), U.Runs.end(),
+                     [](const auto &E) { return E.second.Exclusive; });
+}
+
 /// Returns true if tasks may be started on \p U, regardless of free capacity.
 inline bool acceptsStarts(const SenderUpstream &U, SteadyTime Now) {
   return U.Phase == UpstreamPhase::Ready && !U.Record.Draining &&
-         Now >= U.BlockedUntil;
+         Now >= U.BlockedUntil && !hasExclusiveRun(U);
 }
 
 /// State of a task of a job.
@@ -105,6 +120,7 @@
   SenderTaskState State = SenderTaskState::Waiting;
   uint32_t Run = 0;      ///< Number of the run, from 1; 0 before any.
   uint32_t Failures = 0; ///< Runs that failed.
+  uint32_t Crashes = 0;  ///< See `CrashedTask`.
   UpstreamId Upstream;   ///< Where it was started.
   /// Upstreams where a start or a run of it did not succeed.
   std::set<UpstreamId> AvoidedUpstreams;
@@ -128,9 +144,10 @@
   JobOrder Order;
   JobWaiter Waiter;
   std::vector<SenderTask> Tasks;
-  size_t WaitingTasks = 0;    ///< Tasks that are not on an upstream.
-  size_t UnfinishedTasks = 0; ///< Tasks that have not succeeded.
-  bool Started = false;       ///< At least one task was started.
+  size_t WaitingTasks = 0;        ///< Tasks that are not on an upstream.
+  size_t UnfinishedTasks = 0;     ///< Tasks that have not succeeded.
+  bool Started = false;           ///< At least one task was started.
+  bool HasSuspectedTasks = false; ///< `SenderTask::Crashes` of one is set.
   /// It was not expected to meet its objective when it was admitted. It ranks
   /// behind the jobs that can, until it has started.
   bool AdmittedLate = false;
@@ -177,10 +194,11 @@
   uint64_t RunsStarted = 0;
   uint64_t RunsDone = 0;
   uint64_t RunsFailed = 0;
-  uint64_t RunsRejected = 0; ///< Starts that were rejected or not answered.
-  uint64_t RunsStopped = 0;  ///< Stops that were accepted.
-  uint64_t RunsStalled = 0;  ///< Runs stopped for lack of progress.
-  uint64_t Renewals = 0;     ///< Renewal calls sent.
+  uint64_t RunsRejected = 0;    ///< Starts that were rejected or not answered.
+  uint64_t RunsStopped = 0;     ///< Stops that were accepted.
+  uint64_t RunsStalled = 0;     ///< Runs stopped for lack of progress.
+  uint64_t UpstreamCrashes = 0; ///< Crashes of upstreams with runs.
+  uint64_t Renewals = 0;        ///< Renewal calls sent.
   /// Upstreams looked at by placement, as a measure of its cost.
   uint64_t UpstreamsVisited = 0;
 };
@@ -223,6 +241,7 @@
   std::unordered_map<JobId, RetainedResult> RetainedResults;
   /// Retained results by end of the job, oldest first.
   std::deque<std::pair<SteadyTime, JobId>> RetainedResultOrder;
+  CrashHistory Crashes;
   LearnedTimes Learned;
   SenderCounters Counts;
 };
--- a/src/sender/sender_table.h
+++ b/src/sender/sender_table.h
@@ -54,6 +54,12 @@
 /// A run time that differs from the expected one by this factor is attributed
 /// to the upstream, not to its queue or kind; run times vary by about 40 %.
 constexpr double SlowFactor = 3.0;
+/// Crashes under a task after which its job fails. The task is alone on its
+/// upstream from the second on, so no other task can have caused both.
+constexpr uint32_t MaxCrashes = 2;
+/// Part of the upstreams that may be kept free of other runs for suspected
+/// tasks at a time, one in this number. The rest serve the other jobs.
+constexpr size_t UpstreamsPerReserved = 8;
 /// An unlisted upstream is removed after this time. Records that expired during
 /// an outage of the store are back within 2 s.
 constexpr Duration UnlistedTimeout = std::chrono::milliseconds(2500);
--- a/src/sender/sender_type.h
+++ b/src/sender/sender_type.h
@@ -26,6 +26,16 @@
   uint32_t MaxPerUpstream = 0; ///< Limit of tasks on one upstream; 0 for none.
 };
 
+/// Crashes of upstreams under a task.
+struct CrashedTask {
+  uint32_t Index = 0;   ///< Task of the step, from 0.
+  uint32_t Crashes = 0; ///< Crashes for which it is suspected.
+
+  friend bool operator==(const CrashedTask &L, const CrashedTask &R) {
+    return L.Index == R.Index && L.Crashes == R.Crashes;
+  }
+};
+
 /// A job that an entry instance hands to a sender.
 struct JobOrder {
   JobId Id;
@@ -42,12 +52,13 @@
   Duration Age{0};          ///< Time since the entry received the request.
   std::string Spec;         ///< Passed to the upstreams as it is.
   StepDemand Step;
+  std::vector<CrashedTask> Crashes; ///< Known from earlier submissions.
 };
 
 /// How a job ended.
 enum class JobOutcome {
   Done,   ///< All tasks succeeded.
-  Failed, ///< A task failed `MaxAttempts` times.
+  Failed, ///< A task failed `MaxAttempts` times, or crashes its upstreams.
   NotRun, ///< Nothing was started.
   Lost,   ///< It was abandoned; tasks may have run.
 };
@@ -75,6 +86,7 @@
   bool Moved = false;     ///< The entry should try another sender at once.
   bool Leaving = false;   ///< This sender is shutting down.
   SenderLoad Load;        ///< Of the sender, at the time of the answer.
+  std::vector<CrashedTask> Crashes; ///< Known of the job's tasks.
 };
 
 // Effects.
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -1,6 +1,7 @@
 /// \file State changes of a sender's upstreams and their runs.
 #include "sender/upstream_cmd.h"
 
+#include "sender/crash_cmd.h"
 #include "sender/estimate_func.h"
 #include "sender/job_cmd.h"
 #include "sender/sender_table.h"
@@ -65,41 +66,20 @@
   applyRunOutcome(State, U.Record.Id, Key, Outcome, Now, Out);
 }
 
-/// Ends all runs on \p U as aborted.
+/// Ends all runs on \p U as aborted, since their leases have expired.
 void abortAllRuns(SenderState &State, SenderUpstream &U, SteadyTime Now,
                   InstanceEffects &Out) {
+  U.LapsedRuns.clear();
   std::vector<RunKey> Keys;
-  for (const auto &[Key, Run] : U.Runs)
+  for (const auto &[Key, Run] : U.Runs) {
     Keys.push_back(Key);
+    if (Run.Phase != RunPhase::Starting && !Run.CrashCounted)
+      U.LapsedRuns.push_back(Key);
+  }
   for (const RunKey &Key : Keys)
     finishRun(State, U, Key, RunOutcome::Aborted, Now, Out);
 }
 
-/// Pauses starts on an unhealthy upstream, longer each time, and then limits it
-/// to one run at a time until one succeeds.
-void beginProbing(SenderUpstream &U, const char *Why, SteadyTime Now,
-                  InstanceEffects &Out) {
-  U.ProbeDelay =
-      U.Probing ? std::min(U.ProbeDelay * 2, MaxProbePause) : ProbePause;
-  U.Probing = true;
-  U.BlockedUntil = Now + U.ProbeDelay;
-  logUpstream(Out, U,
-              std::string("is unhealthy and limited to one run at a time: ") +
-                  Why + " failures=" + std::to_string(U.Failures) +
-                  " pause_ms=" + std::to_string(toMilliseconds(U.ProbeDelay)));
-}
-
-/// Counts a failure, and starts probing after repeated ones.
-void recordFailure(SenderUpstream &U, const JobId &Job, SteadyTime Now,
-                   InstanceEffects &Out) {
-  // Failures of one job count once: its tasks may fail on any upstream.
-  if (U.LastFailedJob == Job && U.Failures > 0)
-    return;
-  U.LastFailedJob = Job;
-  if (++U.Failures >= FailuresBeforeProbe || U.Probing)
-    beginProbing(U, "starts or runs failed", Now, Out);
-}
-
 /// Applies a reported end to the run and, for a run that succeeded or failed,
 /// to the health of its upstream.
 void applyEndReport(SenderState &State, SenderUpstream &U, const EndReport &End,
@@ -218,6 +198,14 @@
   U.NextRenewal = U.Runs.empty() ? Now + Pause : Now + RetryDelay / 3;
 }
 
+/// Records a crash if the answer to an order shows that the process of \p U has
+/// ended.
+void checkProcess(SenderState &State, SenderUpstream &U, OrderStatus Status,
+                  SteadyTime Now, InstanceEffects &Out) {
+  if (Status == OrderStatus::Refused || Status == OrderStatus::OtherProcess)
+    recordCrash(State, U, Now, Out);
+}
+
 /// Marks \p U as fenced off and reports its cell.
 void recordFencing(SenderUpstream &U, std::optional<CellId> &FencedCell) {
   FencedCell = U.Cell;
@@ -375,6 +363,7 @@
   SenderUpstream *U = findUpstream(State, Event.Upstream, Event.Token);
   if (!U)
     return;
+  checkProcess(State, *U, Event.Status, Now, Out);
   auto It = U->Runs.find(Event.Key);
   if (It == U->Runs.end())
     return;
@@ -414,6 +403,7 @@
     U->BlockedUntil = std::max(U->BlockedUntil, Now + FullUpstreamPause);
     break;
   case OrderStatus::NothingSent:
+  case OrderStatus::Refused:
     recordNoAnswer(State, *U, true, Now, Out);
     break;
   case OrderStatus::OtherProcess:
@@ -449,6 +439,7 @@
   if (Event.Status == OrderStatus::Fenced) {
     recordFencing(*U, FencedCell);
   }
+  checkProcess(State, *U, Event.Status, Now, Out);
   auto It = U->Runs.find(Event.Key);
   if (It == U->Runs.end())
     return;
@@ -477,16 +468,23 @@
     return;
   }
   if (Event.Status != OrderStatus::Accepted || !Event.Report) {
-    recordNoAnswer(State, *U, Event.Status == OrderStatus::NothingSent, Now,
-                   Out);
+    checkProcess(State, *U, Event.Status, Now, Out);
+    recordNoAnswer(State, *U,
+                   Event.Status == OrderStatus::NothingSent ||
+                       Event.Status == OrderStatus::Refused,
+                   Now, Out);
     if (Event.Status == OrderStatus::OtherProcess)
       U->Phase = UpstreamPhase::Unresponsive;
     return;
   }
   const UpstreamReport &Report = *Event.Report;
   if (U->StartedAt != 0 && Report.StartedAt != 0 &&
-      Report.StartedAt != U->StartedAt)
+      Report.StartedAt != U->StartedAt) {
+    recordCrash(State, *U, Now, Out);
     resetIncarnation(*U, Report.StartedAt, Out);
+  }
+  // The process has survived the runs whose leases expired.
+  U->LapsedRuns.clear();
   if (Report.StartedAt != 0)
     U->StartedAt = Report.StartedAt;
   updateClockOffset(*U, Report.ClockMs, Now);
--- a/src/sender/upstream_cmd.h
+++ b/src/sender/upstream_cmd.h
@@ -72,6 +72,11 @@
 /// Marks an upstream as healthy.
 void recordSuccess(SenderUpstream &U);
 
+/// Counts a failure of a run or a start on \p U, and starts probing after
+/// repeated ones.
+void recordFailure(SenderUpstream &U, const JobId &Job, SteadyTime Now,
+                   InstanceEffects &Out);
+
 /// Schedules a read of the upstream's lists, before which nothing is started.
 void beginSync(SenderUpstream &U, SteadyTime Now);
 
--- a/src/sender/upstream_list_cmd.cpp
+++ b/src/sender/upstream_list_cmd.cpp
@@ -1,10 +1,29 @@
 /// \file Applying the list of upstreams, and releasing a cell.
+#include "sender/crash_cmd.h"
 #include "sender/job_cmd.h"
 #include "sender/sender_table.h"
 #include "sender/upstream_cmd.h"
 
 namespace snipeshunt {
 
+namespace {
+
+/// Pauses starts on an unhealthy upstream, longer each time, and then limits it
+/// to one run at a time until one succeeds.
+void beginProbing(SenderUpstream &U, const char *Why, SteadyTime Now,
+                  InstanceEffects &Out) {
+  U.ProbeDelay =
+      U.Probing ? std::min(U.ProbeDelay * 2, MaxProbePause) : ProbePause;
+  U.Probing = true;
+  U.BlockedUntil = Now + U.ProbeDelay;
+  logUpstream(Out, U,
+              std::string("is unhealthy and limited to one run at a time: ") +
+                  Why + " failures=" + std::to_string(U.Failures) +
+                  " pause_ms=" + std::to_string(toMilliseconds(U.ProbeDelay)));
+}
+
+} // namespace
+
 void logUpstream(InstanceEffects &Out, const SenderUpstream &U,
                  std::string Message) {
   Out.push_back(
@@ -24,6 +43,16 @@
   U.BlockedUntil = {};
 }
 
+void recordFailure(SenderUpstream &U, const JobId &Job, SteadyTime Now,
+                   InstanceEffects &Out) {
+  // Failures of one job count once: its tasks may fail on any upstream.
+  if (U.LastFailedJob == Job && U.Failures > 0)
+    return;
+  U.LastFailedJob = Job;
+  if (++U.Failures >= FailuresBeforeProbe || U.Probing)
+    beginProbing(U, "starts or runs failed", Now, Out);
+}
+
 void beginSync(SenderUpstream &U, SteadyTime Now) {
   U.Phase = UpstreamPhase::Syncing;
   U.NextRenewal = Now;
@@ -87,6 +116,7 @@
                       Record.StartedAt > U.StartedAt;
     if (NewProcess || (Record.Endpoint != U.Record.Endpoint &&
                        Record.StartedAt >= U.StartedAt)) {
+      recordCrash(State, U, Now, Out);
       U.Record = Record;
       resetIncarnation(U, Record.StartedAt, Out);
       U.RenewalPending = false;
--- a/tests/cell_codec_test.cpp
+++ b/tests/cell_codec_test.cpp
@@ -100,6 +100,7 @@
   In.Age = milliseconds(20);
   In.Spec = "spec";
   In.Step = {8, {14000, 64, 1}, milliseconds(51), "r1-1", "b", 2};
+  In.Crashes = {{2, 1}, {5, 2}};
   JobOrder Out = decoded(decodeJobOrder(encodeJobOrder(In)));
   EXPECT_EQ(Out.Id, In.Id);
   EXPECT_EQ(Out.Entry, In.Entry);
@@ -122,12 +123,13 @@
   EXPECT_EQ(Out.Step.Rack, In.Step.Rack);
   EXPECT_EQ(Out.Step.Requirement, In.Step.Requirement);
   EXPECT_EQ(Out.Step.MaxPerUpstream, In.Step.MaxPerUpstream);
+  EXPECT_EQ(Out.Crashes, In.Crashes);
 }
 
 // As above, for the results of forwarded jobs.
 TEST(CellCodecTest, ResultKeepsItsFields) {
   JobResult In{JobOutcome::NotRun, "reason", milliseconds(1200), true, true,
-               someLoad()};
+               someLoad(),         {{2, 1}}};
   JobResult Out = decoded(decodeJobResult(encodeJobResult(In)));
   EXPECT_EQ(Out.Outcome, In.Outcome);
   EXPECT_EQ(Out.Reason, In.Reason);
@@ -135,4 +137,12 @@
   EXPECT_EQ(Out.Moved, In.Moved);
   EXPECT_EQ(Out.Leaving, In.Leaving);
   expectSame(Out.Load, In.Load);
+  EXPECT_EQ(Out.Crashes, In.Crashes);
+}
+
+// Guards against messages that earlier versions reject for an unknown field:
+// they are sent to them while a fleet is upgraded.
+TEST(CellCodecTest, CrashesAreLeftOutIfThereAreNone) {
+  EXPECT_FALSE(encodeJobOrder({}).isMember("crashes"));
+  EXPECT_FALSE(encodeJobResult({}).isMember("crashes"));
 }
--- /dev/null
+++ b/tests/cell_crash_test.cpp
@@ -0,0 +1,198 @@
+/// \file Tasks that crash the upstreams on which they run, on a fake clock.
+#include "sender/crash_cmd.h"
+#include "sender/sender_table.h"
+#include "support/cell_world.h"
+
+#include <gtest/gtest.h>
+
+using namespace snipeshunt;
+using namespace snipeshunt::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Three instances and six upstreams of one data centre; "strong" is the
+/// sender.
+class CellCrashTest : public ::testing::Test {
+protected:
+  void SetUp() override {
+    for (int I = 1; I <= 6; ++I)
+      Upstreams.push_back(World.addUpstream({"up-" + std::to_string(I)}));
+    Strong = World.addInstance("strong", "centre-a", 0.6);
+    First = World.addInstance("first", "centre-a", 0.2);
+    Second = World.addInstance("second", "centre-a", 0.2);
+    World.run(seconds(2));
+  }
+
+  bool ended(size_t Caller, AnswerStatus Status) const {
+    const auto &Answer = World.caller(Caller).Answer;
+    return Answer && Answer->Status == Status;
+  }
+  Duration waited(size_t Caller) const {
+    return World.caller(Caller).Answered - World.caller(Caller).Sent;
+  }
+  size_t runsOf(const std::string &Job, uint32_t Index) const {
+    size_t Count = 0;
+    for (const RunRecord &R : World.runs())
+      Count += R.Key.Job.Value == Job && R.Key.Index == Index ? 1 : 0;
+    return Count;
+  }
+  /// Upstreams on which \p Job was started.
+  std::set<UpstreamId> upstreamsOf(const std::string &Job) const {
+    std::set<UpstreamId> Found;
+    for (const RunRecord &R : World.runs())
+      if (R.Key.Job.Value == Job)
+        Found.insert(R.Upstream);
+    return Found;
+  }
+  void expectNoOverlap() const {
+    std::vector<std::string> Found = World.overlappingRuns();
+    EXPECT_TRUE(Found.empty()) << Found.front();
+  }
+
+  CellWorld World;
+  Address Strong, First, Second;
+  std::vector<UpstreamId> Upstreams;
+};
+
+} // namespace
+
+// Guards against a task that crashes upstream after upstream until the deadline
+// of its caller.
+TEST_F(CellCrashTest, JobFailsAfterTwoCrashesUnderATask) {
+  World.setCrashing("a", 0);
+  size_t A = World.submit(First, "a", 1, milliseconds(100), seconds(5));
+  World.run(seconds(6));
+  EXPECT_TRUE(ended(A, AnswerStatus::Failed));
+  EXPECT_LT(waited(A), seconds(2));
+  EXPECT_EQ(runsOf("a", 0), 2U);
+  EXPECT_EQ(World.crashes(), 2U);
+}
+
+// Guards against blame on the tasks that ran beside the one that crashed their
+// upstream, of the same job and of others.
+TEST_F(CellCrashTest, TasksBesideTheCrashingOneSucceed) {
+  World.setCrashing("a", 3);
+  size_t A = World.submit(First, "a", 8, milliseconds(100), seconds(5));
+  std::vector<size_t> Others;
+  Others.reserve(4);
+  for (int I = 0; I < 4; ++I)
+    Others.push_back(World.submit(First, "other-" + std::to_string(I), 1,
+                                  milliseconds(300), seconds(5)));
+  World.run(seconds(6));
+  EXPECT_TRUE(ended(A, AnswerStatus::Failed));
+  EXPECT_EQ(runsOf("a", 3), 2U);
+  EXPECT_EQ(World.crashes(), 2U);
+  for (size_t J : Others)
+    EXPECT_TRUE(ended(J, AnswerStatus::Done)) << J;
+  expectNoOverlap();
+}
+
+// Guards against a second crash that takes other runs with it, and against a
+// suspected task that waits forever while all upstreams are busy.
+TEST_F(CellCrashTest, SuspectedTaskIsStartedAloneUnderLoad) {
+  World.setCrashing("a", 0);
+  size_t A = World.submit(First, "a", 1, milliseconds(100), seconds(5));
+  for (int I = 0; I < 800; ++I) {
+    World.submit(First, "load-" + std::to_string(I), 1, milliseconds(100));
+    World.run(milliseconds(7));
+  }
+  EXPECT_TRUE(ended(A, AnswerStatus::Failed));
+  EXPECT_LT(waited(A), seconds(3));
+  EXPECT_EQ(World.crashes(), 2U);
+  ASSERT_EQ(runsOf("a", 0), 2U);
+  const RunRecord *Last = nullptr;
+  for (const RunRecord &R : World.runs())
+    if (R.Key.Job.Value == "a")
+      Last = &R;
+  for (const RunRecord &R : World.runs())
+    if (&R != Last && R.Upstream == Last->Upstream) {
+      EXPECT_TRUE(R.Ended <= Last->Started || R.Started >= Last->Ended)
+          << runText(R.Key);
+    }
+}
+
+// Guards against crashes that are forgotten when a job is lost and its caller
+// submits it again at another instance.
+TEST_F(CellCrashTest, CrashesCountOverSubmissions) {
+  World.setCrashing("a", 0);
+  size_t A = World.submit(First, "a", 1, milliseconds(100), milliseconds(900));
+  World.run(CallerRetryPause + milliseconds(900));
+  EXPECT_TRUE(ended(A, AnswerStatus::Expired));
+  size_t Again = World.submit(Second, "a", 1, milliseconds(100), seconds(5));
+  World.run(seconds(1));
+  EXPECT_TRUE(ended(Again, AnswerStatus::Failed));
+  EXPECT_EQ(World.crashes(), 2U);
+  size_t Third = World.submit(First, "a", 1, milliseconds(100), seconds(5));
+  World.run(milliseconds(50));
+  EXPECT_TRUE(ended(Third, AnswerStatus::Failed));
+  // The result is no longer retained.
+  World.run(ResultRetention + seconds(1));
+  size_t Fourth = World.submit(Second, "a", 1, milliseconds(100), seconds(5));
+  World.run(seconds(1));
+  EXPECT_TRUE(ended(Fourth, AnswerStatus::Failed));
+  EXPECT_EQ(World.crashes(), 2U);
+}
+
+// Guards against crashes that are forgotten with the sender.
+TEST_F(CellCrashTest, EntryPassesCrashesToTheNextSender) {
+  World.setCrashing("a", 0);
+  size_t A = World.submit(First, "a", 1, milliseconds(100), milliseconds(900));
+  World.run(milliseconds(1200));
+  EXPECT_TRUE(ended(A, AnswerStatus::Expired));
+  World.kill(Strong);
+  World.run(seconds(2));
+  size_t Again = World.submit(First, "a", 1, milliseconds(100), seconds(5));
+  World.run(seconds(2));
+  EXPECT_TRUE(ended(Again, AnswerStatus::Failed));
+  EXPECT_EQ(World.crashes(), 2U);
+}
+
+// Guards against a crash that is missed because the upstream is silent until it
+// is back.
+TEST_F(CellCrashTest, CrashWithoutRefusedConnectionsCountsOnceItIsBack) {
+  World.submit(First, "a", 1, milliseconds(4000), seconds(8));
+  World.run(milliseconds(100));
+  ASSERT_EQ(upstreamsOf("a").size(), 1U);
+  UpstreamId Lost = *upstreamsOf("a").begin();
+  World.faults(Lost).Unreachable = true;
+  World.run(milliseconds(1500));
+  EXPECT_EQ(crashesOf(World.state(Strong).Sender.Crashes, {"a"}, 0), 0U);
+  World.restartUpstream(Lost);
+  World.faults(Lost).Unreachable = false;
+  World.run(seconds(3));
+  EXPECT_EQ(crashesOf(World.state(Strong).Sender.Crashes, {"a"}, 0), 1U);
+}
+
+// Guards against blame on a task whose upstream was only cut off, or whose
+// sender paused.
+TEST_F(CellCrashTest, LapsedLeasesAreNoCrashes) {
+  size_t A = World.submit(First, "a", 4, milliseconds(1500), seconds(9));
+  World.run(milliseconds(100));
+  for (const UpstreamId &U : upstreamsOf("a"))
+    World.faults(U).Unreachable = true;
+  World.run(seconds(2));
+  for (const UpstreamId &U : Upstreams)
+    World.faults(U).Unreachable = false;
+  World.freeze(Strong);
+  World.run(milliseconds(700));
+  World.thaw(Strong);
+  World.run(seconds(5));
+  EXPECT_TRUE(ended(A, AnswerStatus::Done));
+  EXPECT_TRUE(World.state(Strong).Sender.Crashes.Jobs.empty());
+}
+
+// Guards against a record of crashes that grows without limit.
+TEST(CrashHistoryTest, SizeAndAgeAreLimited) {
+  CrashHistory History;
+  SteadyTime Now(std::chrono::hours(1));
+  for (int I = 0; I < 20000; ++I)
+    mergeCrashes(History, {"job-" + std::to_string(I)}, {{0, 1}}, Now);
+  EXPECT_LE(History.Jobs.size(), 4096U);
+  EXPECT_LE(History.Order.size(), 4096U);
+  EXPECT_EQ(crashesOf(History, {"job-19999"}, 0), 1U);
+  EXPECT_EQ(crashesOf(History, {"job-0"}, 0), 0U);
+  mergeCrashes(History, {"late"}, {{0, 1}}, Now + std::chrono::minutes(2));
+  EXPECT_EQ(History.Jobs.size(), 1U);
+}
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -102,4 +102,15 @@
   EXPECT_GE(R.MaxAttempts, 1U);
 }
 
+// Guards against a cut, which only times out, that is taken for the end of an
+// upstream's process.
+TEST(PlatformCodecTest, OnlyARefusedConnectionIsReportedAsRefused) {
+  HttpFailure Failure;
+  EXPECT_EQ(decodeOrderStatus(Failure), OrderStatus::Unknown);
+  Failure.NothingSent = true;
+  EXPECT_EQ(decodeOrderStatus(Failure), OrderStatus::NothingSent);
+  Failure.ConnectionRefused = true;
+  EXPECT_EQ(decodeOrderStatus(Failure), OrderStatus::Refused);
+}
+
 } // namespace snipeshunt::platform
--- a/tests/support/cell_world.cpp
+++ b/tests/support/cell_world.cpp
@@ -94,8 +94,7 @@
   return Id;
 }
 
-void CellWorld::restartUpstream(const UpstreamId &Id) {
-  Upstream &U = Upstreams[Id];
+void CellWorld::endProcess(Upstream &U) {
   std::vector<RunKey> Keys;
   for (const auto &[Key, R] : U.Running)
     Keys.push_back(Key);
@@ -106,10 +105,28 @@
   U.Token = {};
   U.LeaseEndMs = 0;
   U.LastEnded.clear();
+}
+
+void CellWorld::restartUpstream(const UpstreamId &Id) {
+  Upstream &U = Upstreams[Id];
+  endProcess(U);
   U.ClockStart = Now;
   ++U.Record.StartedAt;
 }
 
+void CellWorld::crashUpstream(const UpstreamId &Id, Duration DownTime) {
+  Upstream &U = Upstreams[Id];
+  if (U.Faults.Down)
+    return;
+  ++Crashes;
+  U.Faults.Down = true;
+  endProcess(U);
+  schedule(Now + DownTime, [this, Id] {
+    restartUpstream(Id);
+    Upstreams[Id].Faults.Down = false;
+  });
+}
+
 void CellWorld::run(Duration Time) {
   SteadyTime End = Now + Time;
   while (!Events.empty() && Events.begin()->first <= End) {
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -23,6 +23,7 @@
 /// Faults of a simulated upstream.
 struct UpstreamFaults {
   bool Unreachable = false; ///< No message passes in either direction.
+  bool Down = false;        ///< No process runs; connections are refused.
   bool Stalls = false;      ///< Runs make no progress.
   bool FailsAll = false;    ///< Runs end as failed at once.
   int LostRenewals = 0;     ///< Number of renewals that get no answer.
@@ -123,6 +124,16 @@
   void setDraining(const UpstreamId &Id) { Upstreams[Id].Draining = true; }
   /// Replaces the upstream's process by a new one under the same id.
   void restartUpstream(const UpstreamId &Id);
+  /// Ends the upstream's process. Another one starts under the same id after
+  /// \p DownTime.
+  void crashUpstream(const UpstreamId &Id, Duration DownTime);
+  /// Each run of the task crashes its upstream after \p RunTime.
+  void setCrashing(const std::string &Job, uint32_t Index,
+                   Duration RunTime = std::chrono::milliseconds(10)) {
+    CrashingTasks[{{Job}, Index}] = RunTime;
+  }
+  /// Returns how often upstreams have crashed.
+  size_t crashes() const { return Crashes; }
   void setConfiguration(FleetConfiguration To) {
     Configuration = std::move(To);
   }
@@ -220,6 +231,8 @@
   OrderStatus applyStop(Upstream &U, const StopRun &E);
   /// Returns true in the given share of the calls.
   bool occurs(double Share);
+  /// Ends the upstream's runs with its process.
+  void endProcess(Upstream &U);
   void endRun(Upstream &U, const RunKey &Key, RunEnd Outcome);
   /// Ends the runs that are complete or whose lease has lapsed.
   void advanceUpstreams();
@@ -234,6 +247,9 @@
   /// Index in `Callers` by entry instance and request.
   std::map<std::pair<Address, RequestId>, size_t> CallerByRequest;
   std::map<JobId, Duration> TaskTimes; ///< Run time at speed 1.
+  /// Tasks that crash their upstreams, by job and index; see `setCrashing`.
+  std::map<std::pair<JobId, uint32_t>, Duration> CrashingTasks;
+  size_t Crashes = 0;
   std::vector<RunRecord> Runs;
   std::set<Address> CutGroup; ///< Cut off from all other addresses.
   /// Messages from the first address to the second one are lost.
--- a/tests/support/cell_world_upstreams.cpp
+++ b/tests/support/cell_world_upstreams.cpp
@@ -14,6 +14,8 @@
 constexpr Duration RenewalLimit = RenewalSlack;
 constexpr Duration StopTime = std::chrono::milliseconds(20);
 constexpr int64_t MaxLeaseMs = 1000;
+// Time after which a crashed upstream is back.
+constexpr Duration CrashDownTime = std::chrono::seconds(3);
 
 } // namespace
 
@@ -74,6 +76,13 @@
   R.Record = Runs.size();
   Runs.push_back({E.Key, U.Record.Id, Now, SteadyTime::max(), false});
   U.Running[E.Key] = R;
+  auto Crash = CrashingTasks.find({E.Key.Job, E.Key.Index});
+  if (Crash != CrashingTasks.end())
+    schedule(Now + Crash->second,
+             [this, Id = U.Record.Id, StartedAt = U.Record.StartedAt] {
+               if (Upstreams[Id].Record.StartedAt == StartedAt)
+                 crashUpstream(Id, CrashDownTime);
+             });
   // `advanceUpstreams` runs with each event; these are for the end of the run
   // and of the lease.
   schedule(Now + R.Work, [] {});
@@ -112,14 +121,19 @@
   }
   schedule(Now + Hop, [this, From, Id, E] {
     Upstream &Target = Upstreams[Id];
-    StartAnswered Event{Id, E.Token, E.Key, applyStart(Target, E),
-                        clockOf(Target)};
+    StartAnswered Event{Id, E.Token, E.Key, OrderStatus::Refused, {}};
+    if (!Target.Faults.Down) {
+      Event.Status = applyStart(Target, E);
+      Event.ClockMs = clockOf(Target);
+    }
     if (canReach(From, Target))
       schedule(Now + Hop, [this, From, Event] { deliver(From, Event); });
   });
 }
 
 OrderStatus CellWorld::applyStop(Upstream &U, const StopRun &E) {
+  if (U.Faults.Down)
+    return OrderStatus::Refused;
   if (E.Token < U.Token)
     return OrderStatus::Fenced;
   U.Token = E.Token;
@@ -193,6 +207,11 @@
     return;
   schedule(Now + Hop, [this, From, Id, E, Answer] {
     Upstream &U = Upstreams[Id];
+    if (U.Faults.Down) {
+      schedule(Now + Hop,
+               [Answer] { Answer(OrderStatus::Refused, std::nullopt); });
+      return;
+    }
     if (E.Token < U.Token) {
       schedule(Now + Hop,
                [Answer] { Answer(OrderStatus::Fenced, std::nullopt); });
@@ -211,10 +230,16 @@
       --U.Faults.LostRenewals;
       return;
     }
-    auto Reply = [this, From, Id, E, Answer] {
+    int64_t StartedAt = U.Record.StartedAt;
+    auto Reply = [this, From, Id, E, Answer, StartedAt] {
       Upstream &Target = Upstreams[Id];
       if (!canReach(From, Target))
         return;
+      if (Target.Faults.Down || Target.Record.StartedAt != StartedAt) {
+        // The process ended, and its connections broke.
+        Answer(OrderStatus::Unknown, std::nullopt);
+        return;
+      }
       UpstreamReport R = report(Target, E);
       schedule(Now + Hop, [Answer, R] { Answer(OrderStatus::Accepted, R); });
     };
