sender: take the capacity of an upstream's new process

Seen: an upstream whose process was replaced under the same id by one of another kind kept the free capacity of the earlier process.

Cause: applyUpstreams replaced the record before it computed the change of capacity when the list showed the new process first, so the change was 0. It computes the change first now.

Evidence: before, CellCapacityTest.RestartedUpstreamHasTheCapacityOfItsRecord failed: World.overloads().size() Which is: 59 (expected 0) The test of an upstream that shrinks while it runs passed before and after; it pins that a sender's starts follow the record within one read period.

--- a/src/sender/upstream_list_cmd.cpp
+++ b/src/sender/upstream_list_cmd.cpp
@@ -112,6 +112,7 @@
       U.RenewalPending = false;
       beginSync(U, Now);
     }
+    Resources CapacityChange = Record.Capacity - U.Record.Capacity;
     bool NewProcess = Record.StartedAt != 0 && U.StartedAt != 0 &&
                       Record.StartedAt > U.StartedAt;
     if (NewProcess || (Record.Endpoint != U.Record.Endpoint &&
@@ -124,7 +125,6 @@
     }
     if (Record.Draining && !U.Record.Draining)
       logUpstream(Out, U, "is draining, no further starts");
-    Resources CapacityChange = Record.Capacity - U.Record.Capacity;
     U.Free += CapacityChange;
     U.Record = Record;
     if (CapacityChange.CpuMillis > 0)
--- a/tests/support/cell_world.cpp
+++ b/tests/support/cell_world.cpp
@@ -170,6 +170,7 @@
   RequestId Request{Number + 1};
   CallerByRequest[{Entry, Request}] = Number;
   TaskTimes[{Job}] = TaskTime;
+  TaskCpu[{Job}] = CpuMillis;
   JobSubmitted Event;
   Event.Request = Request;
   Event.Queue = Configuration.Routes.front();
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -124,6 +124,12 @@
   void setDraining(const UpstreamId &Id) { Upstreams[Id].Draining = true; }
   /// Replaces the upstream's process by a new one under the same id.
   void restartUpstream(const UpstreamId &Id);
+  /// Sets the processors of an upstream, in thousandths of a core.
+  void setCapacity(const UpstreamId &Id, int64_t CpuMillis) {
+    Upstreams[Id].Record.Capacity.CpuMillis = CpuMillis;
+  }
+  /// Starts that brought an upstream over its capacity.
+  const std::vector<RunRecord> &overloads() const { return Overloads; }
   /// Ends the upstream's process. Another one starts under the same id after
   /// \p DownTime.
   void crashUpstream(const UpstreamId &Id, Duration DownTime);
@@ -247,6 +253,8 @@
   /// Index in `Callers` by entry instance and request.
   std::map<std::pair<Address, RequestId>, size_t> CallerByRequest;
   std::map<JobId, Duration> TaskTimes; ///< Run time at speed 1.
+  std::map<JobId, int64_t> TaskCpu;    ///< Processors that a task needs.
+  std::vector<RunRecord> Overloads;    ///< See `overloads`.
   /// Tasks that crash their upstreams, by job and index; see `setCrashing`.
   std::map<std::pair<JobId, uint32_t>, Duration> CrashingTasks;
   size_t Crashes = 0;
--- a/tests/support/cell_world_upstreams.cpp
+++ b/tests/support/cell_world_upstreams.cpp
@@ -76,6 +76,11 @@
   R.Record = Runs.size();
   Runs.push_back({E.Key, U.Record.Id, Now, SteadyTime::max(), false});
   U.Running[E.Key] = R;
+  int64_t UsedCpu = 0;
+  for (const auto &[Key, Other] : U.Running)
+    UsedCpu += TaskCpu[Key.Job];
+  if (UsedCpu > U.Record.Capacity.CpuMillis)
+    Overloads.push_back(Runs.back());
   auto Crash = CrashingTasks.find({E.Key.Job, E.Key.Index});
   if (Crash != CrashingTasks.end())
     schedule(Now + Crash->second,
