sender: start nothing by the record of an earlier process

Seen: after an upstream was restarted under the same id by a process of a smaller kind, starts brought it over its capacity for up to a second (rule LIMIT where upstreams don't guard their capacity).

Cause: the answer to a renewal shows the new process before its record is read, and contains no capacity, so tasks were placed by the capacity of the earlier process. An upstream now gets no starts until the record that was read is that of the process that answers. Records without a time of start are used as before.

Evidence: before, CellCapacityTest.RestartedUpstreamIsNotOverloaded failed: World.overloads().size() Which is: 28 (expected 0)

--- a/src/sender/placement_cmd.cpp
+++ b/src/sender/placement_cmd.cpp
@@ -20,12 +20,21 @@
 // large tasks still find room elsewhere.
 constexpr double SimilarityFactor = 1.15;
 
+/// Returns true if the record of the upstream is that of its present process,
+/// which may have less capacity than the one before. The reports of an upstream
+/// don't contain its capacity, and often arrive before its record is read.
+bool hasCurrentRecord(const SenderUpstream &U) {
+  return U.StartedAt == 0 || U.Record.StartedAt == 0 ||
+         U.Record.StartedAt == U.StartedAt;
+}
+
 /// Returns true if the upstream takes starts, regardless of free capacity.
 bool isUsable(const SenderState &State, const SenderUpstream &U,
               SteadyTime Now) {
   // A start prolongs the lease of all runs on the upstream.
-  return acceptsStarts(U, Now) && U.UnlistedSince == SteadyTime{} &&
-         U.ClockOffset && U.UnansweredCalls == 0 && !mustLapse(State, U);
+  return acceptsStarts(U, Now) && hasCurrentRecord(U) &&
+         U.UnlistedSince == SteadyTime{} && U.ClockOffset &&
+         U.UnansweredCalls == 0 && !mustLapse(State, U);
 }
 
 /// Returns true if the task may run on the upstream, regardless of the state
--- a/tests/cell_capacity_test.cpp
+++ b/tests/cell_capacity_test.cpp
@@ -85,3 +85,15 @@
     EXPECT_GT(startsOn(Upstreams[0], From), CpuMillis == 30000 ? 15U : 30U);
   }
 }
+
+// Guards against starts by the capacity of an upstream's earlier process, which
+// was of a larger kind, while the record of the new one has not been read.
+TEST_F(CellCapacityTest, RestartedUpstreamIsNotOverloaded) {
+  for (int Restart = 0; Restart < 10; ++Restart) {
+    runUnderLoad(milliseconds(730));
+    restart(Upstreams[0], 30000);
+    runUnderLoad(milliseconds(2400));
+    restart(Upstreams[0], 64000);
+  }
+  EXPECT_EQ(World.overloads().size(), 0U);
+}
