core: count the time for which the machine was suspended

What callers could see: two runs of one task at once, from an instance whose machine was suspended for seconds. The platform's steady clock stands still meanwhile, so that leases, claims and jobs that had run out looked fresh, the check for pauses of the process saw none, and waiting tasks were started before the messages that had arrived meanwhile were read. The upstreams' fencing stops this only where a successor has been in contact.

Time now comes from CLOCK_BOOTTIME, which the platform's pages name for it. SystemClockTest.CountsTheTimeOfSuspension failed before (0 s passed instead of 3).

--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -19,12 +19,14 @@
   virtual WallTime wallNow() const = 0;
 };
 
+/// Returns the time of the steady clock that goes on while the machine is
+/// suspended. Leases and deadlines of other machines do not stop meanwhile.
+SteadyTime bootTimeNow();
+
 /// The clocks of the operating system.
 class SystemClock final : public Clock {
 public:
-  SteadyTime steadyNow() const override {
-    return std::chrono::steady_clock::now();
-  }
+  SteadyTime steadyNow() const override { return bootTimeNow(); }
   WallTime wallNow() const override { return std::chrono::system_clock::now(); }
 };
 
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -220,8 +220,7 @@
               {true, "too many requests are queued for " + Endpoint.Value});
     return Number;
   }
-  T.Queue.push_back({std::move(Call), std::move(Done),
-                     std::chrono::steady_clock::now(), Number});
+  T.Queue.push_back({std::move(Call), std::move(Done), bootTimeNow(), Number});
   dispatch(Endpoint);
   return Number;
 }
@@ -307,7 +306,7 @@
 void HttpClient::runDeferred() {
   PendingDeletion.clear();
   for (std::unique_ptr<Connection> &C : PendingIdle) {
-    C->IdleSince = std::chrono::steady_clock::now();
+    C->IdleSince = bootTimeNow();
     Targets[C->endpoint()].Idle.push_back(std::move(C));
   }
   PendingIdle.clear();
@@ -318,7 +317,7 @@
 }
 
 void HttpClient::closeIdle() {
-  SteadyTime Limit = std::chrono::steady_clock::now() - Options.IdleTimeout;
+  SteadyTime Limit = bootTimeNow() - Options.IdleTimeout;
   for (auto It = Targets.begin(); It != Targets.end();) {
     Target &T = It->second;
     while (!T.Idle.empty() && T.Idle.front()->IdleSince < Limit)
