instance: log pauses of the process

A pause, a suspension and a lack of processor time left no trace in the logs, so that hypotheses about senders that are behind could be checked only from gaps between other lines. One line for each tick that comes 150 ms late or more.

--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -110,7 +110,12 @@
   InstanceEffects &Out;
 
   void operator()(const InstanceTick &) {
+    SteadyTime LastTick = State.Cells.LastTick;
     compensateForPause(State.Cells, Now);
+    if (State.Cells.LateTick == Now)
+      logInstance(Out,
+                  "was paused or is short of processor time, last_tick_ms=" +
+                      std::to_string(toMilliseconds(Now - LastTick)));
     applyRole(State.Directory, !State.Cells.Claims.empty(),
               State.Cells.IsStandby, Now, Out);
     advanceDirectory(State.Directory, Now, Out);
