http: free dropped requests whose clients close the connection

Stand-ins that drop requests lost about 0.7 KB for each request whose client closed its connection before the event loop had freed it. Instances drop only requests of clients that have disconnected; no leak was seen there.

Cause: since connections are read while a request is open, evhttp can see the end of a dropped one first. It then takes the request off the connection and leaves it to its user, and the callback of a dropped connection does not free it.

Evidence: a program with the code of the new test, five requests, built with -fsanitize=address,leak, printed before SUMMARY: AddressSanitizer: 3440 byte(s) leaked in 75 allocation(s). and nothing after. Without sanitizers the test passes before and after.

A dropped connection is no longer read, so only the event loop frees it, and its request with it.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -260,12 +260,14 @@
 
 void HttpServer::freeLater(evhttp_connection *Connection) {
   // evhttp may still use the connection after its request callback, so it is
-  // freed later from the event loop. If the client disconnects before that,
-  // evhttp frees the connection itself, and it is taken off the list.
+  // freed later from the event loop. Until then nothing is read: evhttp would
+  // take the request off a connection that ends, and leave it to its user. If
+  // evhttp frees the connection itself, it is taken off the list.
   auto RemoveClosed = [](evhttp_connection *Closed, void *Arg) {
     auto &List = static_cast<HttpServer *>(Arg)->Dropped;
     List.erase(std::remove(List.begin(), List.end(), Closed), List.end());
   };
+  bufferevent_disable(evhttp_connection_get_bufferevent(Connection), EV_READ);
   evhttp_connection_set_closecb(Connection, RemoveClosed, this);
   Dropped.push_back(Connection);
   DropTimer.startOnce(Duration::zero());
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -9,6 +9,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <optional>
+#include <utility>
+
 namespace snipeshunt {
 namespace {
 
@@ -177,6 +180,28 @@
   }
 }
 
+// Guards against a leak, which the sanitizers report: the client closes its
+// connection after its request was dropped and before the connection is freed.
+TEST(HttpServerTest, DroppedRequestsOfClosedConnectionsAreFreed) {
+  EventLoop Loop;
+  HttpServer Server(Loop, {});
+  Result<Address> Bound = Server.listen(Address{"127.0.0.1:0"});
+  ASSERT_FALSE(failed(Bound));
+  int Closed = 0;
+  Server.RequestClosed.connect([&](RequestId) { ++Closed; });
+  std::optional<RawClient> Client(std::in_place, valueOf(Bound));
+  Server.RequestReceived.connect([&](const HttpRequest &R) {
+    Server.drop(R.Id);
+    Client.reset();
+  });
+  Client->send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}");
+  for (int I = 0; I < 20; ++I)
+    Loop.runFor(std::chrono::milliseconds(10));
+  EXPECT_FALSE(Client);
+  EXPECT_EQ(Closed, 0);
+  EXPECT_EQ(Server.openRequests(), 0U);
+}
+
 // Guards against a client that ends the process by sending a second request
 // before it has the answer to the first.
 TEST(HttpServerTest, AnswersPipelinedRequests) {
