entry: forward no job that was cancelled

Callers would see a job run that was confirmed as cancelled.

Cause: a cancellation was passed on to the sender of the job and not kept at the entry. A job that waited there for a sender had none to pass it to, and a job that its sender rejected, or that never reached it, was forwarded to the next one.

Evidence: EntryCancel.WaitingJobIsNotForwarded and EntryCancel.RejectedJobIsNotForwardedAgain failed before ("forwards(Out), Which is: 1; 0", "State.Entry.Jobs.empty(), Actual: false") and pass now, as do the 77 tests of Cell*, EntryCancel and UpstreamList without the process and chaos tests.

The entry remembers the cancellation and answers the job as not run instead of forwarding it.

--- a/src/entry/entry_base.h
+++ b/src/entry/entry_base.h
@@ -20,6 +20,7 @@
   SteadyTime Arrived{};           ///< When the caller's request came in.
   SteadyTime Deadline{};          ///< End of the caller's time limit.
   SteadyTime Forwarded{};         ///< When it was last sent to a sender.
+  bool Cancelled = false;         ///< By a caller; not forwarded any more.
 };
 
 /// Counters for the metrics, since the start of the process.
--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -199,14 +199,17 @@
 }
 
 /// Forwards a job. Without an available sender, the job waits for one; if all
-/// are too busy or the wait is over, it is rejected.
+/// are too busy, the wait is over or it was cancelled, it is rejected.
 void forwardOrWait(EntryState &State, const EntryContext &Context,
                    RequestId Forward, Duration RetryAfter,
                    const std::string &Reason, SteadyTime Now,
                    InstanceEffects &Out) {
+  EntryJob &J = State.Jobs.at(Forward);
+  if (J.Cancelled)
+    return endJob(State, Context, Forward, AnswerStatus::NotRun, RetryAfter,
+                  "cancelled before any start", Now, Out);
   if (forwardToBestSender(State, Context, Forward, Now, Out))
     return;
-  EntryJob &J = State.Jobs.at(Forward);
   bool SenderAvailable = !availableSenders(Context.Cells, Now).empty();
   if (SenderAvailable || Now >= waitLimit(J))
     endJob(State, Context, Forward, AnswerStatus::NotRun, RetryAfter,
@@ -312,9 +315,15 @@
                  Duration::zero(), Out);
     return;
   }
-  // The job stays open: the sender answers the forward once it has stopped the
-  // job.
-  cancelAtSender(Context, State.Jobs.at(Existing->second), Now);
+  // A forwarded job stays open: the sender answers the forward once it has
+  // stopped the job.
+  RequestId Forward = Existing->second;
+  EntryJob &J = State.Jobs.at(Forward);
+  J.Cancelled = true;
+  if (J.Sender.Value.empty())
+    forwardOrWait(State, Context, Forward, NoSenderRetry, NoSender, Now, Out);
+  else
+    cancelAtSender(Context, J, Now);
   answerCaller(State, Event.Request, AnswerStatus::Cancelled, Duration::zero(),
                Out);
 }
