http: still read pings and cancellations of clients that have left

A sender that is more than 350 ms behind reads every ping after its time-out, when the peer has closed the connection. All such requests were dropped, so that cancellations were lost just on an instance that lags, and its peers looked silent.

The server now reports a request whose client has left by a signal of its own. Only pings and cancellations handle it; jobs are dropped as before. The test HttpServerTest.IgnoresRequestsWhoseClientsHaveDisconnected checks both signals.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -100,6 +100,34 @@
   return Body;
 }
 
+/// Reads the parts of \p Request, apart from its number.
+HttpRequest readRequest(evhttp_request *Request) {
+  HttpRequest Out;
+  Out.Method = methodName(evhttp_request_get_command(Request));
+  const evhttp_uri *Uri = evhttp_request_get_evhttp_uri(Request);
+  const char *Path = Uri ? evhttp_uri_get_path(Uri) : nullptr;
+  Out.Path = decodeUri(Path && *Path ? Path : "/");
+  if (const char *Query = Uri ? evhttp_uri_get_query(Uri) : nullptr) {
+    evkeyvalq Parameters;
+    if (evhttp_parse_query_str(Query, &Parameters) == 0) {
+      for (evkeyval *Kv = Parameters.tqh_first; Kv; Kv = Kv->next.tqe_next)
+        Out.Query[Kv->key] = Kv->value;
+      evhttp_clear_headers(&Parameters);
+    }
+  }
+  evkeyvalq *Headers = evhttp_request_get_input_headers(Request);
+  for (evkeyval *Kv = Headers->tqh_first; Kv; Kv = Kv->next.tqe_next)
+    Out.Headers.emplace_back(Kv->key, Kv->value);
+  char *Remote = nullptr;
+  ev_uint16_t Port = 0;
+  evhttp_connection_get_peer(evhttp_request_get_connection(Request), &Remote,
+                             &Port);
+  if (Remote)
+    Out.RemoteIp = Remote;
+  Out.Body = bodyOf(Request);
+  return Out;
+}
+
 } // namespace
 
 std::string HttpRequest::header(std::string_view Name) const {
@@ -186,11 +214,14 @@
     evhttp_send_error(Request, 503, "too many open requests");
     return;
   }
+  HttpRequest Out = readRequest(Request);
+  evhttp_connection *Connection = evhttp_request_get_connection(Request);
   // The request may have waited in the socket while its client gave up. The
   // client may have sent it to another instance since.
-  if (hasDisconnected(evhttp_request_get_connection(Request))) {
+  if (hasDisconnected(Connection)) {
     ++Abandoned;
-    return freeLater(evhttp_request_get_connection(Request));
+    freeLater(Connection);
+    return emit(AbandonedRequestReceived, Out);
   }
   auto Record = std::make_unique<OpenRequest>();
   Record->Server = this;
@@ -200,40 +231,22 @@
   evhttp_connection_set_closecb(Record->Connection, handleClose, Record.get());
   watchForClose(Record->Connection);
 
-  HttpRequest Out;
   Out.Id = Record->Id;
-  Out.Method = methodName(evhttp_request_get_command(Request));
-  const evhttp_uri *Uri = evhttp_request_get_evhttp_uri(Request);
-  const char *Path = Uri ? evhttp_uri_get_path(Uri) : nullptr;
-  Out.Path = decodeUri(Path && *Path ? Path : "/");
-  if (const char *Query = Uri ? evhttp_uri_get_query(Uri) : nullptr) {
-    evkeyvalq Parameters;
-    if (evhttp_parse_query_str(Query, &Parameters) == 0) {
-      for (evkeyval *Kv = Parameters.tqh_first; Kv; Kv = Kv->next.tqe_next)
-        Out.Query[Kv->key] = Kv->value;
-      evhttp_clear_headers(&Parameters);
-    }
-  }
-  evkeyvalq *Headers = evhttp_request_get_input_headers(Request);
-  for (evkeyval *Kv = Headers->tqh_first; Kv; Kv = Kv->next.tqe_next)
-    Out.Headers.emplace_back(Kv->key, Kv->value);
-  char *Remote = nullptr;
-  ev_uint16_t Port = 0;
-  evhttp_connection_get_peer(Record->Connection, &Remote, &Port);
-  if (Remote)
-    Out.RemoteIp = Remote;
-  Out.Body = bodyOf(Request);
-
   Open.emplace(Out.Id, std::move(Record));
+  emit(RequestReceived, Out);
+}
+
+void HttpServer::emit(const sigc::signal<void(const HttpRequest &)> &Signal,
+                      const HttpRequest &Request) {
   // An exception must not reach evhttp, which is written in C: it would end the
   // process because of one request.
   try {
-    RequestReceived.emit(Out);
+    Signal.emit(Request);
   } catch (const std::exception &E) {
     // Without a handler of `HandlerFailed`, the error would go unseen.
     if (HandlerFailed.empty())
       throw;
-    reply(Out.Id, {500, "{}"});
+    reply(Request.Id, {500, "{}"});
     HandlerFailed.emit(E.what());
   }
 }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -55,14 +55,17 @@
   void drop(RequestId Id);
   /// Returns the number of unanswered requests.
   size_t openRequests() const { return Open.size(); }
-  /// Returns the number of requests that were not handled, since their clients
-  /// had disconnected before they were read.
+  /// Returns the number of requests whose clients had disconnected before they
+  /// were read.
   uint64_t abandonedRequests() const { return Abandoned; }
 
   /// Emitted when a complete request has been received and its client is still
   /// connected.
   sigc::signal<void(const HttpRequest &)> RequestReceived;
-  /// A handler of `RequestReceived` has thrown an exception with this message.
+  /// Emitted for a complete request whose client had disconnected before it was
+  /// read. It gets no answer, and its `Id` is that of no request.
+  sigc::signal<void(const HttpRequest &)> AbandonedRequestReceived;
+  /// A handler of a request has thrown an exception with this message.
   /// The request was answered with 500, unless it had an answer. While nothing
   /// is connected here, the exception ends the process.
   sigc::signal<void(const std::string &)> HandlerFailed;
@@ -83,6 +86,9 @@
 
   /// Called by evhttp for each complete request.
   void handle(evhttp_request *Request);
+  /// Passes \p Request to the handlers of \p Signal.
+  void emit(const sigc::signal<void(const HttpRequest &)> &Signal,
+            const HttpRequest &Request);
   /// Frees \p Connection from the event loop.
   void freeLater(evhttp_connection *Connection);
   /// Frees the connections of dropped requests.
--- a/src/runtime/cell_daemon.cpp
+++ b/src/runtime/cell_daemon.cpp
@@ -180,6 +180,12 @@
     else
       Server.reply(Request.Id, {404, "{}"});
   });
+  // The sender of a ping that waited here for longer than its time-out has
+  // closed the connection; the cancellations in it still hold.
+  Server.AbandonedRequestReceived.connect([this](const HttpRequest &Request) {
+    if (Request.Path == "/rpc")
+      Rpc.handle(Request.Body);
+  });
   Server.RequestClosed.connect(
       [this](RequestId Id) { dispatch(JobAbandoned{Id}); });
   Effects.on<AnswerPing>().connect(
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -162,6 +162,9 @@
     ASSERT_FALSE(failed(Bound));
     int Received = 0;
     Server.RequestReceived.connect([&](const HttpRequest &) { ++Received; });
+    std::vector<std::string> Abandoned;
+    Server.AbandonedRequestReceived.connect(
+        [&](const HttpRequest &R) { Abandoned.push_back(R.Body); });
     {
       RawClient Client(valueOf(Bound));
       // The connection is accepted before the request is sent.
@@ -175,6 +178,7 @@
     EXPECT_EQ(Received, 0) << "reset: " << Reset;
     if (!Reset) {
       EXPECT_EQ(Server.abandonedRequests(), 1U);
+      EXPECT_EQ(Abandoned, std::vector<std::string>{"{}"});
     }
     EXPECT_EQ(Server.openRequests(), 0U);
   }
