--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -49,7 +49,7 @@
   /// Returns the number of the call.
   uint64_t send(HttpCall Call, Callback Done);
   /// Ends call \p Number to \p Target with a failure and closes its connection.
-  /// Does nothing if the call has ended. Must not be called from a callback.
+  /// Does nothing if the call has ended.
   void cancel(const Address &Target, uint64_t Number);
   /// The callback of a call has thrown an exception with this message. While
   /// nothing is connected here, the exception ends the process.
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -227,9 +227,9 @@
   Record->Server = this;
   Record->Id = RequestId{NextId++};
   Record->Request = Request;
-  Record->Connection = evhttp_request_get_connection(Request);
-  evhttp_connection_set_closecb(Record->Connection, handleClose, Record.get());
-  watchForClose(Record->Connection);
+  Record->Connection = Connection;
+  evhttp_connection_set_closecb(Connection, handleClose, Record.get());
+  watchForClose(Connection);
 
   Out.Id = Record->Id;
   Open.emplace(Out.Id, std::move(Record));
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -113,9 +113,9 @@
     SteadyTime LastTick = State.Cells.LastTick;
     compensateForPause(State.Cells, Now);
     if (State.Cells.LateTick == Now)
-      logInstance(Out,
-                  "was paused or is short of processor time, last_tick_ms=" +
-                      std::to_string(toMilliseconds(Now - LastTick)));
+      logInstance(
+          Out, "was paused or is short of processor time, since_last_tick_ms=" +
+                   std::to_string(toMilliseconds(Now - LastTick)));
     applyRole(State.Directory, !State.Cells.Claims.empty(),
               State.Cells.IsStandby, Now, Out);
     advanceDirectory(State.Directory, Now, Out);
--- a/src/runtime/cell_daemon.h
+++ b/src/runtime/cell_daemon.h
@@ -39,11 +39,11 @@
   /// Returns true if the load balancer should send callers to this instance.
   bool ready() const { return isReady(State, TimeSource.steadyNow()); }
 
-  /// Returns client options whose connections have the IP of `peers_listen` as
-  /// their source address.
   /// Logs an error that the handler of a request or an answer has thrown. The
   /// message is dropped; the process continues.
   static void logHandlerFailure(const std::string &What);
+  /// Returns client options whose connections have the IP of `peers_listen` as
+  /// their source address.
   HttpClientOptions clientOptions(size_t MaxConnections) const;
 
 private:
--- a/src/sender/crash_cmd.cpp
+++ b/src/sender/crash_cmd.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-// Callers submit a lost job again for some ten seconds, and a crash may be
-// known only when the upstream is back.
+// Covers the further submissions of a lost job, and the time until an upstream
+// is back that crashed without a sign.
 constexpr Duration CrashRetention = std::chrono::seconds(30);
 constexpr size_t MaxCrashHistory = 4096;
 
@@ -37,8 +37,8 @@
   std::vector<RunKey> Suspects = std::move(U.LapsedRuns);
   U.LapsedRuns.clear();
   for (auto &[Key, Run] : U.Runs) {
-    // A start whose connection broke may have arrived. One that still awaits
-    // its answer is suspected with the next refused call if that happens to it.
+    // A start whose connection broke may have arrived. Whether one that still
+    // awaits its answer did is not known yet.
     if (Run.Phase == RunPhase::Starting || Run.CrashCounted)
       continue;
     Run.CrashCounted = true;
--- a/src/sender/placement_cmd.cpp
+++ b/src/sender/placement_cmd.cpp
@@ -189,9 +189,8 @@
   if (!U)
     return;
   if (U->Runs.empty()) {
-    auto Expected = std::chrono::duration_cast<Duration>(
-        typicalRunTime(State.Learned, J.Order) *
-        std::exp(logRunTimeFactor(State.Learned, *U)));
+    Duration Expected = scaled(typicalRunTime(State.Learned, J.Order),
+                               std::exp(logRunTimeFactor(State.Learned, *U)));
     startTask(State, J, Index, *U, Expected, Now, Out);
   } else if (Pass.Reserved.size() <
              std::max<size_t>(1,
--- a/src/sender/sender_table.h
+++ b/src/sender/sender_table.h
@@ -44,9 +44,9 @@
 /// to one run at a time. At an error rate of 0.2 %, two in a row happen by
 /// chance in one of 250,000 runs.
 constexpr uint32_t FailuresBeforeProbe = 2;
-/// An order without an answer may be carried out for this long; the users'
-/// protocol says seconds later.
-constexpr Duration LateOrderTime = std::chrono::seconds(10);
+/// An order without an answer may be carried out by an upstream up to this long
+/// after it was sent.
+constexpr Duration LateOrderTime = std::chrono::seconds(12);
 /// A run that reports no progress for this time, and has taken `StallFactor`
 /// times its expected run time, is stopped and its task started elsewhere.
 constexpr Duration StallTimeout = std::chrono::milliseconds(400);
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -280,7 +280,9 @@
 bool mustLapse(const SenderState &State, const SenderUpstream &U) {
   // The callers of these runs may submit their jobs again elsewhere, and the
   // stops may have been lost. Only the end of the lease is certain then.
-  return !U.OrphanedRuns.empty() ||
+  if (!U.OrphanedRuns.empty())
+    return true;
+  return !State.DetachedRuns.empty() &&
          std::any_of(U.Runs.begin(), U.Runs.end(), [&](const auto &Entry) {
            const SenderRun &Run = Entry.second;
            return Run.StopRequested && !Run.StopAcknowledged &&
--- a/tests/peer_codec_test.cpp
+++ b/tests/cell_codec_malformed_test.cpp
@@ -157,7 +157,7 @@
 // Guards against a peer's malformed message that ends the process: jsoncpp
 // throws an exception where a value has another type than the caller assumes,
 // and on deep nesting.
-TEST(PeerCodecTest, MalformedMessagesAreErrorsNotExceptions) {
+TEST(CellCodecMalformed, MalformedMessagesAreErrorsNotExceptions) {
   std::mt19937 Random(20261204);
   const std::vector<std::string> Valid = validMessages();
   for (const std::string &Text : Valid)
@@ -181,7 +181,7 @@
 
 // Guards against the same in the JSON-RPC envelope, and against a request
 // without an answer, whose connection would stay open.
-TEST(PeerCodecTest, MalformedRequestsGetAnErrorResponse) {
+TEST(CellCodecMalformed, MalformedRequestsGetAnErrorResponse) {
   RpcServer Server;
   size_t Handled = 0;
   Server.bind("cell.ping", [&Handled](const Json::Value &Message) {
@@ -214,7 +214,7 @@
 
 // Guards against a job of a peer that exhausts the memory by the number of its
 // tasks, and against one without tasks, which never ends.
-TEST(PeerCodecTest, JobsWithTooManyOrNoTasksAreRejected) {
+TEST(CellCodecMalformed, JobsWithTooManyOrNoTasksAreRejected) {
   for (int64_t Count : {int64_t{0}, int64_t{10001}, int64_t{4000000000}}) {
     Json::Value Order = encodeJobOrder(someOrder());
     Order["step"]["count"] = Json::Int64(Count);
@@ -227,7 +227,7 @@
 
 // Guards against needs of tasks whose sum over a job and its queue overflows:
 // the sender would count a full queue as free capacity.
-TEST(PeerCodecTest, NeedsOfTasksAreBounded) {
+TEST(CellCodecMalformed, NeedsOfTasksAreBounded) {
   Json::Value Order = encodeJobOrder(someOrder());
   for (const char *Name : {"cpu", "memory_mb", "accelerators"}) {
     Json::Value Huge = Order;
@@ -238,7 +238,7 @@
 
 // Guards against the start time of an upstream that becomes negative by a
 // cast: each later record of the upstream would count as a new process.
-TEST(PeerCodecTest, StartTimesOfUpstreamsAreBounded) {
+TEST(CellCodecMalformed, StartTimesOfUpstreamsAreBounded) {
   SnapshotFetched Message;
   Message.Upstreams = {someUpstream()};
   Json::Value Snapshot = encodeSnapshot(Message);
@@ -247,7 +247,7 @@
 }
 
 // Guards against ids of any length, which a peer would make this instance keep.
-TEST(PeerCodecTest, IdsInListsAreBounded) {
+TEST(CellCodecMalformed, IdsInListsAreBounded) {
   PeerPong Pong;
   Pong.UpstreamsInUse = {{std::string(100000, 'x')}};
   EXPECT_TRUE(failed(decodePong(encodePong(Pong))));
@@ -258,7 +258,7 @@
 
 // Guards against an instance that its peers regard as unreachable, because they
 // reject a duration in its messages as too long.
-TEST(PeerCodecTest, LongDurationsAreShortenedBeforeTheyAreSent) {
+TEST(CellCodecMalformed, LongDurationsAreShortenedBeforeTheyAreSent) {
   JobResult Result;
   Result.RetryAfter = Result.Load.Delay = std::chrono::hours(24 * 365);
   EXPECT_FALSE(failed(decodeJobResult(encodeJobResult(Result))));
@@ -270,7 +270,7 @@
 // Guards against an objective that overflows and lies in the past: a job with a
 // long estimate, or of a queue with a large factor, would be rejected as late
 // by an idle sender. The same limits apply to callers' jobs.
-TEST(PeerNumbers, LongObjectivesDoNotOverflow) {
+TEST(CellCodecNumbers, LongObjectivesDoNotOverflow) {
   testing::CellWorld World;
   World.addUpstream({"u"});
   Address Endpoint = World.addInstance("sender", "centre-a");
@@ -294,7 +294,7 @@
 
 // Guards against a cell that no instance can claim any more: after a claim with
 // the highest token, the next token overflowed to the lowest one.
-TEST(PeerNumbers, HighestTokenOfAClaimDoesNotOverflow) {
+TEST(CellCodecNumbers, HighestTokenOfAClaimDoesNotOverflow) {
   Json::Value Ping = encodePing({});
   Ping["claims"].append(Json::Value(Json::objectValue));
   Ping["claims"][0]["data_centre"] = "centre-a";
@@ -307,7 +307,7 @@
 
 // Guards against claims to cells that don't exist, which each receiver would
 // remember for as long as it runs.
-TEST(PeerNumbers, ClaimsToUnknownCellsAreNotRemembered) {
+TEST(CellCodecNumbers, ClaimsToUnknownCellsAreNotRemembered) {
   CellState State;
   State.Self = {{"10.0.0.2:7000"}, {"centre-a"}, 0.5};
   SteadyTime Now{seconds(100)};
--- a/tests/cell_lease_test.cpp
+++ b/tests/cell_lease_test.cpp
@@ -55,7 +55,7 @@
 // Guards against two runs of a task at once (TWICE): the stops of an abandoned
 // job's run are lost, and renewals for another run on its upstream keep it
 // alive while the caller's second submission runs elsewhere.
-TEST_F(CellLease, LostStopIsNotOutlivedThroughRenewalsForOtherRuns) {
+TEST_F(CellLease, RunWhoseStopIsLostLapsesDespiteRenewals) {
   World.submit(SenderA, "b", 1, milliseconds(5000), seconds(8));
   World.run(milliseconds(100));
   loseEntryAndSubmitAgain();
@@ -64,7 +64,7 @@
 
 // Guards against the same through starts, which prolong the lease of all runs
 // on their upstream.
-TEST_F(CellLease, LostStopIsNotOutlivedThroughStartsOfOtherRuns) {
+TEST_F(CellLease, RunWhoseStopIsLostLapsesDespiteStarts) {
   World.kill(Entry);
   for (int I = 0; I < 13; ++I) {
     World.submit(SenderA, "b" + std::to_string(I), 1, milliseconds(50));
