--- a/src/sender/upstream_list_cmd.cpp
+++ b/src/sender/upstream_list_cmd.cpp
@@ -6,24 +6,6 @@
 
 namespace snipeshunt {
 
-namespace {
-
-/// Pauses starts on an unhealthy upstream, longer each time, and then limits it
-/// to one run at a time until one succeeds.
-void beginProbing(SenderUpstream &U, const char *Why, SteadyTime Now,
-                  InstanceEffects &Out) {
-  U.ProbeDelay =
-      U.Probing ? std::min(U.ProbeDelay * 2, MaxProbePause) : ProbePause;
-  U.Probing = true;
-  U.BlockedUntil = Now + U.ProbeDelay;
-  logUpstream(Out, U,
-              std::string("is unhealthy and limited to one run at a time: ") +
-                  Why + " failures=" + std::to_string(U.Failures) +
-                  " pause_ms=" + std::to_string(toMilliseconds(U.ProbeDelay)));
-}
-
-} // namespace
-
 void logUpstream(InstanceEffects &Out, const SenderUpstream &U,
                  std::string Message) {
   Out.push_back(
@@ -37,22 +19,6 @@
     State.DetachedRuns.erase(It);
 }
 
-void recordSuccess(SenderUpstream &U) {
-  U.Failures = 0;
-  U.Probing = false;
-  U.BlockedUntil = {};
-}
-
-void recordFailure(SenderUpstream &U, const JobId &Job, SteadyTime Now,
-                   InstanceEffects &Out) {
-  // Failures of one job count once: its tasks may fail on any upstream.
-  if (U.LastFailedJob == Job && U.Failures > 0)
-    return;
-  U.LastFailedJob = Job;
-  if (++U.Failures >= FailuresBeforeProbe || U.Probing)
-    beginProbing(U, "starts or runs failed", Now, Out);
-}
-
 void beginSync(SenderUpstream &U, SteadyTime Now) {
   U.Phase = UpstreamPhase::Syncing;
   U.NextRenewal = Now;
