sender: log what is known of a run when its upstream has crashed

The log of a counted crash did not tell whether the run had begun, had been ordered to stop, was accepted by the upstream's next process, or how long ago the upstream was last heard, so it could not distinguish the hypotheses on jobs that are failed without cause. A renewal now also tells whether the upstream closed its connection or only did not answer. No change of logic.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -136,10 +136,11 @@
       std::string Reason = Self->TimedOut             ? "timed out waiting for "
                            : Self->RequestBytesQueued ? "connection lost to "
                                                       : "can't connect to ";
-      Self->complete(HttpFailure{!Self->RequestBytesQueued,
-                                 Reason + Self->Endpoint.Value,
-                                 !Self->RequestBytesQueued && !Self->TimedOut},
-                     /*Reusable=*/false);
+      HttpFailure Failure{!Self->RequestBytesQueued,
+                          Reason + Self->Endpoint.Value};
+      Failure.ConnectionRefused = !Self->RequestBytesQueued && !Self->TimedOut;
+      Failure.ConnectionLost = Self->RequestBytesQueued && !Self->TimedOut;
+      Self->complete(Failure, /*Reusable=*/false);
       return;
     }
     HttpReply Reply;
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -63,6 +63,8 @@
   std::string Message; ///< What happened.
   /// The connection could not be opened, and this was known before the timeout.
   bool ConnectionRefused = false;
+  /// The other side closed the connection after the request was written.
+  bool ConnectionLost = false;
 };
 
 using HttpOutcome = std::variant<HttpReply, HttpFailure>;
--- a/src/orders/order_type.h
+++ b/src/orders/order_type.h
@@ -212,6 +212,7 @@
   uint64_t Sequence = 0;
   OrderStatus Status = OrderStatus::Unknown;
   std::optional<UpstreamReport> Report; ///< Present when accepted.
+  bool ConnectionLost = false; ///< The upstream closed the connection instead.
 };
 
 } // namespace snipeshunt
--- a/src/sender/crash_cmd.cpp
+++ b/src/sender/crash_cmd.cpp
@@ -63,8 +63,53 @@
   return Repeated;
 }
 
+/// Returns " NAME=" and the milliseconds since \p Then, or "none".
+std::string sinceText(const char *Name, SteadyTime Then, SteadyTime Now) {
+  return std::string(" ") + Name + "=" +
+         (Then == SteadyTime{} ? "none"
+                               : std::to_string(toMilliseconds(Now - Then)));
+}
+
+/// When \p U was last heard, for logs.
+std::string contactText(const SenderUpstream &U, SteadyTime Now) {
+  std::string Text = sinceText("since_report_ms", U.LastReport, Now);
+  if (U.RenewalLost)
+    Text += sinceText("since_connection_lost_ms", *U.RenewalLost, Now) +
+            " renewal_waited_ms=" +
+            std::to_string(toMilliseconds(U.LostRenewalWait));
+  return Text;
+}
+
+/// What is known of a suspected run, for logs.
+std::string runStateText(const SenderUpstream &U, const RunKey &Key,
+                         SteadyTime Now) {
+  auto It = U.Runs.find(Key);
+  if (It == U.Runs.end())
+    return " phase=lapsed";
+  const SenderRun &Run = It->second;
+  return std::string(" phase=") +
+         (Run.Phase == RunPhase::Running ? "running" : "unconfirmed") +
+         sinceText("since_order_ms", Run.Ordered, Now) +
+         sinceText("since_accept_ms", Run.Accepted, Now) +
+         " stop_requested=" + (Run.StopRequested ? "1" : "0");
+}
+
 } // namespace
 
+const char *crashSignName(CrashSign Sign) {
+  switch (Sign) {
+  case CrashSign::Refused:
+    return "refused";
+  case CrashSign::OtherProcess:
+    return "other_process";
+  case CrashSign::NewReport:
+    return "new_report";
+  case CrashSign::NewRecord:
+    return "new_record";
+  }
+  return "";
+}
+
 uint32_t crashesOf(const CrashHistory &History, const JobId &Job,
                    uint32_t Index) {
   auto It = History.Jobs.find(Job);
@@ -103,8 +148,8 @@
   return Proved;
 }
 
-void recordCrash(SenderState &State, SenderUpstream &U, SteadyTime Now,
-                 InstanceEffects &Out) {
+void recordCrash(SenderState &State, SenderUpstream &U, CrashSign Sign,
+                 SteadyTime Now, InstanceEffects &Out) {
   // An upstream that leaves as announced ends with the runs that are left.
   if (U.Record.Draining)
     return;
@@ -112,14 +157,17 @@
   if (Suspects.empty())
     return;
   ++State.Counts.UpstreamCrashes;
-  logUpstream(Out, U, "has crashed, runs=" + std::to_string(Suspects.size()));
+  logUpstream(Out, U,
+              "has crashed, runs=" + std::to_string(Suspects.size()) +
+                  " sign=" + crashSignName(Sign) + contactText(U, Now));
   for (const RunKey &Key : attributeCrash(State.Crashes, Suspects)) {
     uint32_t Crashes = crashesOf(State.Crashes, Key.Job, Key.Index) + 1;
     setCrashes(State.Crashes, Key.Job, Key.Index, Crashes, Now);
     Out.push_back(LogDecision{
         DecisionPart::Upstreams, Key.Job.Value,
-        "run=" + runText(Key) + " is suspected of the crash of upstream=" +
-            U.Record.Id.Value + " crashes=" + std::to_string(Crashes),
+        "run=" + runText(Key) +
+            " is suspected of the crash of upstream=" + U.Record.Id.Value +
+            " crashes=" + std::to_string(Crashes) + runStateText(U, Key, Now),
         /*Frequent=*/true});
     auto Job = State.Jobs.find(Key.Job);
     if (Job == State.Jobs.end() ||
--- a/src/sender/crash_cmd.h
+++ b/src/sender/crash_cmd.h
@@ -20,11 +20,22 @@
 void mergeCrashes(CrashHistory &History, const JobId &Job,
                   const std::vector<CrashedTask> &Crashes, SteadyTime Now);
 
+/// How it was found that the process of an upstream has ended.
+enum class CrashSign {
+  Refused,      ///< Connections are refused.
+  OtherProcess, ///< Another upstream answers at the address.
+  NewReport,    ///< A report of a later process was received.
+  NewRecord,    ///< The store lists a later process.
+};
+
+/// Name of \p Sign, for logs.
+const char *crashSignName(CrashSign Sign);
+
 /// Counts a crash against the tasks that may have caused it, and ends the jobs
 /// whose tasks are proved to. Called when it is known that the process of an
 /// upstream has ended; the runs stay until their own end is known.
-void recordCrash(SenderState &State, SenderUpstream &U, SteadyTime Now,
-                 InstanceEffects &Out);
+void recordCrash(SenderState &State, SenderUpstream &U, CrashSign Sign,
+                 SteadyTime Now, InstanceEffects &Out);
 
 /// Copies the known crashes to the tasks of a job. Returns true if one of them
 /// has reached `MaxCrashes`.
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -85,6 +85,11 @@
   bool RenewalPending = false;  ///< A renewal awaits its answer.
   uint64_t RenewalSequence = 0; ///< Of the last renewal.
   SteadyTime RenewalSent{};     ///< When the last renewal was sent.
+  SteadyTime LastReport{};      ///< When a renewal was last answered.
+  /// When the upstream last closed the connection of a renewal without an
+  /// answer, and how long the renewal had waited. Unset by any later answer.
+  std::optional<SteadyTime> RenewalLost;
+  Duration LostRenewalWait{0};
   SteadyTime NextRenewal{};     ///< Earliest time of the next renewal.
   uint32_t UnansweredCalls = 0; ///< Consecutive calls that got no answer.
   SteadyTime BlockedUntil{};    ///< Nothing is started on it before.
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -202,8 +202,27 @@
 /// ended.
 void checkProcess(SenderState &State, SenderUpstream &U, OrderStatus Status,
                   SteadyTime Now, InstanceEffects &Out) {
-  if (Status == OrderStatus::Refused || Status == OrderStatus::OtherProcess)
-    recordCrash(State, U, Now, Out);
+  if (Status == OrderStatus::Refused)
+    recordCrash(State, U, CrashSign::Refused, Now, Out);
+  else if (Status == OrderStatus::OtherProcess)
+    recordCrash(State, U, CrashSign::OtherProcess, Now, Out);
+}
+
+/// Logs the tracked runs that a later process of \p U reports.
+void logRunsOfNewProcess(const SenderUpstream &U, const UpstreamReport &Report,
+                         InstanceEffects &Out) {
+  auto Log = [&](const RunKey &Key, const char *State) {
+    if (U.Runs.count(Key))
+      Out.push_back(
+          LogDecision{DecisionPart::Upstreams, Key.Job.Value,
+                      "run=" + runText(Key) + " is " + State +
+                          " in a new process of upstream=" + U.Record.Id.Value,
+                      /*Frequent=*/true});
+  };
+  for (const RunningReport &R : Report.Running)
+    Log(R.Key, "running");
+  for (const EndReport &R : Report.Ended)
+    Log(R.Key, "ended");
 }
 
 /// Marks \p U as fenced off and reports its cell.
@@ -377,6 +396,7 @@
   if (Event.Status == OrderStatus::Accepted) {
     Run.Phase = RunPhase::Running;
     Run.Accepted = Now;
+    U->RenewalLost.reset();
     U->UnansweredCalls = 0;
     if (!U->RenewalPending)
       U->NextRenewal = Now;
@@ -469,6 +489,10 @@
     recordFencing(*U, FencedCell);
     return;
   }
+  if (Event.ConnectionLost) {
+    U->RenewalLost = Now;
+    U->LostRenewalWait = Now - U->RenewalSent;
+  }
   if (Event.Status != OrderStatus::Accepted || !Event.Report) {
     checkProcess(State, *U, Event.Status, Now, Out);
     recordNoAnswer(State, *U,
@@ -482,9 +506,12 @@
   const UpstreamReport &Report = *Event.Report;
   if (U->StartedAt != 0 && Report.StartedAt != 0 &&
       Report.StartedAt != U->StartedAt) {
-    recordCrash(State, *U, Now, Out);
+    logRunsOfNewProcess(*U, Report, Out);
+    recordCrash(State, *U, CrashSign::NewReport, Now, Out);
     resetIncarnation(*U, Report.StartedAt, Out);
   }
+  U->LastReport = Now;
+  U->RenewalLost.reset();
   // The process has survived the runs whose leases expired.
   U->LapsedRuns.clear();
   if (Report.StartedAt != 0)
--- a/src/sender/upstream_list_cmd.cpp
+++ b/src/sender/upstream_list_cmd.cpp
@@ -83,7 +83,7 @@
                       Record.StartedAt > U.StartedAt;
     if (NewProcess || (Record.Endpoint != U.Record.Endpoint &&
                        Record.StartedAt >= U.StartedAt)) {
-      recordCrash(State, U, Now, Out);
+      recordCrash(State, U, CrashSign::NewRecord, Now, Out);
       U.Record = Record;
       resetIncarnation(U, Record.StartedAt, Out);
       U.RenewalPending = false;
