sender: fail a job only by crashes that were certainly under its task

Cause: suspicion was counted as proof.

A crash now has the identity of the upstream's process and its evidence. It is proved if the run had been accepted and no stop of it ordered, the upstream closed the connection of a renewal that waited for the end of a run, and the next connection, made at once, is refused: an end would have been the answer to the renewal. Two proved crashes fail a job. All others are possible only: the task then runs alone, and after three the job is given up as lost, so that the budget also holds for a task that crashes its upstream before the start is answered. Records of one crash from two senders are merged into one.

Four of the new tests failed on the code before (UnansweredStart..., RunsWithLostReports..., RunWhoseLeaseHadExpired..., RefusedConnections...); with any suspicion taken for proof they fail again.

--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -153,7 +153,7 @@
   J.Order.Number = Context.Cells.NextJob++;
   J.Order.Remaining = J.Deadline - Now;
   J.Order.Age = Now - J.Arrived;
-  J.Order.Crashes = crashedTasks(State.Crashes, J.Order.Id);
+  J.Order.Crashes = crashesOf(State.Crashes, J.Order.Id);
   auto P = Context.Cells.Peers.find(J.Sender);
   if (P != Context.Cells.Peers.end()) {
     P->second.OpenJobs.insert(J.Order.Number);
--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -254,31 +254,37 @@
     Reader.fail(*Problem);
 }
 
-Json::Value encodeCrashedTask(const CrashedTask &Task) {
+Json::Value encodeTaskCrash(const TaskCrash &Crash) {
   Json::Value V(Json::objectValue);
-  V["index"] = Task.Index;
-  V["crashes"] = Task.Crashes;
+  V["index"] = Crash.Index;
+  V["upstream"] = Crash.Upstream.Value;
+  V["started_at"] = Json::Int64(Crash.StartedAt);
+  V["evidence"] = static_cast<int>(Crash.Evidence);
   return V;
 }
 
-Result<CrashedTask> decodeCrashedTask(const Json::Value &Value) {
-  ObjectReader Reader(Value, "crashed task");
-  CrashedTask Task;
-  readCount(Reader, "index", Task.Index);
-  readCount(Reader, "crashes", Task.Crashes);
-  return finishReading(Reader, Task);
+Result<TaskCrash> decodeTaskCrash(const Json::Value &Value) {
+  ObjectReader Reader(Value, "crash");
+  TaskCrash Crash;
+  readCount(Reader, "index", Crash.Index);
+  Reader.string("upstream", Crash.Upstream.Value, MaxTextLength)
+      .integer("started_at", Crash.StartedAt, INT64_MIN, INT64_MAX);
+  readEnum(Reader, "evidence", Crash.Evidence, CrashEvidence::Proved);
+  return finishReading(Reader, std::move(Crash));
 }
 
 /// Writes the list unless it is empty, so that earlier versions accept the
 /// messages about jobs without crashes.
-void writeCrashes(Json::Value &V, const std::vector<CrashedTask> &Crashes) {
+void writeCrashes(Json::Value &V, const std::vector<TaskCrash> &Crashes) {
   if (!Crashes.empty())
-    V["crashes"] = encodeList(Crashes, encodeCrashedTask);
+    V["crash_records"] = encodeList(Crashes, encodeTaskCrash);
 }
 
-void readCrashes(ObjectReader &Reader, std::vector<CrashedTask> &Out) {
-  if (Reader.has("crashes"))
-    readList(Reader, "crashes", MaxListLength, Out, decodeCrashedTask);
+void readCrashes(ObjectReader &Reader, std::vector<TaskCrash> &Out) {
+  // Earlier versions send counts without evidence, which are ignored.
+  Reader.optionalArray("crashes", MaxListLength);
+  if (Reader.has("crash_records"))
+    readList(Reader, "crash_records", MaxListLength, Out, decodeTaskCrash);
 }
 
 } // namespace
--- a/src/sender/crash_base.h
+++ b/src/sender/crash_base.h
@@ -5,15 +5,15 @@
 #include "sender/sender_type.h"
 
 #include <deque>
-#include <map>
 #include <unordered_map>
+#include <vector>
 
 namespace snipeshunt {
 
-/// Crashes under the tasks of one job.
+/// Crashes for which the tasks of one job are suspected.
 struct JobCrashes {
-  std::map<uint32_t, uint32_t> Tasks; ///< Crashes by the index of the task.
-  SteadyTime Updated{};               ///< When one was last added.
+  std::vector<TaskCrash> Crashes;
+  SteadyTime Updated{}; ///< When one was last added or proved.
 };
 
 /// Crashes by job. It outlives the jobs, since callers submit a job again that
--- a/src/sender/crash_cmd.cpp
+++ b/src/sender/crash_cmd.cpp
@@ -5,6 +5,9 @@
 #include "sender/sender_table.h"
 #include "sender/upstream_cmd.h"
 
+#include <algorithm>
+#include <map>
+
 namespace snipeshunt {
 
 namespace {
@@ -13,14 +16,11 @@
 // is back that crashed without a sign.
 constexpr Duration CrashRetention = std::chrono::seconds(30);
 constexpr size_t MaxCrashHistory = 4096;
+// A job has up to 200 tasks.
+constexpr size_t MaxCrashesPerJob = 600;
 
-/// Sets the crashes under a task, and removes the oldest records of jobs.
-void setCrashes(CrashHistory &History, const JobId &Job, uint32_t Index,
-                uint32_t Crashes, SteadyTime Now) {
-  JobCrashes &Entry = History.Jobs[Job];
-  Entry.Tasks[Index] = Crashes;
-  Entry.Updated = Now;
-  History.Order.emplace_back(Now, Job);
+/// Removes the oldest records of jobs.
+void limitHistory(CrashHistory &History, SteadyTime Now) {
   while (Now - History.Order.front().first > CrashRetention ||
          History.Order.size() > MaxCrashHistory) {
     auto Oldest = History.Jobs.find(History.Order.front().second);
@@ -31,18 +31,61 @@
   }
 }
 
+/// Adds a crash, or the evidence for one that is known. The identity of the
+/// process tells whether two instances have seen the same crash.
+void addCrash(CrashHistory &History, const JobId &Job, const TaskCrash &Crash,
+              SteadyTime Now) {
+  JobCrashes &Entry = History.Jobs[Job];
+  auto Known = std::find_if(
+      Entry.Crashes.begin(), Entry.Crashes.end(), [&](const TaskCrash &Other) {
+        return Other.Index == Crash.Index && Other.Upstream == Crash.Upstream &&
+               Other.StartedAt == Crash.StartedAt;
+      });
+  if (Known != Entry.Crashes.end()) {
+    if (Known->Evidence >= Crash.Evidence)
+      return;
+    Known->Evidence = Crash.Evidence;
+  } else if (Entry.Crashes.size() < MaxCrashesPerJob) {
+    Entry.Crashes.push_back(Crash);
+  }
+  Entry.Updated = Now;
+  History.Order.emplace_back(Now, Job);
+  limitHistory(History, Now);
+}
+
+/// A run that an upstream may have had when its process ended.
+struct SuspectedRun {
+  RunKey Key;
+  CrashEvidence Evidence;
+};
+
+/// Returns true if \p U closed the connection of a renewal that waited for the
+/// end of a run, and refuses connections since. An end would have been the
+/// answer, so the runs of \p U were in progress.
+bool endedWithItsRuns(const SenderUpstream &U, SteadyTime Now) {
+  return U.RenewalLost && Now - *U.RenewalLost <= MaxCrashProofDelay &&
+         U.LostRenewalWait >= MinRenewalTransit &&
+         U.LostRenewalWait <= Duration(RenewalWait) + MinRenewalTransit;
+}
+
 /// Returns the runs that the process of \p U may have had when it ended, and
-/// that no crash was attributed to yet, and marks them.
-std::vector<RunKey> takeSuspectedRuns(SenderUpstream &U) {
-  std::vector<RunKey> Suspects = std::move(U.LapsedRuns);
+/// for which no crash was recorded yet, and marks them.
+std::vector<SuspectedRun> takeSuspectedRuns(SenderUpstream &U, SteadyTime Now) {
+  std::vector<SuspectedRun> Suspects;
+  for (RunKey &Key : U.LapsedRuns)
+    Suspects.push_back({std::move(Key), CrashEvidence::Possible});
   U.LapsedRuns.clear();
+  bool Ended = endedWithItsRuns(U, Now);
   for (auto &[Key, Run] : U.Runs) {
     // A start whose connection broke may have arrived. Whether one that still
     // awaits its answer did is not known yet.
     if (Run.Phase == RunPhase::Starting || Run.CrashCounted)
       continue;
     Run.CrashCounted = true;
-    Suspects.push_back(Key);
+    bool Proved = Ended && Run.Phase == RunPhase::Running &&
+                  !Run.StopRequested && Run.Accepted <= *U.RenewalLost;
+    Suspects.push_back(
+        {Key, Proved ? CrashEvidence::Proved : CrashEvidence::Possible});
   }
   return Suspects;
 }
@@ -50,12 +93,12 @@
 /// Returns those of \p Suspects to which a crash is attributed. A task that
 /// was on an upstream that crashed before explains the crash, so the others are
 /// not suspected. If there are several such tasks, each may be innocent.
-std::vector<RunKey> attributeCrash(const CrashHistory &History,
-                                   std::vector<RunKey> Suspects) {
-  std::vector<RunKey> Repeated;
-  for (const RunKey &Key : Suspects)
-    if (crashesOf(History, Key.Job, Key.Index) > 0)
-      Repeated.push_back(Key);
+std::vector<SuspectedRun> attributeCrash(const CrashHistory &History,
+                                         std::vector<SuspectedRun> Suspects) {
+  std::vector<SuspectedRun> Repeated;
+  for (const SuspectedRun &Run : Suspects)
+    if (crashesOf(History, Run.Key.Job, Run.Key.Index) > 0)
+      Repeated.push_back(Run);
   if (Repeated.empty())
     return Suspects;
   if (Repeated.size() > 1)
@@ -63,6 +106,19 @@
   return Repeated;
 }
 
+/// Why a job ends, for logs: the crashes for which a task is suspected.
+std::string crashReason(const CrashHistory &History, const JobId &Job,
+                        uint32_t Index) {
+  std::string Text =
+      "upstreams crash under task " + std::to_string(Index) + ":";
+  for (const TaskCrash &Crash : crashesOf(History, Job))
+    if (Crash.Index == Index)
+      Text += std::string(" ") + Crash.Upstream.Value + "/" +
+              std::to_string(Crash.StartedAt) + "=" +
+              crashEvidenceName(Crash.Evidence);
+  return Text;
+}
+
 /// Returns " NAME=" and the milliseconds since \p Then, or "none".
 std::string sinceText(const char *Name, SteadyTime Then, SteadyTime Now) {
   return std::string(" ") + Name + "=" +
@@ -115,37 +171,48 @@
   auto It = History.Jobs.find(Job);
   if (It == History.Jobs.end())
     return 0;
-  auto Task = It->second.Tasks.find(Index);
-  return Task == It->second.Tasks.end() ? 0 : Task->second;
+  return static_cast<uint32_t>(std::count_if(
+      It->second.Crashes.begin(), It->second.Crashes.end(),
+      [Index](const TaskCrash &Crash) { return Crash.Index == Index; }));
 }
 
-std::vector<CrashedTask> crashedTasks(const CrashHistory &History,
-                                      const JobId &Job) {
-  std::vector<CrashedTask> Tasks;
+std::vector<TaskCrash> crashesOf(const CrashHistory &History,
+                                 const JobId &Job) {
   auto It = History.Jobs.find(Job);
-  if (It != History.Jobs.end())
-    for (const auto &[Index, Crashes] : It->second.Tasks)
-      Tasks.push_back({Index, Crashes});
-  return Tasks;
+  return It == History.Jobs.end() ? std::vector<TaskCrash>()
+                                  : It->second.Crashes;
 }
 
 void mergeCrashes(CrashHistory &History, const JobId &Job,
-                  const std::vector<CrashedTask> &Crashes, SteadyTime Now) {
-  for (const CrashedTask &Task : Crashes)
-    if (Task.Crashes > crashesOf(History, Job, Task.Index))
-      setCrashes(History, Job, Task.Index, Task.Crashes, Now);
+                  const std::vector<TaskCrash> &Crashes, SteadyTime Now) {
+  for (const TaskCrash &Crash : Crashes)
+    addCrash(History, Job, Crash, Now);
 }
 
-bool applyCrashHistory(const CrashHistory &History, SenderJob &J) {
-  bool Proved = false;
-  for (const CrashedTask &Task : crashedTasks(History, J.Order.Id)) {
-    if (Task.Index >= J.Tasks.size())
+std::optional<JobOutcome> applyCrashHistory(const CrashHistory &History,
+                                            SenderJob &J) {
+  auto It = History.Jobs.find(J.Order.Id);
+  if (It == History.Jobs.end())
+    return std::nullopt;
+  std::map<uint32_t, uint32_t> Proved;
+  for (SenderTask &T : J.Tasks)
+    T.Crashes = 0;
+  for (const TaskCrash &Crash : It->second.Crashes) {
+    if (Crash.Index >= J.Tasks.size())
       continue;
-    J.Tasks[Task.Index].Crashes = Task.Crashes;
+    ++J.Tasks[Crash.Index].Crashes;
     J.HasSuspectedTasks = true;
-    Proved = Proved || Task.Crashes >= MaxCrashes;
+    if (Crash.Evidence == CrashEvidence::Proved)
+      ++Proved[Crash.Index];
+  }
+  std::optional<JobOutcome> Outcome;
+  for (uint32_t Index = 0; Index < J.Tasks.size(); ++Index) {
+    if (Proved[Index] >= MaxProvedCrashes)
+      return JobOutcome::Failed;
+    if (J.Tasks[Index].Crashes >= MaxSuspectedCrashes)
+      Outcome = JobOutcome::Lost;
   }
-  return Proved;
+  return Outcome;
 }
 
 void recordCrash(SenderState &State, SenderUpstream &U, CrashSign Sign,
@@ -153,29 +220,34 @@
   // An upstream that leaves as announced ends with the runs that are left.
   if (U.Record.Draining)
     return;
-  std::vector<RunKey> Suspects = takeSuspectedRuns(U);
+  std::vector<SuspectedRun> Suspects = takeSuspectedRuns(U, Now);
   if (Suspects.empty())
     return;
   ++State.Counts.UpstreamCrashes;
   logUpstream(Out, U,
-              "has crashed, runs=" + std::to_string(Suspects.size()) +
+              "seems to have crashed, runs=" + std::to_string(Suspects.size()) +
                   " sign=" + crashSignName(Sign) + contactText(U, Now));
-  for (const RunKey &Key : attributeCrash(State.Crashes, Suspects)) {
-    uint32_t Crashes = crashesOf(State.Crashes, Key.Job, Key.Index) + 1;
-    setCrashes(State.Crashes, Key.Job, Key.Index, Crashes, Now);
+  for (const SuspectedRun &Run : attributeCrash(State.Crashes, Suspects)) {
+    const RunKey &Key = Run.Key;
+    addCrash(State.Crashes, Key.Job,
+             {Key.Index, U.Record.Id, U.StartedAt, Run.Evidence}, Now);
+    ++(Run.Evidence == CrashEvidence::Proved ? State.Counts.CrashesProved
+                                             : State.Counts.CrashesPossible);
     Out.push_back(LogDecision{
         DecisionPart::Upstreams, Key.Job.Value,
         "run=" + runText(Key) +
             " is suspected of the crash of upstream=" + U.Record.Id.Value +
-            " crashes=" + std::to_string(Crashes) + runStateText(U, Key, Now),
+            " evidence=" + crashEvidenceName(Run.Evidence) + " crashes=" +
+            std::to_string(crashesOf(State.Crashes, Key.Job, Key.Index)) +
+            runStateText(U, Key, Now),
         /*Frequent=*/true});
     auto Job = State.Jobs.find(Key.Job);
-    if (Job == State.Jobs.end() ||
-        !applyCrashHistory(State.Crashes, Job->second))
+    if (Job == State.Jobs.end())
       continue;
-    finishJob(State, Key.Job, JobOutcome::Failed,
-              "upstreams crash under task " + std::to_string(Key.Index), Now,
-              Out);
+    if (std::optional<JobOutcome> Outcome =
+            applyCrashHistory(State.Crashes, Job->second))
+      finishJob(State, Key.Job, *Outcome,
+                crashReason(State.Crashes, Key.Job, Key.Index), Now, Out);
   }
 }
 
--- a/src/sender/crash_cmd.h
+++ b/src/sender/crash_cmd.h
@@ -7,18 +7,17 @@
 
 namespace snipeshunt {
 
-/// Crashes under a task; 0 if none is known.
+/// Number of crashes for which a task is suspected.
 uint32_t crashesOf(const CrashHistory &History, const JobId &Job,
                    uint32_t Index);
 
-/// Known crashes under the tasks of a job.
-std::vector<CrashedTask> crashedTasks(const CrashHistory &History,
-                                      const JobId &Job);
+/// Crashes for which the tasks of a job are suspected.
+std::vector<TaskCrash> crashesOf(const CrashHistory &History, const JobId &Job);
 
-/// Applies another instance's counts. The higher one of a task holds, since
-/// both may contain the same crash.
+/// Adds crashes that another instance reported. A crash that is known already
+/// is not counted again; the stronger evidence holds.
 void mergeCrashes(CrashHistory &History, const JobId &Job,
-                  const std::vector<CrashedTask> &Crashes, SteadyTime Now);
+                  const std::vector<TaskCrash> &Crashes, SteadyTime Now);
 
 /// How it was found that the process of an upstream has ended.
 enum class CrashSign {
@@ -31,15 +30,17 @@
 /// Name of \p Sign, for logs.
 const char *crashSignName(CrashSign Sign);
 
-/// Counts a crash against the tasks that may have caused it, and ends the jobs
-/// whose tasks are proved to. Called when it is known that the process of an
-/// upstream has ended; the runs stay until their own end is known.
+/// Records a crash for the tasks that may have caused it, and ends the jobs
+/// that reach a limit by that. Called when the process of an upstream seems to
+/// have ended; the runs stay until their own end is known.
 void recordCrash(SenderState &State, SenderUpstream &U, CrashSign Sign,
                  SteadyTime Now, InstanceEffects &Out);
 
-/// Copies the known crashes to the tasks of a job. Returns true if one of them
-/// has reached `MaxCrashes`.
-bool applyCrashHistory(const CrashHistory &History, SenderJob &J);
+/// Copies the known crashes to the tasks of a job. Returns how the job ends if
+/// a task has reached a limit: `Failed` if `MaxProvedCrashes` are proved, and
+/// `Lost` after `MaxSuspectedCrashes`.
+std::optional<JobOutcome> applyCrashHistory(const CrashHistory &History,
+                                            SenderJob &J);
 
 } // namespace snipeshunt
 
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -19,7 +19,10 @@
 
 void answer(SenderState &State, const JobId &Id, const JobWaiter &Waiter,
             JobResult Result, SteadyTime Now, InstanceEffects &Out) {
-  Result.Crashes = crashedTasks(State.Crashes, Id);
+  // Nobody has use for the crashes of a job that is done, and instances of an
+  // older version can't read them.
+  if (Result.Outcome != JobOutcome::Done)
+    Result.Crashes = crashesOf(State.Crashes, Id);
   Result.Load = senderLoad(State, Now);
   if (Result.Outcome == JobOutcome::NotRun)
     Result.RetryAfter = std::max(MinRetryAfter, Result.Load.Delay);
@@ -235,16 +238,20 @@
   JobResult Result;
   Result.Reason = "superseded by a later submission of the job";
   answer(State, Order.Id, Earlier, std::move(Result), Now, Out);
-  if (applyCrashHistory(State.Crashes, J))
-    finishJob(State, Order.Id, JobOutcome::Failed, CrashReason, Now, Out);
+  if (std::optional<JobOutcome> Outcome = applyCrashHistory(State.Crashes, J))
+    finishJob(State, Order.Id, *Outcome, CrashReason, Now, Out);
 }
 
-/// Answers a job that can't succeed, as known from an earlier submission.
-void failJob(SenderState &State, const JobOrder &Order, const JobWaiter &Waiter,
-             SteadyTime Now, InstanceEffects &Out) {
-  ++State.Counts.JobsFailed;
+/// Answers a job that is not started again because of the crashes in an earlier
+/// submission. \p Outcome is never `NotRun`, since tasks have been started
+/// then.
+void endUnstarted(SenderState &State, const JobOrder &Order,
+                  const JobWaiter &Waiter, JobOutcome Outcome, SteadyTime Now,
+                  InstanceEffects &Out) {
+  ++(Outcome == JobOutcome::Failed ? State.Counts.JobsFailed
+                                   : State.Counts.JobsLost);
   JobResult Result;
-  Result.Outcome = JobOutcome::Failed;
+  Result.Outcome = Outcome;
   Result.Reason = CrashReason;
   logJob(Out, Order.Id, "not started: " + Result.Reason);
   answer(State, Order.Id, Waiter, std::move(Result), Now, Out);
@@ -270,8 +277,8 @@
     return answer(State, Order.Id, Waiter, std::move(Result), Now, Out);
   }
   SenderJob J = makeJob(State, Order, Waiter, Now);
-  if (applyCrashHistory(State.Crashes, J))
-    return failJob(State, Order, Waiter, Now, Out);
+  if (std::optional<JobOutcome> Outcome = applyCrashHistory(State.Crashes, J))
+    return endUnstarted(State, Order, Waiter, *Outcome, Now, Out);
   if (State.Draining)
     return rejectJob(State, Order, Waiter, "sender is shutting down", true, Now,
                      Out);
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -125,7 +125,7 @@
   SenderTaskState State = SenderTaskState::Waiting;
   uint32_t Run = 0;      ///< Number of the run, from 1; 0 before any.
   uint32_t Failures = 0; ///< Runs that failed.
-  uint32_t Crashes = 0;  ///< See `CrashedTask`.
+  uint32_t Crashes = 0;  ///< For which it is suspected; see `TaskCrash`.
   UpstreamId Upstream;   ///< Where it was started.
   /// Upstreams where a start or a run of it did not succeed.
   std::set<UpstreamId> AvoidedUpstreams;
@@ -203,7 +203,10 @@
   uint64_t RunsStopped = 0;     ///< Stops that were accepted.
   uint64_t RunsStalled = 0;     ///< Runs stopped for lack of progress.
   uint64_t UpstreamCrashes = 0; ///< Crashes of upstreams with runs.
-  uint64_t Renewals = 0;        ///< Renewal calls sent.
+  /// Crashes recorded for a task, by `CrashEvidence`.
+  uint64_t CrashesProved = 0;
+  uint64_t CrashesPossible = 0;
+  uint64_t Renewals = 0; ///< Renewal calls sent.
   /// Upstreams looked at by placement, as a measure of its cost.
   uint64_t UpstreamsVisited = 0;
 };
--- a/src/sender/sender_table.h
+++ b/src/sender/sender_table.h
@@ -54,9 +54,20 @@
 /// A run time that differs from the expected one by this factor is attributed
 /// to the upstream, not to its queue or kind; run times vary by about 40 %.
 constexpr double SlowFactor = 3.0;
-/// Crashes under a task after which its job fails. The task is alone on its
-/// upstream from the second on, so no other task can have caused both.
-constexpr uint32_t MaxCrashes = 2;
+/// Proved crashes under a task after which its job fails. The task is alone on
+/// its upstream from the second on, so no other task can have caused both.
+constexpr uint32_t MaxProvedCrashes = 2;
+/// Crashes for which a task is suspected, proved or not, after which its job is
+/// given up. The users allow two further starts after three crashes; those are
+/// left for crashes that were not noticed.
+constexpr uint32_t MaxSuspectedCrashes = 3;
+/// Shortest wait of a renewal that has certainly reached its upstream. A round
+/// trip between data centres takes 3 ms.
+constexpr Duration MinRenewalTransit = std::chrono::milliseconds(5);
+/// Longest time between the loss of a renewal's connection and a refused
+/// connection that together prove a crash. The renewal is repeated at once, and
+/// is delayed by tens of milliseconds on an instance short of processor time.
+constexpr Duration MaxCrashProofDelay = std::chrono::milliseconds(60);
 /// Part of the upstreams that may be kept free of other runs for suspected
 /// tasks at a time, one in this number. The rest serve the other jobs.
 constexpr size_t UpstreamsPerReserved = 8;
--- a/src/sender/sender_type.h
+++ b/src/sender/sender_type.h
@@ -26,13 +26,27 @@
   uint32_t MaxPerUpstream = 0; ///< Limit of tasks on one upstream; 0 for none.
 };
 
-/// Crashes of upstreams under a task.
-struct CrashedTask {
-  uint32_t Index = 0;   ///< Task of the step, from 0.
-  uint32_t Crashes = 0; ///< Crashes for which it is suspected.
+/// How certain it is that an upstream crashed while it ran a task.
+enum class CrashEvidence {
+  Possible, ///< The run may not have begun, or may have ended before.
+  Proved,   ///< The run was in progress when the upstream's process ended.
+};
+
+/// Returns the name of \p Evidence, for logs.
+inline const char *crashEvidenceName(CrashEvidence Evidence) {
+  return Evidence == CrashEvidence::Proved ? "proved" : "possible";
+}
+
+/// A crash of an upstream for which a task is suspected.
+struct TaskCrash {
+  uint32_t Index = 0; ///< Task of the step, from 0.
+  UpstreamId Upstream;
+  int64_t StartedAt = 0; ///< Start of the process that ended, Unix ms.
+  CrashEvidence Evidence = CrashEvidence::Possible;
 
-  friend bool operator==(const CrashedTask &L, const CrashedTask &R) {
-    return L.Index == R.Index && L.Crashes == R.Crashes;
+  friend bool operator==(const TaskCrash &L, const TaskCrash &R) {
+    return L.Index == R.Index && L.Upstream == R.Upstream &&
+           L.StartedAt == R.StartedAt && L.Evidence == R.Evidence;
   }
 };
 
@@ -52,7 +66,7 @@
   Duration Age{0};          ///< Time since the entry received the request.
   std::string Spec;         ///< Passed to the upstreams as it is.
   StepDemand Step;
-  std::vector<CrashedTask> Crashes; ///< Known from earlier submissions.
+  std::vector<TaskCrash> Crashes; ///< Known from earlier submissions.
 };
 
 /// How a job ended.
@@ -86,7 +100,7 @@
   bool Moved = false;     ///< The entry should try another sender at once.
   bool Leaving = false;   ///< This sender is shutting down.
   SenderLoad Load;        ///< Of the sender, at the time of the answer.
-  std::vector<CrashedTask> Crashes; ///< Known of the job's tasks.
+  std::vector<TaskCrash> Crashes; ///< Known of the job's tasks.
 };
 
 // Effects.
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -499,6 +499,9 @@
                    Event.Status == OrderStatus::NothingSent ||
                        Event.Status == OrderStatus::Refused,
                    Now, Out);
+    // The next call tells whether the upstream has crashed.
+    if (Event.ConnectionLost && U->UnansweredCalls == 1)
+      U->NextRenewal = Now;
     if (Event.Status == OrderStatus::OtherProcess)
       U->Phase = UpstreamPhase::Unresponsive;
     return;
--- a/tests/cell_codec_test.cpp
+++ b/tests/cell_codec_test.cpp
@@ -100,7 +100,7 @@
   In.Age = milliseconds(20);
   In.Spec = "spec";
   In.Step = {8, {14000, 64, 1}, milliseconds(51), "r1-1", "b", 2};
-  In.Crashes = {{2, 1}, {5, 2}};
+  In.Crashes = {{2, {"up-1"}, 1, CrashEvidence::Proved}, {5, {"up-2"}, 7}};
   JobOrder Out = decoded(decodeJobOrder(encodeJobOrder(In)));
   EXPECT_EQ(Out.Id, In.Id);
   EXPECT_EQ(Out.Entry, In.Entry);
@@ -129,7 +129,7 @@
 // As above, for the results of forwarded jobs.
 TEST(CellCodecTest, ResultKeepsItsFields) {
   JobResult In{JobOutcome::NotRun, "reason", milliseconds(1200), true, true,
-               someLoad(),         {{2, 1}}};
+               someLoad(),         {{2, {"up-1"}, 1}}};
   JobResult Out = decoded(decodeJobResult(encodeJobResult(In)));
   EXPECT_EQ(Out.Outcome, In.Outcome);
   EXPECT_EQ(Out.Reason, In.Reason);
@@ -143,6 +143,6 @@
 // Guards against messages that earlier versions reject for an unknown field:
 // they are sent to them while a fleet is upgraded.
 TEST(CellCodecTest, CrashesAreLeftOutIfThereAreNone) {
-  EXPECT_FALSE(encodeJobOrder({}).isMember("crashes"));
-  EXPECT_FALSE(encodeJobResult({}).isMember("crashes"));
+  EXPECT_FALSE(encodeJobOrder({}).isMember("crash_records"));
+  EXPECT_FALSE(encodeJobResult({}).isMember("crash_records"));
 }
--- a/tests/cell_crash_test.cpp
+++ b/tests/cell_crash_test.cpp
@@ -183,16 +183,121 @@
   EXPECT_TRUE(World.state(Strong).Sender.Crashes.Jobs.empty());
 }
 
+// Guards against a job that is shown as failed though one of the two starts
+// that are counted got no answer and may never have begun.
+TEST_F(CellCrashTest, UnansweredStartIsNoProofOfACrash) {
+  size_t A = World.submit(First, "a", 1, milliseconds(3000), seconds(6));
+  World.run(milliseconds(100));
+  ASSERT_EQ(upstreamsOf("a").size(), 1U);
+  UpstreamId One = *upstreamsOf("a").begin();
+  for (const UpstreamId &U : Upstreams)
+    if (!(U == One))
+      World.faults(U).Unreachable = true;
+  World.crashUpstream(One, seconds(20));
+  // The lease of the first run expires, and the second start gets no answer.
+  World.run(milliseconds(1250));
+  for (const UpstreamId &U : Upstreams)
+    if (!(U == One)) {
+      World.faults(U).Unreachable = false;
+      World.faults(U).Refuses = true;
+    }
+  World.run(milliseconds(300));
+  for (const UpstreamId &U : Upstreams)
+    World.faults(U).Refuses = false;
+  World.run(seconds(5));
+  EXPECT_EQ(runsOf("a", 0), 2U);
+  EXPECT_TRUE(ended(A, AnswerStatus::Done));
+}
+
+// Guards against a job that is shown as failed though its runs had succeeded
+// before their upstreams crashed, and only the reports of that were lost.
+TEST_F(CellCrashTest, RunsWithLostReportsAreNotInProgress) {
+  for (const UpstreamId &U : Upstreams)
+    World.faults(U).LostRenewalShare = 1;
+  size_t A = World.submit(First, "a", 1, milliseconds(100), seconds(5));
+  for (int I = 0; I < 2; ++I) {
+    World.run(milliseconds(200));
+    EXPECT_TRUE(World.runs().back().Done);
+    UpstreamId Last = World.runs().back().Upstream;
+    World.crashUpstream(Last, seconds(20));
+    World.faults(Last).LostRenewalShare = 0;
+    World.run(milliseconds(1400));
+  }
+  World.run(seconds(4));
+  EXPECT_FALSE(ended(A, AnswerStatus::Failed));
+}
+
+// Guards against crashes that are counted under runs whose lease had expired.
+TEST_F(CellCrashTest, RunWhoseLeaseHadExpiredIsNoProofOfACrash) {
+  size_t A = World.submit(First, "a", 1, milliseconds(2500), seconds(9));
+  for (int I = 0; I < 2; ++I) {
+    World.run(milliseconds(300));
+    UpstreamId Last = World.runs().back().Upstream;
+    World.faults(Last).Unreachable = true;
+    World.run(milliseconds(1200));
+    World.restartUpstream(Last);
+    World.faults(Last).Unreachable = false;
+  }
+  World.run(seconds(6));
+  EXPECT_TRUE(ended(A, AnswerStatus::Done));
+}
+
+// Guards against upstreams that count as crashed because they refuse
+// connections for a moment, while their process and its runs go on.
+TEST_F(CellCrashTest, RefusedConnectionsAloneAreNoProofOfACrash) {
+  size_t A = World.submit(First, "a", 1, milliseconds(3000), seconds(9));
+  World.run(milliseconds(300));
+  for (int I = 0; I < 2; ++I) {
+    UpstreamId Last = World.runs().back().Upstream;
+    World.faults(Last).Refuses = true;
+    World.run(milliseconds(1500));
+    World.faults(Last).Refuses = false;
+  }
+  World.run(seconds(7));
+  EXPECT_TRUE(ended(A, AnswerStatus::Done));
+}
+
+// Guards against a task that crashes upstream after upstream because it does so
+// before its start is answered.
+TEST_F(CellCrashTest, TaskThatCrashesBeforeItsAnswerIsGivenUp) {
+  World.setCrashing("a", 0, milliseconds(0));
+  size_t A = World.submit(First, "a", 1, milliseconds(100), seconds(9));
+  World.run(seconds(9));
+  ASSERT_TRUE(World.caller(A).Answer);
+  EXPECT_FALSE(ended(A, AnswerStatus::Done));
+  EXPECT_LE(World.crashes(), 3U);
+  for (int I = 0; I < 4; ++I) {
+    World.submit(I % 2 == 0 ? Second : First, "a", 1, milliseconds(100));
+    World.run(seconds(4));
+  }
+  EXPECT_LE(World.crashes(), 3U);
+}
+
+// Guards against one crash that counts twice, because two senders have seen it
+// and their records meet at an entry instance.
+TEST(CrashHistoryTest, OneCrashSeenByTwoSendersCountsOnce) {
+  CrashHistory History;
+  SteadyTime Now(std::chrono::hours(1));
+  mergeCrashes(History, {"a"}, {{0, {"up-1"}, 7}}, Now);
+  mergeCrashes(History, {"a"}, {{0, {"up-1"}, 7, CrashEvidence::Proved}}, Now);
+  mergeCrashes(History, {"a"}, {{0, {"up-1"}, 7}}, Now);
+  EXPECT_EQ(crashesOf(History, {"a"}, 0), 1U);
+  EXPECT_EQ(crashesOf(History, {"a"}).front().Evidence, CrashEvidence::Proved);
+  mergeCrashes(History, {"a"}, {{0, {"up-1"}, 8}, {0, {"up-2"}, 7}}, Now);
+  EXPECT_EQ(crashesOf(History, {"a"}, 0), 3U);
+}
+
 // Guards against a record of crashes that grows without limit.
 TEST(CrashHistoryTest, SizeAndAgeAreLimited) {
   CrashHistory History;
   SteadyTime Now(std::chrono::hours(1));
   for (int I = 0; I < 20000; ++I)
-    mergeCrashes(History, {"job-" + std::to_string(I)}, {{0, 1}}, Now);
+    mergeCrashes(History, {"job-" + std::to_string(I)}, {{0, {"up"}, 1}}, Now);
   EXPECT_LE(History.Jobs.size(), 4096U);
   EXPECT_LE(History.Order.size(), 4096U);
   EXPECT_EQ(crashesOf(History, {"job-19999"}, 0), 1U);
   EXPECT_EQ(crashesOf(History, {"job-0"}, 0), 0U);
-  mergeCrashes(History, {"late"}, {{0, 1}}, Now + std::chrono::minutes(2));
+  mergeCrashes(History, {"late"}, {{0, {"up"}, 1}},
+               Now + std::chrono::minutes(2));
   EXPECT_EQ(History.Jobs.size(), 1U);
 }
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -24,10 +24,13 @@
 struct UpstreamFaults {
   bool Unreachable = false; ///< No message passes in either direction.
   bool Down = false;        ///< No process runs; connections are refused.
-  bool Stalls = false;      ///< Runs make no progress.
-  bool FailsAll = false;    ///< Runs end as failed at once.
-  int LostRenewals = 0;     ///< Number of renewals that get no answer.
-  bool LosesStops = false;  ///< Stops get no answer and are not carried out.
+  /// Orders are refused as if no process ran, and answers on open connections
+  /// are lost, though the process lives.
+  bool Refuses = false;
+  bool Stalls = false;     ///< Runs make no progress.
+  bool FailsAll = false;   ///< Runs end as failed at once.
+  int LostRenewals = 0;    ///< Number of renewals that get no answer.
+  bool LosesStops = false; ///< Stops get no answer and are not carried out.
   /// Starts get no answer and are carried out after this time.
   std::optional<Duration> StartDelay;
   /// Delayed starts are carried out by the upstream's next process too.
--- a/tests/support/cell_world_upstreams.cpp
+++ b/tests/support/cell_world_upstreams.cpp
@@ -124,20 +124,29 @@
     schedule(Now + OrderLimit, [this, From, Lost] { deliver(From, Lost); });
     return;
   }
-  schedule(Now + Hop, [this, From, Id, E] {
+  schedule(Now + Hop, [this, From, Id, E, Lost] {
     Upstream &Target = Upstreams[Id];
     StartAnswered Event{Id, E.Token, E.Key, OrderStatus::Refused, {}};
-    if (!Target.Faults.Down) {
+    if (!Target.Faults.Down && !Target.Faults.Refuses) {
       Event.Status = applyStart(Target, E);
       Event.ClockMs = clockOf(Target);
     }
-    if (canReach(From, Target))
-      schedule(Now + Hop, [this, From, Event] { deliver(From, Event); });
+    if (!canReach(From, Target))
+      return;
+    schedule(Now, [this, From, Lost, Event, Id,
+                   StartedAt = Target.Record.StartedAt] {
+      // A task that crashes its upstream at once takes the answer with it.
+      const Upstream &Answering = Upstreams[Id];
+      bool Crashed = Event.ClockMs && (Answering.Faults.Down ||
+                                       Answering.Record.StartedAt != StartedAt);
+      StartAnswered Answer = Crashed ? Lost : Event;
+      schedule(Now + Hop, [this, From, Answer] { deliver(From, Answer); });
+    });
   });
 }
 
 OrderStatus CellWorld::applyStop(Upstream &U, const StopRun &E) {
-  if (U.Faults.Down)
+  if (U.Faults.Down || U.Faults.Refuses)
     return OrderStatus::Refused;
   if (E.Token < U.Token)
     return OrderStatus::Fenced;
@@ -193,11 +202,13 @@
   UpstreamId Id = E.Upstream;
   auto Answered = std::make_shared<bool>(false);
   auto Answer = [this, From, Answered, E](OrderStatus Status,
-                                          std::optional<UpstreamReport> R) {
+                                          std::optional<UpstreamReport> R,
+                                          bool ConnectionLost = false) {
     if (*Answered)
       return;
     *Answered = true;
     RenewalAnswered Event;
+    Event.ConnectionLost = ConnectionLost;
     Event.Upstream = E.Upstream;
     Event.Token = E.Token;
     Event.Sequence = E.Sequence;
@@ -212,7 +223,7 @@
     return;
   schedule(Now + Hop, [this, From, Id, E, Answer] {
     Upstream &U = Upstreams[Id];
-    if (U.Faults.Down) {
+    if (U.Faults.Down || U.Faults.Refuses) {
       schedule(Now + Hop,
                [Answer] { Answer(OrderStatus::Refused, std::nullopt); });
       return;
@@ -238,11 +249,10 @@
     int64_t StartedAt = U.Record.StartedAt;
     auto Reply = [this, From, Id, E, Answer, StartedAt] {
       Upstream &Target = Upstreams[Id];
-      if (!canReach(From, Target))
+      if (!canReach(From, Target) || Target.Faults.Refuses)
         return;
       if (Target.Faults.Down || Target.Record.StartedAt != StartedAt) {
-        // The process ended, and its connections broke.
-        Answer(OrderStatus::Unknown, std::nullopt);
+        Answer(OrderStatus::Unknown, std::nullopt, /*ConnectionLost=*/true);
         return;
       }
       UpstreamReport R = report(Target, E);
