sender: don't count a crash against the runs of the next process

An upstream that crashed while it was idle, and is back before its sender has noticed, accepts starts as before. When a report or the store's list then showed that its process had changed, all accepted runs counted as lost with the former process, those of the new one too: a suspected job waits for an upstream of its own, and one more such count fails or gives it up.

The first report of the new process now tells which runs are its own; the list only says that there is one. Both new tests failed on the code before: two tasks were suspected although no run had been lost.

--- a/src/sender/crash_cmd.cpp
+++ b/src/sender/crash_cmd.cpp
@@ -68,9 +68,18 @@
          U.LostRenewalWait <= Duration(RenewalWait) + MinRenewalTransit;
 }
 
+bool lists(const UpstreamReport &Report, const RunKey &Key) {
+  return std::any_of(Report.Running.begin(), Report.Running.end(),
+                     [&](const RunningReport &R) { return R.Key == Key; }) ||
+         std::any_of(Report.Ended.begin(), Report.Ended.end(),
+                     [&](const EndReport &R) { return R.Key == Key; });
+}
+
 /// Returns the runs that the process of \p U may have had when it ended, and
 /// for which no crash was recorded yet, and marks them.
-std::vector<SuspectedRun> takeSuspectedRuns(SenderUpstream &U, SteadyTime Now) {
+std::vector<SuspectedRun> takeSuspectedRuns(SenderUpstream &U,
+                                            const UpstreamReport *Report,
+                                            SteadyTime Now) {
   std::vector<SuspectedRun> Suspects;
   for (RunKey &Key : U.LapsedRuns)
     Suspects.push_back({std::move(Key), CrashEvidence::Possible});
@@ -79,7 +88,8 @@
   for (auto &[Key, Run] : U.Runs) {
     // A start whose connection broke may have arrived. Whether one that still
     // awaits its answer did is not known yet.
-    if (Run.Phase == RunPhase::Starting || Run.CrashCounted)
+    if (Run.Phase == RunPhase::Starting || Run.CrashCounted ||
+        (Report && lists(*Report, Key)))
       continue;
     Run.CrashCounted = true;
     bool Proved = Ended && Run.Phase == RunPhase::Running &&
@@ -216,11 +226,12 @@
 }
 
 void recordCrash(SenderState &State, SenderUpstream &U, CrashSign Sign,
-                 SteadyTime Now, InstanceEffects &Out) {
+                 const UpstreamReport *Report, SteadyTime Now,
+                 InstanceEffects &Out) {
   // An upstream that leaves as announced ends with the runs that are left.
   if (U.Record.Draining)
     return;
-  std::vector<SuspectedRun> Suspects = takeSuspectedRuns(U, Now);
+  std::vector<SuspectedRun> Suspects = takeSuspectedRuns(U, Report, Now);
   if (Suspects.empty())
     return;
   ++State.Counts.UpstreamCrashes;
@@ -230,7 +241,9 @@
   for (const SuspectedRun &Run : attributeCrash(State.Crashes, Suspects)) {
     const RunKey &Key = Run.Key;
     addCrash(State.Crashes, Key.Job,
-             {Key.Index, U.Record.Id, U.StartedAt, Run.Evidence}, Now);
+             {Key.Index, U.Record.Id, U.FormerProcess.value_or(U.StartedAt),
+              Run.Evidence},
+             Now);
     ++(Run.Evidence == CrashEvidence::Proved ? State.Counts.CrashesProved
                                              : State.Counts.CrashesPossible);
     Out.push_back(LogDecision{
--- a/src/sender/crash_cmd.h
+++ b/src/sender/crash_cmd.h
@@ -24,7 +24,7 @@
   Refused,      ///< Connections are refused.
   OtherProcess, ///< Another upstream answers at the address.
   NewReport,    ///< A report of a later process was received.
-  NewRecord,    ///< The store lists a later process.
+  NewRecord,    ///< The store lists it at another address.
 };
 
 /// Name of \p Sign, for logs.
@@ -32,9 +32,11 @@
 
 /// Records a crash for the tasks that may have caused it, and ends the jobs
 /// that reach a limit by that. Called when the process of an upstream seems to
-/// have ended; the runs stay until their own end is known.
+/// have ended; the runs stay until their own end is known. Runs in \p Report,
+/// the first one of the next process, belong to that; null if there is none.
 void recordCrash(SenderState &State, SenderUpstream &U, CrashSign Sign,
-                 SteadyTime Now, InstanceEffects &Out);
+                 const UpstreamReport *Report, SteadyTime Now,
+                 InstanceEffects &Out);
 
 /// Copies the known crashes to the tasks of a job. Returns how the job ends if
 /// a task has reached a limit: `Failed` if `MaxProvedCrashes` are proved, and
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -75,6 +75,9 @@
   /// When the first end that has not been acknowledged was received.
   SteadyTime FirstUnacknowledged{};
   int64_t StartedAt = 0; ///< Start of its process, Unix ms; 0 if unknown.
+  /// `StartedAt` of the process before, until the first report of the present
+  /// one tells which runs have ended with that.
+  std::optional<int64_t> FormerProcess;
   /// Its clock less the steady clock of this process, in milliseconds. The
   /// highest sample counts, since transit only makes a sample lower. Unset
   /// before the first answer.
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -203,26 +203,9 @@
 void checkProcess(SenderState &State, SenderUpstream &U, OrderStatus Status,
                   SteadyTime Now, InstanceEffects &Out) {
   if (Status == OrderStatus::Refused)
-    recordCrash(State, U, CrashSign::Refused, Now, Out);
+    recordCrash(State, U, CrashSign::Refused, nullptr, Now, Out);
   else if (Status == OrderStatus::OtherProcess)
-    recordCrash(State, U, CrashSign::OtherProcess, Now, Out);
-}
-
-/// Logs the tracked runs that a later process of \p U reports.
-void logRunsOfNewProcess(const SenderUpstream &U, const UpstreamReport &Report,
-                         InstanceEffects &Out) {
-  auto Log = [&](const RunKey &Key, const char *State) {
-    if (U.Runs.count(Key))
-      Out.push_back(
-          LogDecision{DecisionPart::Upstreams, Key.Job.Value,
-                      "run=" + runText(Key) + " is " + State +
-                          " in a new process of upstream=" + U.Record.Id.Value,
-                      /*Frequent=*/true});
-  };
-  for (const RunningReport &R : Report.Running)
-    Log(R.Key, "running");
-  for (const EndReport &R : Report.Ended)
-    Log(R.Key, "ended");
+    recordCrash(State, U, CrashSign::OtherProcess, nullptr, Now, Out);
 }
 
 /// Marks \p U as fenced off and reports its cell.
@@ -509,10 +492,13 @@
   const UpstreamReport &Report = *Event.Report;
   if (U->StartedAt != 0 && Report.StartedAt != 0 &&
       Report.StartedAt != U->StartedAt) {
-    logRunsOfNewProcess(*U, Report, Out);
-    recordCrash(State, *U, CrashSign::NewReport, Now, Out);
+    U->FormerProcess = U->StartedAt;
     resetIncarnation(*U, Report.StartedAt, Out);
   }
+  if (U->FormerProcess) {
+    recordCrash(State, *U, CrashSign::NewReport, &Report, Now, Out);
+    U->FormerProcess.reset();
+  }
   U->LastReport = Now;
   U->RenewalLost.reset();
   // The process has survived the runs whose leases expired.
--- a/src/sender/upstream_list_cmd.cpp
+++ b/src/sender/upstream_list_cmd.cpp
@@ -83,7 +83,14 @@
                       Record.StartedAt > U.StartedAt;
     if (NewProcess || (Record.Endpoint != U.Record.Endpoint &&
                        Record.StartedAt >= U.StartedAt)) {
-      recordCrash(State, U, CrashSign::NewRecord, Now, Out);
+      // An upstream that was draining has ended as announced. Runs that were
+      // accepted at the former address have ended with their process.
+      if (U.Record.Draining)
+        U.LapsedRuns.clear();
+      else if (Record.Endpoint != U.Record.Endpoint)
+        recordCrash(State, U, CrashSign::NewRecord, nullptr, Now, Out);
+      else
+        U.FormerProcess = U.StartedAt;
       U.Record = Record;
       resetIncarnation(U, Record.StartedAt, Out);
       U.RenewalPending = false;
--- a/tests/cell_crash_test.cpp
+++ b/tests/cell_crash_test.cpp
@@ -257,6 +257,30 @@
   EXPECT_TRUE(ended(A, AnswerStatus::Done));
 }
 
+// Guards against a crash of an idle upstream that is counted under the runs of
+// its next process.
+TEST_F(CellCrashTest, RunsOfTheNextProcessAreNotSuspected) {
+  for (const UpstreamId &U : Upstreams)
+    World.restartUpstream(U);
+  size_t A = World.submit(First, "a", 4, milliseconds(400), seconds(5));
+  World.run(seconds(3));
+  EXPECT_TRUE(ended(A, AnswerStatus::Done));
+  EXPECT_TRUE(World.state(Strong).Sender.Crashes.Jobs.empty());
+}
+
+// Guards against the same while the store's list tells of the next process
+// before that has reported.
+TEST_F(CellCrashTest, RunsOfTheNextProcessAreNotSuspectedByTheList) {
+  // The list is read each second, so some reads come before the first report.
+  for (int I = 0; I < 40; ++I) {
+    for (const UpstreamId &U : Upstreams)
+      World.restartUpstream(U);
+    World.submit(First, "a" + std::to_string(I), 4, milliseconds(150));
+    World.run(milliseconds(730));
+  }
+  EXPECT_TRUE(World.state(Strong).Sender.Crashes.Jobs.empty());
+}
+
 // Guards against a task that crashes upstream after upstream because it does so
 // before its start is answered.
 TEST_F(CellCrashTest, TaskThatCrashesBeforeItsAnswerIsGivenUp) {
