--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -89,8 +89,8 @@
   uint64_t RenewalSequence = 0; ///< Of the last renewal.
   SteadyTime RenewalSent{};     ///< When the last renewal was sent.
   SteadyTime LastReport{};      ///< When a renewal was last answered.
-  /// When the upstream last closed the connection of a renewal without an
-  /// answer, and how long the renewal had waited. Unset by any later answer.
+  /// When the upstream closed the connection of a renewal without an answer,
+  /// and how long the renewal had waited; the first one since the last answer.
   std::optional<SteadyTime> RenewalLost;
   Duration LostRenewalWait{0};
   SteadyTime NextRenewal{};     ///< Earliest time of the next renewal.
--- a/src/sender/sender_table.h
+++ b/src/sender/sender_table.h
@@ -64,6 +64,11 @@
 /// Shortest wait of a renewal that has certainly reached its upstream. A round
 /// trip between data centres takes 3 ms.
 constexpr Duration MinRenewalTransit = std::chrono::milliseconds(5);
+/// A renewal whose connection was closed is repeated at once, and this much
+/// later if that one's is too: an upstream may accept a connection while its
+/// process ends. Further ones wait as long as after any lost call.
+constexpr uint32_t MaxEarlyRenewals = 3;
+constexpr Duration EarlyRenewalDelay = std::chrono::milliseconds(10);
 /// Longest time between the loss of a renewal's connection and a refused
 /// connection that together prove a crash. The renewal is repeated at once, and
 /// is delayed by tens of milliseconds on an instance short of processor time.
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -472,7 +472,7 @@
     recordFencing(*U, FencedCell);
     return;
   }
-  if (Event.ConnectionLost) {
+  if (Event.ConnectionLost && !U->RenewalLost) {
     U->RenewalLost = Now;
     U->LostRenewalWait = Now - U->RenewalSent;
   }
@@ -483,8 +483,9 @@
                        Event.Status == OrderStatus::Refused,
                    Now, Out);
     // The next call tells whether the upstream has crashed.
-    if (Event.ConnectionLost && U->UnansweredCalls == 1)
-      U->NextRenewal = Now;
+    if (Event.ConnectionLost && U->UnansweredCalls <= MaxEarlyRenewals)
+      U->NextRenewal = Now + (U->UnansweredCalls == 1 ? Duration::zero()
+                                                      : EarlyRenewalDelay);
     if (Event.Status == OrderStatus::OtherProcess)
       U->Phase = UpstreamPhase::Unresponsive;
     return;
