sender: take no departure of an upstream for a crash

While the store does not answer, a sender does not learn that an upstream drains. The departure then looks like a crash: the upstream closes its connections and refuses new ones. Two of them under one task would fail its job. A crash is now proved only while the list of upstreams is younger than the notice that an upstream gives. Adds counters of crashes by evidence.

DepartureWithoutTheStoreIsNoProofOfACrash fails without the check.

--- a/src/runtime/cell_metrics.cpp
+++ b/src/runtime/cell_metrics.cpp
@@ -78,6 +78,12 @@
   Values.setCounter("upstream_crashes_total",
                     "Upstreams that crashed with runs of this sender.",
                     S.UpstreamCrashes);
+  Values.setCounter("crashes_proved_total",
+                    "Crashes that were certainly under a task.",
+                    S.CrashesProved);
+  Values.setCounter("crashes_possible_total",
+                    "Crashes that may have been under a task.",
+                    S.CrashesPossible);
   Values.setCounter("renewals_total", "Lease renewals sent.", S.Renewals);
   Values.setCounter("pings_total", "Pings sent to peers.",
                     State.Cells.Counts.PingsSent);
--- a/src/sender/crash_cmd.cpp
+++ b/src/sender/crash_cmd.cpp
@@ -1,6 +1,7 @@
 /// \file Attribution of upstreams' crashes to the tasks that ran on them.
 #include "sender/crash_cmd.h"
 
+#include "core/duration_func.h"
 #include "sender/job_cmd.h"
 #include "sender/sender_table.h"
 #include "sender/upstream_cmd.h"
@@ -75,16 +76,24 @@
                      [&](const EndReport &R) { return R.Key == Key; });
 }
 
+/// Returns true if the list of upstreams is so old that an upstream may have
+/// left as announced since.
+bool mayHaveLeft(const SenderState &State, SteadyTime Now) {
+  return Now - State.UpstreamListRead >
+         scaled(Duration(State.Bounds.DrainNotice), MaxListAgeShare);
+}
+
 /// Returns the runs that the process of \p U may have had when it ended, and
 /// for which no crash was recorded yet, and marks them.
-std::vector<SuspectedRun> takeSuspectedRuns(SenderUpstream &U,
+std::vector<SuspectedRun> takeSuspectedRuns(const SenderState &State,
+                                            SenderUpstream &U,
                                             const UpstreamReport *Report,
                                             SteadyTime Now) {
   std::vector<SuspectedRun> Suspects;
   for (RunKey &Key : U.LapsedRuns)
     Suspects.push_back({std::move(Key), CrashEvidence::Possible});
   U.LapsedRuns.clear();
-  bool Ended = endedWithItsRuns(U, Now);
+  bool Ended = endedWithItsRuns(U, Now) && !mayHaveLeft(State, Now);
   for (auto &[Key, Run] : U.Runs) {
     // A start whose connection broke may have arrived. Whether one that still
     // awaits its answer did is not known yet.
@@ -231,7 +240,7 @@
   // An upstream that leaves as announced ends with the runs that are left.
   if (U.Record.Draining)
     return;
-  std::vector<SuspectedRun> Suspects = takeSuspectedRuns(U, Report, Now);
+  std::vector<SuspectedRun> Suspects = takeSuspectedRuns(State, U, Report, Now);
   if (Suspects.empty())
     return;
   ++State.Counts.UpstreamCrashes;
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -241,6 +241,7 @@
   /// The upstreams of a newly claimed cell are being read from the store. Jobs
   /// are admitted meanwhile.
   bool UpstreamListPending = false;
+  SteadyTime UpstreamListRead{}; ///< When a current list was last applied.
   /// Upstreams of the claimed cells, and those that a draining sender still
   /// uses.
   std::map<UpstreamId, SenderUpstream> Upstreams;
--- a/src/sender/sender_table.h
+++ b/src/sender/sender_table.h
@@ -57,6 +57,10 @@
 /// Proved crashes under a task after which its job fails. The task is alone on
 /// its upstream from the second on, so no other task can have caused both.
 constexpr uint32_t MaxProvedCrashes = 2;
+/// A crash is proved only while the list of upstreams is not older than this
+/// share of `FleetBounds::DrainNotice`: an upstream that leaves is listed as
+/// draining that long before. The list is read twice in that time.
+constexpr double MaxListAgeShare = 0.6;
 /// Crashes for which a task is suspected, proved or not, after which its job is
 /// given up. The users allow two further starts after three crashes; those are
 /// left for crashes that were not noticed.
--- a/src/sender/upstream_list_cmd.cpp
+++ b/src/sender/upstream_list_cmd.cpp
@@ -105,6 +105,7 @@
   }
   if (!Complete)
     return;
+  State.UpstreamListRead = Now;
   for (auto It = State.Upstreams.begin(); It != State.Upstreams.end();) {
     SenderUpstream &U = It->second;
     if (Listed.count(It->first)) {
--- a/tests/cell_crash_test.cpp
+++ b/tests/cell_crash_test.cpp
@@ -257,6 +257,21 @@
   EXPECT_TRUE(ended(A, AnswerStatus::Done));
 }
 
+// Guards against upstreams that count as crashed because they have left while
+// the store, which would have listed them as draining, did not answer.
+TEST_F(CellCrashTest, DepartureWithoutTheStoreIsNoProofOfACrash) {
+  World.setStoreUp(false);
+  World.run(milliseconds(1500));
+  size_t A = World.submit(First, "a", 1, milliseconds(900), seconds(9));
+  for (int I = 0; I < 2; ++I) {
+    World.run(milliseconds(300));
+    World.crashUpstream(World.runs().back().Upstream, seconds(20));
+    World.run(milliseconds(1200));
+  }
+  World.run(seconds(6));
+  EXPECT_TRUE(ended(A, AnswerStatus::Done));
+}
+
 // Guards against a crash of an idle upstream that is counted under the runs of
 // its next process.
 TEST_F(CellCrashTest, RunsOfTheNextProcessAreNotSuspected) {
