--- a/src/sender/crash_cmd.cpp
+++ b/src/sender/crash_cmd.cpp
@@ -7,7 +7,6 @@
 #include "sender/upstream_cmd.h"
 
 #include <algorithm>
-#include <map>
 
 namespace snipeshunt {
 
@@ -17,8 +16,7 @@
 // is back that crashed without a sign.
 constexpr Duration CrashRetention = std::chrono::seconds(30);
 constexpr size_t MaxCrashHistory = 4096;
-// A job has up to 200 tasks.
-constexpr size_t MaxCrashesPerJob = 600;
+constexpr size_t MaxCrashesPerJob = MaxTasks;
 
 /// Removes the oldest records of jobs.
 void limitHistory(CrashHistory &History, SteadyTime Now) {
@@ -213,7 +211,7 @@
   auto It = History.Jobs.find(J.Order.Id);
   if (It == History.Jobs.end())
     return std::nullopt;
-  std::map<uint32_t, uint32_t> Proved;
+  std::vector<uint32_t> Proved(J.Tasks.size());
   for (SenderTask &T : J.Tasks)
     T.Crashes = 0;
   for (const TaskCrash &Crash : It->second.Crashes) {
