platform: one malformed item no longer rejects the store's whole answer

What could happen: an item that the parser rejects (a number beyond a double, more than 64 levels of nesting, a field twice, half a surrogate pair in its key) made the answer to a read or a watch count as a failed call, at each read again. The list of upstreams, the list of instances and the configuration were not followed any more while the item stayed.

Cause: the answer was parsed as one text. Values of other writers are base64 and harmed only their own entry; keys and what the store writes beside them did not.

Fix: if the text is rejected, its items are cut apart by a scanner that does not recurse, and parsed one by one; those that fail count as unreadable. An answer that is malformed outside of its items fails as before.

--- a/src/core/json_func.h
+++ b/src/core/json_func.h
@@ -22,6 +22,12 @@
 Result<Json::Value> parseJson(std::string_view Text,
                               JsonComments Comments = JsonComments::Reject);
 
+/// Parses \p Text, which must be one JSON object whose field \p List is an
+/// array, if present. Items of that array that `parseJson` rejects become null,
+/// so that one of them does not hide the others.
+Result<Json::Value> parseJsonWithList(std::string_view Text,
+                                      std::string_view List);
+
 /// Returns the text of \p Value on one line.
 std::string writeJson(const Json::Value &Value);
 
--- /dev/null
+++ b/tests/store_decoder_test.cpp
@@ -0,0 +1,221 @@
+/// \file Tests of lists in the store with odd entries of other writers.
+#include "platform/store_decoder.h"
+
+#include "core/base64_func.h"
+#include "core/json_func.h"
+#include "platform/platform_codec.h"
+#include "rpc/cell_codec.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+namespace snipeshunt::platform {
+namespace {
+
+std::string nested(size_t Levels) {
+  return std::string(Levels, '[') + std::string(Levels, ']');
+}
+
+/// Returns the text of an upstream's record with \p Text in place of the value
+/// of \p Field.
+std::string record(const std::string &Field = "",
+                   const std::string &Text = "") {
+  std::string Out = "{\"";
+  const std::pair<const char *, const char *> Fields[] = {
+      {"service", R"("s")"},
+      {"address", R"("10.0.0.1:80")"},
+      {"zone", R"("z")"},
+      {"state", R"("ready")"},
+      {"capacity", R"({"cpu":64000,"mem_mb":1,"gpu":0})"},
+      {"labels", R"(["a","r1"])"},
+      {"sequence", "7"},
+      {"born", "1700000000000"}};
+  for (const auto &[Name, Value] : Fields)
+    Out += std::string(Name) + "\":" + (Name == Field ? Text : Value) + ",\"";
+  return Out + "slots\":8}";
+}
+
+std::string item(const std::string &Key, const std::string &Value,
+                 uint64_t Revision = 5) {
+  Json::Value V(Json::objectValue);
+  V["key"] = Key;
+  V["value"] = encodeBase64(Value);
+  V["revision"] = Json::UInt64(Revision);
+  V["created"] = 1;
+  V["lease"] = 0;
+  return writeJson(V);
+}
+
+std::string upstreamItem(const std::string &Id) {
+  return item("servers/" + Id, record());
+}
+
+/// Returns the text of an answer with \p Items, which are texts, under \p List.
+std::string answer(const std::vector<std::string> &Items, bool More = false,
+                   const char *List = "items") {
+  std::string Out = std::string(R"({"at":9,")") + List + "\":[";
+  for (size_t I = 0; I < Items.size(); ++I)
+    Out += (I > 0 ? "," : "") + Items[I];
+  return Out + "],\"has_more\":" + (More ? "true" : "false") + "}";
+}
+
+/// One read of a collection, page by page.
+struct StoreRead {
+  explicit StoreRead(StoreCollection Collection) {
+    Answer.Collection = Collection;
+    Answer.Sequence = 1;
+  }
+
+  bool add(const std::string &Body) {
+    return Decoder.addPage(Body, After, Answer);
+  }
+
+  /// Ids of the upstreams that were read.
+  std::vector<std::string> ids() const {
+    std::vector<std::string> Ids;
+    for (const UpstreamRecord &U : Answer.Upstreams)
+      Ids.push_back(U.Id.Value);
+    return Ids;
+  }
+
+  StoreDecoder Decoder;
+  CollectionReadAnswered Answer;
+  std::string After;
+};
+
+using Ids = std::vector<std::string>;
+
+// Items that are malformed as items, with the key `servers/odd` or none.
+const char *const OddItems[] = {
+    "null",
+    "7",
+    "\"servers/odd\"",
+    "[]",
+    "{}",
+    R"({"key":7,"value":"e30=","revision":1})",
+    R"({"key":"servers/odd"})",
+    R"({"key":"servers/odd","value":7,"revision":1})",
+    R"({"key":"servers/odd","value":{},"revision":1})",
+    R"({"key":"servers/odd","value":"!","revision":1})",
+    R"({"key":"servers/odd","value":"e30=","revision":{}})",
+    R"({"key":"servers/odd","value":"e30=","revision":-1})",
+    R"({"key":"servers/odd","value":"e30=","revision":99999999999999999999})",
+    R"({"key":"servers/odd","value":"e30=","revision":1e400})",
+    R"({"key":"servers/odd","key":"servers/odd","value":"e30="})",
+    R"({"key":"servers/\ud800","value":"e30=","revision":1})",
+    R"({"key":"servers/\udc80","value":"e30=","revision":1})",
+    "{\"key\":\"servers/\xff\",\"value\":\"e30=\",\"revision\":1}",
+};
+
+std::vector<std::string> oddItems() {
+  std::vector<std::string> Items(std::begin(OddItems), std::end(OddItems));
+  for (size_t Levels : {70, 20000})
+    Items.push_back(R"({"key":"servers/odd","value":"e30=","more":)" +
+                    nested(Levels) + "}");
+  return Items;
+}
+
+} // namespace
+
+// Guards against an answer of the store that is rejected as a whole, at each
+// read again, because of one item that the parser rejects.
+TEST(StoreDecoder, OddItemLeavesTheOthersReadable) {
+  for (const std::string &Odd : oddItems()) {
+    StoreRead Read(StoreCollection::Upstreams);
+    EXPECT_TRUE(Read.add(answer({upstreamItem("a"), Odd, upstreamItem("b")})))
+        << Odd.substr(0, 100);
+    EXPECT_EQ(Read.ids(), (Ids{"a", "b"})) << Odd.substr(0, 100);
+    EXPECT_EQ(Read.Answer.UnreadableRecords, 1U) << Odd.substr(0, 100);
+  }
+}
+
+// Guards against a configuration that is never replaced again because of one
+// odd item beside it, in a read or in the answer to a watch.
+TEST(StoreDecoder, OddItemLeavesTheConfigurationReadable) {
+  std::string Good = item("op/config", R"({"version":3,"routes":[]})");
+  for (const std::string &Odd : oddItems()) {
+    StoreRead Read(StoreCollection::Configuration);
+    EXPECT_TRUE(Read.add(answer({Good, Odd})));
+    ASSERT_TRUE(Read.Answer.Configuration) << Odd.substr(0, 100);
+    WatchAnswered Watch;
+    EXPECT_TRUE(
+        Read.Decoder.addChanges(answer({Odd, Good}, false, "events"), Watch));
+    ASSERT_TRUE(Watch.Configuration) << Odd.substr(0, 100);
+    EXPECT_EQ(Watch.Configuration->Version, 3U);
+  }
+}
+
+// Guards against an answer that is malformed as a whole and counts as an empty
+// list.
+TEST(StoreDecoder, MalformedAnswersAreRejected) {
+  for (const char *Body :
+       {"", "{", "null", "[]", "{}", R"({"at":9})", R"({"at":9,"items":7})",
+        R"({"at":-1,"items":[]})", R"({"items":[]})", R"({"at":9,"items":[)",
+        R"({"at":9,"items":[{"key":"servers/a"])", R"({"at":9,"items":[}])",
+        R"({"at":9,"items":[1e400)", R"({"at":9,"items":[1e400]]})",
+        R"({"at":9,"items":[1e400],"items":[]})", R"({"at":1e400,"items":[]})",
+        R"({"at":9,"items":["\ud800"]}x)"}) {
+    StoreRead Read(StoreCollection::Upstreams);
+    EXPECT_FALSE(Read.add(Body)) << Body;
+  }
+}
+
+// Guards against a record that is taken from the last read after it became
+// unreadable, or that remains unreadable after it was corrected.
+TEST(StoreDecoder, RecordsAreFollowedWhenTheyBecomeOddAndProper) {
+  StoreRead Read(StoreCollection::Upstreams);
+  const Ids None;
+  const Ids One = {"a"};
+  uint64_t Revision = 1;
+  for (bool Odd : {false, true, true, false, true, false, false}) {
+    ++Revision;
+    Read.Answer.Upstreams.clear();
+    Read.Answer.Sequence = Revision;
+    EXPECT_TRUE(Read.add(
+        answer({item("servers/a", Odd ? "[[[" : record(), Revision)})));
+    Read.Decoder.forgetUnlisted(Revision);
+    EXPECT_EQ(Read.ids(), Odd ? None : One) << Revision;
+  }
+}
+
+// Guards against any other odd entry that hides a proper one: bytes of some
+// items are changed at random, in a way that leaves the list an array.
+TEST(StoreDecoder, ProperItemsAreReadAmongMutatedOnes) {
+  std::mt19937 Random(20261205);
+  const char *const Parts[] = {"null", "1e400", "-",         "{}",  "[[]]",
+                               "7",    "\"\"",  "\"\\ud8\"", "tru", "1.",
+                               "1e",   "\xff",  "\"\\x\"",   "01",  "'a'"};
+  for (int Case = 0; Case < 3000; ++Case) {
+    std::vector<std::string> Items;
+    Ids Proper;
+    for (uint32_t I = 0, Count = 1 + Random() % 6; I < Count; ++I) {
+      std::string Id = "u" + std::to_string(I);
+      if (Random() % 2 == 0) {
+        Items.push_back(upstreamItem(Id));
+        Proper.push_back(Id);
+        continue;
+      }
+      // The record of the odd item is mutated, or the text of the item.
+      std::string Text = record();
+      bool InRecord = Random() % 2 == 0;
+      if (!InRecord)
+        Text = item("servers/odd", "{}");
+      size_t At = Text.find(':', Random() % (Text.size() / 2)) + 1;
+      Text.replace(At, Text.find_first_of(",}", At) - At,
+                   Parts[Random() % std::size(Parts)]);
+      if (InRecord)
+        Text[Random() % Text.size()] = static_cast<char>(Random() % 256);
+      Items.push_back(InRecord ? item("servers/odd", Text) : Text);
+    }
+    StoreRead Read(StoreCollection::Upstreams);
+    std::string Body = answer(Items);
+    ASSERT_TRUE(Read.add(Body)) << Body;
+    Ids Found = Read.ids();
+    Found.erase(std::remove(Found.begin(), Found.end(), "odd"), Found.end());
+    ASSERT_EQ(Found, Proper) << Body;
+  }
+}
+
+} // namespace snipeshunt::platform
