platform: a page that ends with an odd item doesn't end the list

What could happen: if the last item of a page had no key that can be read, the read ended although the store had more pages. The list counted as complete, so the upstreams of the later pages were removed as unlisted. A page that ended with the key after which it begins was requested without end.

--- a/tests/store_decoder_test.cpp
+++ b/tests/store_decoder_test.cpp
@@ -147,6 +147,31 @@
   }
 }
 
+// Guards against a list that ends with the page whose last item is odd: the
+// upstreams of the later pages would count as gone.
+TEST(StoreDecoder, ReadContinuesAfterAPageThatEndsWithAnOddItem) {
+  for (const std::string &Odd : oddItems()) {
+    StoreRead Read(StoreCollection::Upstreams);
+    EXPECT_TRUE(Read.add(answer({upstreamItem("a"), Odd}, /*More=*/true)));
+    EXPECT_FALSE(Read.After.empty()) << Odd.substr(0, 100);
+    EXPECT_TRUE(Read.add(answer({upstreamItem("z")})));
+    EXPECT_TRUE(Read.After.empty());
+    EXPECT_EQ(Read.ids(), (Ids{"a", "z"}));
+  }
+}
+
+// Guards against a list that counts as complete although later pages can't be
+// requested, and against a read that requests the same page without end.
+TEST(StoreDecoder, ReadThatCannotContinueHasFailed) {
+  StoreRead WithoutKeys(StoreCollection::Upstreams);
+  EXPECT_FALSE(WithoutKeys.add(answer({"null", "{}"}, /*More=*/true)));
+  StoreRead Empty(StoreCollection::Upstreams);
+  EXPECT_FALSE(Empty.add(answer({}, /*More=*/true)));
+  StoreRead Repeated(StoreCollection::Upstreams);
+  EXPECT_TRUE(Repeated.add(answer({upstreamItem("a")}, /*More=*/true)));
+  EXPECT_FALSE(Repeated.add(answer({upstreamItem("a")}, /*More=*/true)));
+}
+
 // Guards against an answer that is malformed as a whole and counts as an empty
 // list.
 TEST(StoreDecoder, MalformedAnswersAreRejected) {
@@ -218,4 +243,22 @@
   }
 }
 
+// Guards against entries in large numbers that hide proper ones on their pages.
+TEST(StoreDecoder, ProperItemsAreReadAmongTenThousandOddOnes) {
+  StoreRead Read(StoreCollection::Upstreams);
+  const std::vector<std::string> Odd = oddItems();
+  Ids Proper;
+  for (int Page = 0; Page < 20; ++Page) {
+    std::vector<std::string> Items;
+    for (size_t I = 0; I < 500; ++I)
+      Items.push_back(I % 10 == 0 ? Odd[I / 10 % (Odd.size() - 1)]
+                                  : item("servers/odd", "[["));
+    Proper.push_back("p" + std::to_string(Page));
+    Items.push_back(upstreamItem(Proper.back()));
+    ASSERT_TRUE(Read.add(answer(Items, Page < 19)));
+  }
+  EXPECT_EQ(Read.ids(), Proper);
+  EXPECT_EQ(Read.Answer.UnreadableRecords, 10000U);
+}
+
 } // namespace snipeshunt::platform
