--- a/tests/store_decoder_test.cpp
+++ b/tests/store_decoder_test.cpp
@@ -147,6 +147,32 @@
   }
 }
 
+// Guards against a configuration that another key with its prefix replaces: a
+// copy of an earlier one hides each later one, and a copy with a high version
+// remains in force.
+TEST(StoreDecoder, OnlyTheKeyOfTheConfigurationIsRead) {
+  std::string Current = item("op/config", R"({"version":3,"routes":[]})");
+  for (const char *Version : {"2", "900"}) {
+    std::string Copy =
+        item("op/config-copy",
+             std::string(R"({"routes":[],"version":)") + Version + "}");
+    StoreRead Read(StoreCollection::Configuration);
+    EXPECT_TRUE(Read.add(answer({Current, Copy})));
+    ASSERT_TRUE(Read.Answer.Configuration);
+    EXPECT_EQ(Read.Answer.Configuration->Version, 3U);
+    WatchAnswered Watch;
+    EXPECT_TRUE(Read.Decoder.addChanges(
+        answer({Current, Copy}, false, "events"), Watch));
+    ASSERT_TRUE(Watch.Configuration);
+    EXPECT_EQ(Watch.Configuration->Version, 3U);
+    WatchAnswered CopyOnly;
+    EXPECT_TRUE(
+        Read.Decoder.addChanges(answer({Copy}, false, "events"), CopyOnly));
+    EXPECT_FALSE(CopyOnly.Changed);
+    EXPECT_FALSE(CopyOnly.Configuration);
+  }
+}
+
 // Guards against a list that ends with the page whose last item is odd: the
 // upstreams of the later pages would count as gone.
 TEST(StoreDecoder, ReadContinuesAfterAPageThatEndsWithAnOddItem) {
