platform: records with unusable addresses name no upstream or instance

What could happen: an upstream's record with port 0, 99999, a host name or an empty address was kept as an upstream and its calls failed without end. An instance's record of that kind became a peer, which was pinged each 40 ms. An address with a leading zero in the port, or 0.0.0.0, leads to a process that the list names already, possibly this one.

Cause: addresses were checked only when a connection was made.

Fix: isEndpoint accepts an IPv4 number of a machine and a port from 1 in one form only.

--- a/src/http/http_address.cpp
+++ b/src/http/http_address.cpp
@@ -7,6 +7,12 @@
 
 namespace snipeshunt {
 
+namespace {
+
+constexpr uint32_t FirstMulticastByte = 224;
+
+} // namespace
+
 Result<HostPort> parseAddress(const Address &Text) {
   Error Invalid{ErrorKind::InvalidField,
                 "'" + Text.Value + "' is not an address",
@@ -27,4 +33,20 @@
   return Parts;
 }
 
+bool isEndpoint(const Address &Text) {
+  Result<HostPort> Parsed = parseAddress(Text);
+  if (failed(Parsed) || valueOf(Parsed).Port == 0)
+    return false;
+  in_addr Host{};
+  inet_pton(AF_INET, valueOf(Parsed).Host.c_str(), &Host);
+  // 0.0.0.0 connects to the own machine; multicast and broadcast numbers
+  // follow the last class of machines.
+  uint32_t First = ntohl(Host.s_addr) >> 24;
+  char Proper[INET_ADDRSTRLEN] = {};
+  inet_ntop(AF_INET, &Host, Proper, sizeof(Proper));
+  return First != 0 && First < FirstMulticastByte &&
+         Text.Value ==
+             std::string(Proper) + ":" + std::to_string(valueOf(Parsed).Port);
+}
+
 } // namespace snipeshunt
--- a/src/http/http_address.h
+++ b/src/http/http_address.h
@@ -18,6 +18,11 @@
 /// Parses \p Text, which must be an IPv4 number, a colon and a port.
 Result<HostPort> parseAddress(const Address &Text);
 
+/// Returns true if \p Text is the address of one process, in its only proper
+/// form: an IPv4 number of a machine and a port from 1, without leading zeros.
+/// Two such texts that differ are addresses of different processes.
+bool isEndpoint(const Address &Text);
+
 } // namespace snipeshunt
 
 #endif // SNIPESHUNT_HTTP_HTTP_ADDRESS_H
--- a/tests/store_decoder_test.cpp
+++ b/tests/store_decoder_test.cpp
@@ -87,6 +87,49 @@
 
 using Ids = std::vector<std::string>;
 
+// Records of other writers, none of which describes an upstream.
+std::vector<std::string> oddRecords() {
+  return {"",
+          "not an entry",
+          "\xff\xfe\x80",
+          std::string("{\0}", 3),
+          "\xef\xbb\xbf{}",
+          "null",
+          "7",
+          "[]",
+          "{}",
+          nested(100),
+          nested(20000),
+          std::string(20000, '{'),
+          record("labels", nested(20000)),
+          record("state", "\"asleep\""),
+          record("state", "7"),
+          record("service", "null"),
+          record("zone", "[]"),
+          record("capacity", "5"),
+          record("capacity", R"({"cpu":"many"})"),
+          record("capacity", R"({"cpu":1e400})"),
+          record("sequence", "1e400"),
+          record("state", "\"ready\",\"state\":\"ready\""),
+          record("address", "7"),
+          record("address", "\"\""),
+          record("address", "\"10.0.0.1\""),
+          record("address", "\"10.0.0.1:\""),
+          record("address", "\"10.0.0.1:0\""),
+          record("address", "\"10.0.0.1:99999\""),
+          record("address", "\"10.0.0.1:-1\""),
+          record("address", "\"10.0.0.1:80 \""),
+          record("address", "\"10.0.0.1:0080\""),
+          record("address", "\"10.0.0.1\\u0000:80\""),
+          record("address", "\"10.0.0.256:80\""),
+          record("address", "\"0.0.0.0:80\""),
+          record("address", "\"224.0.0.1:80\""),
+          record("address", "\"255.255.255.255:80\""),
+          record("address", "\"runner.example:80\""),
+          record("address", "\"[::1]:80\""),
+          record("address", "\":80\"")};
+}
+
 // Items that are malformed as items, with the key `servers/odd` or none.
 const char *const OddItems[] = {
     "null",
@@ -119,6 +162,18 @@
 
 } // namespace
 
+// Guards against a list of upstreams that is not followed any more because of
+// one record of another writer, and against orders to what it describes.
+TEST(StoreDecoder, OddRecordLeavesTheOthersReadable) {
+  for (const std::string &Odd : oddRecords()) {
+    StoreRead Read(StoreCollection::Upstreams);
+    EXPECT_TRUE(Read.add(answer(
+        {upstreamItem("a"), item("servers/odd", Odd), upstreamItem("b")})));
+    EXPECT_EQ(Read.ids(), (Ids{"a", "b"})) << Odd.substr(0, 300);
+    EXPECT_EQ(Read.Answer.UnreadableRecords, 1U) << Odd.substr(0, 300);
+  }
+}
+
 // Guards against an answer of the store that is rejected as a whole, at each
 // read again, because of one item that the parser rejects.
 TEST(StoreDecoder, OddItemLeavesTheOthersReadable) {
@@ -131,6 +186,19 @@
   }
 }
 
+// Guards against instances that disappear from the list of all others because
+// of one odd item beside them.
+TEST(StoreDecoder, OddItemLeavesTheOtherInstancesReadable) {
+  std::string Good =
+      item("snipeshunt/instances/10.0.0.1:70", R"({"zone":"z","weight":1})");
+  for (const std::string &Odd : oddItems()) {
+    StoreRead Read(StoreCollection::Instances);
+    EXPECT_TRUE(Read.add(answer({Odd, Good})));
+    ASSERT_EQ(Read.Answer.Instances.size(), 1U) << Odd.substr(0, 100);
+    EXPECT_EQ(Read.Answer.Instances[0].Endpoint.Value, "10.0.0.1:70");
+  }
+}
+
 // Guards against a configuration that is never replaced again because of one
 // odd item beside it, in a read or in the answer to a watch.
 TEST(StoreDecoder, OddItemLeavesTheConfigurationReadable) {
@@ -269,6 +337,28 @@
   }
 }
 
+// Guards against instances that are pinged without end, count as a sender that
+// may still work, or are this process under another spelling of its address.
+TEST(StoreDecoder, InstancesHaveUsableAddressesAndWeights) {
+  for (const char *Endpoint :
+       {"", "x", "host:70", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:70000",
+        "10.0.0.1:070", "10.0.0.1:70 ", "0.0.0.0:70", "255.255.255.255:70"}) {
+    StoreRead Read(StoreCollection::Instances);
+    EXPECT_TRUE(Read.add(answer({item(
+        std::string("snipeshunt/instances/") + Endpoint, R"({"zone":"z"})")})));
+    EXPECT_TRUE(Read.Answer.Instances.empty()) << Endpoint;
+  }
+  for (const char *Weight : {"-1", "1e308", "-1e308", "1e300", "\"x\"", "[]"}) {
+    StoreRead Read(StoreCollection::Instances);
+    EXPECT_TRUE(Read.add(answer(
+        {item("snipeshunt/instances/10.0.0.1:70",
+              std::string(R"({"zone":"z","weight":)") + Weight + "}")})));
+    PeerPong Pong;
+    Pong.KnownInstances = Read.Answer.Instances;
+    EXPECT_FALSE(failed(decodePong(encodePong(Pong)))) << Weight;
+  }
+}
+
 // Guards against entries in large numbers that hide proper ones on their pages.
 TEST(StoreDecoder, ProperItemsAreReadAmongTenThousandOddOnes) {
   StoreRead Read(StoreCollection::Upstreams);
