platform: keys that a header would change name no upstream

What could happen: a copy of an upstream's entry whose key has a space at its end passed as another upstream. Orders state the upstream's id in a header, which loses white space at its ends, so the upstream of the original entry accepted them. Its capacity was then counted twice, and the copy may belong to another cell with another sender and token.

--- a/tests/store_decoder_test.cpp
+++ b/tests/store_decoder_test.cpp
@@ -337,6 +337,21 @@
   }
 }
 
+// Guards against an order that reaches another upstream than the one named: a
+// header loses white space at its ends and control characters, so the order
+// would name the upstream whose entry was copied under such a key.
+TEST(StoreDecoder, KeysThatAHeaderWouldChangeNameNoUpstream) {
+  for (const std::string &Id :
+       {std::string("a "), std::string(" a"), std::string("a\t"),
+        std::string("a\r\nX: y"), std::string("a\n"), std::string("a\0b", 3),
+        std::string("\x01"), std::string("a\x7f"), std::string("a\xff"),
+        std::string("")}) {
+    StoreRead Read(StoreCollection::Upstreams);
+    EXPECT_TRUE(Read.add(answer({upstreamItem("a"), upstreamItem(Id)})));
+    EXPECT_EQ(Read.ids(), Ids{"a"}) << Id;
+  }
+}
+
 // Guards against instances that are pinged without end, count as a sender that
 // may still work, or are this process under another spelling of its address.
 TEST(StoreDecoder, InstancesHaveUsableAddressesAndWeights) {
