--- a/tests/store_decoder_test.cpp
+++ b/tests/store_decoder_test.cpp
@@ -337,6 +337,48 @@
   }
 }
 
+// Guards against a snapshot that a peer rejects as a whole because of one
+// record that this instance has accepted.
+TEST(StoreDecoder, PeersAcceptAllRecordsThatWereRead) {
+  std::string Long = "\"" + std::string(5000, 'x') + "\"";
+  const std::pair<const char *, std::string> Changes[] = {
+      {"born", "-1"},
+      {"born", "1e300"},
+      {"born", "-1e300"},
+      {"born", "18446744073709551615"},
+      {"born", "1.5"},
+      {"born", "\"today\""},
+      {"born", "null"},
+      {"born", "9223372036854775807"},
+      {"zone", Long},
+      {"service", Long},
+      {"labels", "[" + Long + "," + Long + "]"},
+      {"labels", "[7,{}]"},
+      {"labels", "\"a\""},
+      {"zone", "\"\\u0000\""},
+      {"zone", "\"\\udc80\""},
+      {"zone", "\"\xff\""},
+      {"zone", "\"\""},
+      {"capacity", R"({"cpu":1e18,"mem_mb":1e300,"gpu":-1})"},
+      {"capacity", R"({"cpu":-5,"mem_mb":"x","gpu":[]})"},
+      {"capacity", R"({"cpu":18446744073709551615})"},
+      {"cold_remaining_ms", "1e300"}};
+  for (const auto &[Field, Value] : Changes) {
+    StoreRead Read(StoreCollection::Upstreams);
+    ASSERT_TRUE(Read.add(answer(
+        {upstreamItem("a"), item("servers/odd", record(Field, Value)),
+         item("servers/" + std::string(500, 'x'), record(Field, Value))})));
+    SnapshotFetched Sent;
+    Sent.Upstreams = Read.Answer.Upstreams;
+    Result<Json::Value> Wire = parseJson(writeJson(encodeSnapshot(Sent)));
+    ASSERT_FALSE(failed(Wire)) << Field << " " << Value;
+    Result<SnapshotFetched> Received = decodeSnapshot(valueOf(Wire));
+    ASSERT_FALSE(failed(Received)) << Field << " " << Value.substr(0, 40)
+                                   << ": " << errorOf(Received).Message;
+    EXPECT_EQ(valueOf(Received).Upstreams.size(), Sent.Upstreams.size());
+  }
+}
+
 // Guards against an order that reaches another upstream than the one named: a
 // header loses white space at its ends and control characters, so the order
 // would name the upstream whose entry was copied under such a key.
@@ -352,6 +394,22 @@
   }
 }
 
+// Guards against a start time of a process that lies outside of any calendar:
+// each later record of the upstream would belong to an older process.
+TEST(StoreDecoder, RecordsWithImpossibleStartTimesNameNoUpstream) {
+  for (const char *Born :
+       {"-1", "1e300", "-1e300", "18446744073709551615", "1.5", "\"today\"",
+        "null", "[]", "9223372036854775807", "1700000000000000"}) {
+    StoreRead Read(StoreCollection::Upstreams);
+    EXPECT_TRUE(Read.add(answer({item("servers/a", record("born", Born))})));
+    EXPECT_EQ(Read.ids(), Ids{}) << Born;
+  }
+  StoreRead Read(StoreCollection::Upstreams);
+  EXPECT_TRUE(Read.add(answer({item("servers/a", record("born", "0")),
+                               item("servers/b", record("born", "17e11"))})));
+  EXPECT_EQ(Read.ids(), (Ids{"a", "b"}));
+}
+
 // Guards against instances that are pinged without end, count as a sender that
 // may still work, or are this process under another spelling of its address.
 TEST(StoreDecoder, InstancesHaveUsableAddressesAndWeights) {
