sender: a late start time in a record counts once

What could happen: a record that states a later start than the process reports, e.g. in the year 2099, reset the upstream with each read of the list and again with each report: its clock offset and the numbers of ends were forgotten each second, and two log lines written.

Fix: a record shows a new process only if its start time has changed since the record was read last. A report still shows a new process at any time. One late start time in a record still counts as a crash, as before.

Evidence: OddRecords.LateStartTimeInARecordCountsOnce failed before. RunsContinueWhileTheRecordIsUnreadable held before: runs go on, and nothing is started on the upstream meanwhile.

--- a/src/sender/upstream_list_cmd.cpp
+++ b/src/sender/upstream_list_cmd.cpp
@@ -79,8 +79,11 @@
       beginSync(U, Now);
     }
     Resources CapacityChange = Record.Capacity - U.Record.Capacity;
+    // The process itself may have reported another start since the record was
+    // read first, so only a change of the record counts.
     bool NewProcess = Record.StartedAt != 0 && U.StartedAt != 0 &&
-                      Record.StartedAt > U.StartedAt;
+                      Record.StartedAt > U.StartedAt &&
+                      Record.StartedAt != U.Record.StartedAt;
     if (NewProcess || (Record.Endpoint != U.Record.Endpoint &&
                        Record.StartedAt >= U.StartedAt)) {
       // An upstream that was draining has ended as announced. Runs that were
--- /dev/null
+++ b/tests/odd_record_test.cpp
@@ -0,0 +1,122 @@
+/// \file What an instance does with odd records that it has read from the
+/// store, on a fake clock.
+#include "cells/cell_cmd.h"
+#include "instance/instance_reducer.h"
+#include "rpc/cell_codec.h"
+#include "sender/upstream_cmd.h"
+#include "support/cell_world.h"
+
+#include <gtest/gtest.h>
+
+using namespace snipeshunt;
+using namespace snipeshunt::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+size_t countLogs(const InstanceEffects &Out, const std::string &Part) {
+  size_t Count = 0;
+  for (const InstanceEffect &E : Out)
+    if (const auto *Log = std::get_if<LogDecision>(&E))
+      Count += Log->Message.find(Part) != std::string::npos ? 1 : 0;
+  return Count;
+}
+
+/// A lone sender with one upstream, on which one run is running.
+struct RunningSender {
+  RunningSender() {
+    World.addUpstream({"up-1"});
+    Address Endpoint = World.addInstance("sender", "centre-a");
+    World.run(seconds(2));
+    World.submit(Endpoint, "job", 1, seconds(2));
+    World.run(milliseconds(200));
+    State = World.state(Endpoint);
+    Now = World.now();
+  }
+
+  SenderUpstream &upstream() { return State.Sender.Upstreams.begin()->second; }
+
+  /// Handles a completed read of the upstreams.
+  InstanceEffects list(const std::vector<UpstreamRecord> &List) {
+    Now += seconds(1);
+    InstanceEffects Out;
+    applyUpstreams(State.Sender, List, State.Cells.Claims, cellOf, true, Now,
+                   Out);
+    return Out;
+  }
+
+  /// Handles a report of the upstream's process started at \p StartedAt, with
+  /// all runs.
+  InstanceEffects report(int64_t StartedAt) {
+    SenderUpstream &U = upstream();
+    RenewalAnswered Renewal;
+    Renewal.Upstream = U.Record.Id;
+    Renewal.Token = U.Token;
+    Renewal.Sequence = U.RenewalSequence;
+    Renewal.Status = OrderStatus::Accepted;
+    Renewal.Report.emplace();
+    Renewal.Report->ClockMs = toMilliseconds(Now.time_since_epoch());
+    Renewal.Report->StartedAt = StartedAt;
+    for (const auto &[Key, Run] : U.Runs)
+      Renewal.Report->Running.push_back({Key, ++Percent});
+    InstanceEffects Out;
+    std::optional<CellId> Fenced;
+    applyRenewal(State.Sender, Renewal, Now, Fenced, Out);
+    return Out;
+  }
+
+  CellWorld World;
+  FleetInstance State;
+  SteadyTime Now;
+  int32_t Percent = 0;
+};
+
+} // namespace
+
+// Guards against an upstream that is reset with each read of the list, because
+// its record states a later start than the process itself reports.
+TEST(OddRecords, LateStartTimeInARecordCountsOnce) {
+  RunningSender S;
+  ASSERT_EQ(S.upstream().Runs.size(), 1U);
+  int64_t StartedAt = S.upstream().StartedAt;
+  UpstreamRecord Record = S.upstream().Record;
+  Record.StartedAt += 1000000;
+  S.list({Record});
+  S.report(StartedAt);
+  for (int I = 0; I < 5; ++I) {
+    InstanceEffects Out = S.list({Record});
+    EXPECT_EQ(countLogs(Out, "was restarted or replaced"), 0U) << I;
+    EXPECT_EQ(S.upstream().StartedAt, StartedAt);
+    Out = S.report(StartedAt);
+    EXPECT_EQ(countLogs(Out, "was restarted or replaced"), 0U) << I;
+  }
+  // The proper record that follows is used, and so is that of a later process.
+  Record.StartedAt = StartedAt;
+  S.list({Record});
+  EXPECT_EQ(S.upstream().Record.StartedAt, StartedAt);
+  EXPECT_EQ(S.upstream().Phase, UpstreamPhase::Ready);
+  Record.StartedAt = StartedAt + 5;
+  EXPECT_EQ(countLogs(S.list({Record}), "was restarted or replaced"), 1U);
+  EXPECT_EQ(S.upstream().StartedAt, StartedAt + 5);
+}
+
+// Guards against runs that are stopped or lost because the record of their
+// upstream can't be read for a time, and against starts on it meanwhile.
+TEST(OddRecords, RunsContinueWhileTheRecordIsUnreadable) {
+  RunningSender S;
+  UpstreamRecord Record = S.upstream().Record;
+  int64_t StartedAt = S.upstream().StartedAt;
+  for (int I = 0; I < 8; ++I) {
+    InstanceEffects Out = S.list({});
+    S.report(StartedAt);
+    ASSERT_EQ(S.State.Sender.Upstreams.size(), 1U);
+    EXPECT_EQ(S.upstream().Runs.size(), 1U);
+    EXPECT_NE(S.upstream().UnlistedSince, SteadyTime{});
+    EXPECT_FALSE(S.upstream().Runs.begin()->second.StopRequested);
+    EXPECT_TRUE(Out.empty());
+  }
+  S.list({Record});
+  EXPECT_EQ(S.upstream().UnlistedSince, SteadyTime{});
+  EXPECT_EQ(S.upstream().Phase, UpstreamPhase::Ready);
+}
