cells: an entry that leads to the own process is no peer

What could happen: an entry of the list with another address of this machine was pinged as a peer. The answer stated the claims of this process, with equal tokens, so that each of them counted as superseded by another sender: the instance lost its 24 cells.

Fix: an answer with the own incarnation is ignored.

Evidence: OddRecords.OwnProcessUnderAnotherAddressIsNoPeer failed before, with no claim left.

--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -297,6 +297,10 @@
     return false;
   }
   const PeerPong &Reply = *Event.Reply;
+  // An entry of another writer leads back to this process, whose own claims
+  // would supersede themselves. The peer expires like one that is silent.
+  if (Reply.Incarnation == State.Incarnation)
+    return false;
   bool WasReachable = P.LastAnsweredPing != SteadyTime{} &&
                       !isSuspectedAfter(P, Now, remoteIdlePeriod(State));
   applyIncarnation(State, P, Reply.Incarnation);
--- a/tests/odd_record_test.cpp
+++ b/tests/odd_record_test.cpp
@@ -120,3 +120,33 @@
   EXPECT_EQ(S.upstream().UnlistedSince, SteadyTime{});
   EXPECT_EQ(S.upstream().Phase, UpstreamPhase::Ready);
 }
+
+// Guards against an instance that gives up its cells, again and again, because
+// another entry of the list has its own address in another form: it would
+// regard its own claim as that of another sender.
+TEST(OddRecords, OwnProcessUnderAnotherAddressIsNoPeer) {
+  CellWorld World;
+  World.addUpstream({"up-1"});
+  Address Endpoint = World.addInstance("sender", "centre-a");
+  World.run(seconds(2));
+  FleetInstance State = World.state(Endpoint);
+  ASSERT_FALSE(State.Cells.Claims.empty());
+  size_t Claims = State.Cells.Claims.size();
+  WallTime Wall = WallTime{} + seconds(1000000);
+  Address Alias{"10.99.99.99:7000"};
+  CollectionReadAnswered Read;
+  Read.Collection = StoreCollection::Instances;
+  addPeer(State.Cells, {Alias, {"centre-a"}, 1}, World.now());
+  PeerPong Pong;
+  Pong.From = State.Cells.Self;
+  Pong.Incarnation = State.Cells.Incarnation;
+  Pong.HasUpstreamList = true;
+  for (const auto &[Cell, Claim] : State.Cells.Claims)
+    Pong.Claims.push_back({Cell, Claim.Token});
+  State.Cells.Peers[Alias].PingSent = World.now();
+  reduce(State, {World.now(), Wall, PingAnswered{Alias, Pong}});
+  reduce(State, {World.now() + milliseconds(20), Wall, InstanceTick{}});
+  EXPECT_EQ(State.Cells.Claims.size(), Claims);
+  EXPECT_EQ(availableSenders(State.Cells, World.now()),
+            std::vector<Address>{Endpoint});
+}
