rpc: shorten loads before they are sent

What could happen: records with a capacity of 1e18 are bounded to 2^31 each, but the load of a sender is their sum. Beyond 2^40, after some 500 of them, peers rejected each answer to a ping, and with that regarded the sender as unreachable.

Fix: the load is bounded by the same limit when it is written.

Evidence: OddRecords.LoadOfHugeUpstreamsIsBoundedBeforeItIsSent failed before.

--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -131,8 +131,11 @@
 Json::Value encodeLoad(const SenderLoad &Load) {
   Json::Value V(Json::objectValue);
   V["delay_ms"] = encodeDuration(Load.Delay);
-  V["free_cpu"] = Json::Int64(Load.FreeCpu);
-  V["total_cpu"] = Json::Int64(Load.TotalCpu);
+  // Peers reject a message with a larger load, as with durations.
+  V["free_cpu"] =
+      Json::Int64(std::clamp(Load.FreeCpu, -MaxLoadCpu, MaxLoadCpu));
+  V["total_cpu"] =
+      Json::Int64(std::clamp<int64_t>(Load.TotalCpu, 0, MaxLoadCpu));
   V["waiting"] = Load.Waiting;
   return V;
 }
--- a/tests/odd_record_test.cpp
+++ b/tests/odd_record_test.cpp
@@ -150,3 +150,14 @@
   EXPECT_EQ(availableSenders(State.Cells, World.now()),
             std::vector<Address>{Endpoint});
 }
+
+// Guards against a sender that its peers regard as unreachable, because they
+// reject the load in its messages: a few records with the largest capacity
+// exceed the limit of a load.
+TEST(OddRecords, LoadOfHugeUpstreamsIsBoundedBeforeItIsSent) {
+  PeerPong Pong;
+  for (int64_t Cpu : {INT64_MAX, INT64_MIN, int64_t{1} << 41}) {
+    Pong.Load.TotalCpu = Pong.Load.FreeCpu = Cpu;
+    EXPECT_FALSE(failed(decodePong(encodePong(Pong)))) << Cpu;
+  }
+}
