directory: log unreadable records when their number changes

No metric showed the number.

Fix: a line for each collection when the number changes, and the gauge store_unreadable_records.

Evidence: OddRecords.UnreadableRecordsAreLoggedWhenTheirNumberChanges failed before, with a line for each read.

--- a/src/directory/directory_base.h
+++ b/src/directory/directory_base.h
@@ -20,8 +20,9 @@
   SteadyTime NextCall{};  ///< Earliest time of the next call, while idle.
   StoreRevision Revision; ///< Of the last answer.
   uint32_t Failures = 0;  ///< Consecutive calls that failed.
-  uint32_t CompletedReads = 0; ///< Reads that succeeded.
-  bool ReadIsStale = false;    ///< The last read allowed a stale answer.
+  uint32_t CompletedReads = 0;  ///< Reads that succeeded.
+  size_t UnreadableRecords = 0; ///< In the last read that succeeded.
+  bool ReadIsStale = false;     ///< The last read allowed a stale answer.
   /// A stale answer was older than the one before, so the next read must be
   /// current.
   bool NeedsCurrentRead = false;
--- a/src/directory/directory_cmd.cpp
+++ b/src/directory/directory_cmd.cpp
@@ -55,6 +55,19 @@
   Reader.Failures = 0;
 }
 
+/// Logs the number of unreadable records when it changes. A line for each read
+/// would flood the log, since the records may stay for days.
+void recordUnreadable(CollectionReader &Reader,
+                      const CollectionReadAnswered &Event,
+                      InstanceEffects &Out) {
+  if (Reader.UnreadableRecords == Event.UnreadableRecords)
+    return;
+  Reader.UnreadableRecords = Event.UnreadableRecords;
+  log(Out, std::string("skipped unreadable records of the store, collection=") +
+               collectionName(Event.Collection) +
+               " count=" + std::to_string(Event.UnreadableRecords));
+}
+
 void startRead(CollectionReader &Reader, StoreCollection Collection, bool Stale,
                InstanceEffects &Out) {
   Reader.Phase = CollectionReaderPhase::Reading;
@@ -179,6 +192,7 @@
   }
   Reader.Revision = Event.Revision;
   ++Reader.CompletedReads;
+  recordUnreadable(Reader, Event, Out);
   if (Event.Configuration)
     applyConfiguration(State, *Event.Configuration, Event.Revision, Out);
   if (Event.Collection == StoreCollection::Upstreams)
@@ -313,6 +327,13 @@
     Out.push_back(EndLease{State.OwnRegistration.Lease});
 }
 
+size_t unreadableRecords(const DirectoryState &State) {
+  size_t Count = 0;
+  for (const CollectionReader &Reader : State.Readers)
+    Count += Reader.UnreadableRecords;
+  return Count;
+}
+
 const Route *findRoute(const FleetConfiguration &Configuration,
                        std::string_view Host, std::string_view Path,
                        std::string_view &Rest) {
--- a/src/directory/directory_cmd.h
+++ b/src/directory/directory_cmd.h
@@ -56,6 +56,9 @@
 void rereadNow(DirectoryState &State, StoreCollection Collection,
                SteadyTime Now);
 
+/// Returns the number of records that could not be read in the last reads.
+size_t unreadableRecords(const DirectoryState &State);
+
 /// Removes this instance's record from the store. Called on shutdown.
 void withdrawRegistration(DirectoryState &State, InstanceEffects &Out);
 
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -268,9 +268,6 @@
         applyListedUpstreams(State, false, Now, Out);
       return;
     }
-    if (E.UnreadableRecords > 0)
-      logInstance(Out, "skipped unreadable records of the store, count=" +
-                           std::to_string(E.UnreadableRecords));
     if (E.Collection == StoreCollection::Instances)
       applyListedInstances(State.Cells, E.Instances, Now);
     if (E.Collection != StoreCollection::Upstreams)
--- a/src/runtime/cell_metrics.cpp
+++ b/src/runtime/cell_metrics.cpp
@@ -2,6 +2,7 @@
 #include "runtime/cell_metrics.h"
 
 #include "daemon/log.h"
+#include "directory/directory_cmd.h"
 #include "sender/job_cmd.h"
 
 namespace snipeshunt {
@@ -108,6 +109,9 @@
       State.Directory.Configuration
           ? static_cast<double>(State.Directory.Configuration->Version)
           : 0);
+  Values.setGauge("store_unreadable_records",
+                  "Records of the store that were skipped in the last reads.",
+                  static_cast<double>(unreadableRecords(State.Directory)));
   Values.setGauge("ready", "1 if callers should be sent here.",
                   Owner.ready() ? 1 : 0);
   return Values.text();
--- a/tests/odd_record_test.cpp
+++ b/tests/odd_record_test.cpp
@@ -161,3 +161,32 @@
     EXPECT_FALSE(failed(decodePong(encodePong(Pong)))) << Cpu;
   }
 }
+
+// Guards against a log that is flooded by unreadable records, one line for each
+// read, and against unreadable records that are nowhere shown.
+TEST(OddRecords, UnreadableRecordsAreLoggedWhenTheirNumberChanges) {
+  RunningSender S;
+  uint64_t Revision = 1000000;
+  auto Read = [&](size_t Unreadable) {
+    S.Now += seconds(3);
+    WallTime Wall = WallTime{} + seconds(1000000);
+    CollectionReadAnswered Event;
+    Event.Collection = StoreCollection::Upstreams;
+    for (const InstanceEffect &E :
+         reduce(S.State, {S.Now, Wall, InstanceTick{}}))
+      if (const auto *Call = std::get_if<ReadCollection>(&E);
+          Call && Call->Collection == Event.Collection)
+        Event.Sequence = Call->Sequence;
+    EXPECT_NE(Event.Sequence, 0U);
+    Event.Status = StoreStatus::Done;
+    Event.Revision = {++Revision};
+    Event.UnreadableRecords = Unreadable;
+    return countLogs(reduce(S.State, {S.Now, Wall, Event}), "unreadable");
+  };
+  EXPECT_EQ(Read(0), 0U);
+  for (size_t I = 0; I < 10; ++I)
+    EXPECT_EQ(Read(3), I == 0 ? 1U : 0U);
+  EXPECT_EQ(Read(4), 1U);
+  for (size_t I = 0; I < 10; ++I)
+    EXPECT_EQ(Read(0), I == 0 ? 1U : 0U);
+}
