cells: ping a peer that was never there at the usual period

What could happen: an entry in the list of instances whose address nobody answers was pinged 25 times a second by each instance, for as long as it stayed: a failed ping is repeated after 40 ms, to learn soon whether a process has ended.

Fix: a peer that has neither answered nor sent a message is repeated so soon in the first two seconds only, in which it may be starting.

Evidence: OddRecords.InstanceThatNeverAnswersIsPingedAtTheUsualPeriod failed before with 250 pings in 10 s; the bound of 41 is the shortest period of pings, 250 ms.

--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -292,8 +292,11 @@
       P.ConnectionRefused = true;
     }
     // A failed ping doesn't show whether the process has ended, so it is
-    // repeated soon.
-    pingBy(State, P, Now + HandoverPingPeriod);
+    // repeated soon. A peer that was never there may be no instance at all.
+    bool Repeat = P.LastAnsweredPing != SteadyTime{} ||
+                  P.LastMessage != SteadyTime{} ||
+                  Now - P.Discovered < DiscoveryTime;
+    pingBy(State, P, Repeat ? Now + HandoverPingPeriod : P.NextPing);
     return false;
   }
   const PeerPong &Reply = *Event.Reply;
--- a/tests/odd_record_test.cpp
+++ b/tests/odd_record_test.cpp
@@ -1,6 +1,7 @@
 /// \file What an instance does with odd records that it has read from the
 /// store, on a fake clock.
 #include "cells/cell_cmd.h"
+#include "cells/cell_table.h"
 #include "instance/instance_reducer.h"
 #include "rpc/cell_codec.h"
 #include "sender/upstream_cmd.h"
@@ -190,3 +191,36 @@
   for (size_t I = 0; I < 10; ++I)
     EXPECT_EQ(Read(0), I == 0 ? 1U : 0U);
 }
+
+// Guards against calls in a tight loop to an instance of the list that never
+// answers, for as long as its entry stays.
+TEST(OddRecords, InstanceThatNeverAnswersIsPingedAtTheUsualPeriod) {
+  CellWorld World;
+  World.addUpstream({"up-1"});
+  Address Endpoint = World.addInstance("sender", "centre-a");
+  World.run(seconds(4));
+  FleetInstance State = World.state(Endpoint);
+  SteadyTime Start = World.now();
+  for (const char *Centre : {"centre-a", "centre-b"}) {
+    Address Dead{std::string("10.99.99.99:70-") + Centre};
+    addPeer(State.Cells, {Dead, {Centre}, 1}, Start);
+    size_t Pings = 0;
+    // A peer that is new may be starting, and is tried more often at first.
+    SteadyTime CountFrom = Start + DiscoveryTime + PingTimeout;
+    for (SteadyTime Now = Start; Now < CountFrom + seconds(10);
+         Now += milliseconds(20)) {
+      InstanceEffects Out;
+      sendPings(State.Cells, Now, Out);
+      for (const InstanceEffect &E : Out) {
+        const auto *Ping = std::get_if<SendPing>(&E);
+        if (!Ping || Ping->Endpoint != Dead)
+          continue;
+        Pings += Now >= CountFrom ? 1 : 0;
+        applyPong(State.Cells, {Dead, std::nullopt, Pings % 2 == 0}, Now, Out);
+      }
+    }
+    // The shortest period of pings is 250 ms.
+    EXPECT_LE(Pings, 41U) << Centre;
+    EXPECT_GE(Pings, 1U) << Centre;
+  }
+}
