platform: skip records that are too large before they are parsed

Fix: records of upstreams and instances above 64 KiB are unreadable. Their own records take some 300 bytes.

--- a/tests/store_decoder_test.cpp
+++ b/tests/store_decoder_test.cpp
@@ -432,6 +432,25 @@
   }
 }
 
+// Guards against a record that delays each read of the list by the time that
+// its parse takes, some 150 ms for one of 700 kB with many values.
+TEST(StoreDecoder, HugeRecordsAreNotParsed) {
+  // The note leaves the record valid, so that only its size is wrong.
+  for (size_t Bytes : {size_t{1000}, size_t{100000}, size_t{1} << 20}) {
+    std::string Note = ",\"note\":\"" + std::string(Bytes, 'x') + "\"}";
+    std::string Upstream = record();
+    Upstream.replace(Upstream.size() - 1, 1, Note);
+    StoreRead Read(StoreCollection::Upstreams);
+    EXPECT_TRUE(
+        Read.add(answer({upstreamItem("a"), item("servers/b", Upstream)})));
+    EXPECT_EQ(Read.ids(), Bytes > 64 << 10 ? Ids{"a"} : (Ids{"a", "b"}));
+    StoreRead Instances(StoreCollection::Instances);
+    EXPECT_TRUE(Instances.add(answer(
+        {item("snipeshunt/instances/10.0.0.1:70", R"({"zone":"z")" + Note)})));
+    EXPECT_EQ(Instances.Answer.Instances.size(), Bytes > 64 << 10 ? 0U : 1U);
+  }
+}
+
 // Guards against entries in large numbers that hide proper ones on their pages.
 TEST(StoreDecoder, ProperItemsAreReadAmongTenThousandOddOnes) {
   StoreRead Read(StoreCollection::Upstreams);
