--- a/tests/cell_codec_test.cpp
+++ b/tests/cell_codec_test.cpp
@@ -128,8 +128,9 @@
 
 // As above, for the results of forwarded jobs.
 TEST(CellCodecTest, ResultKeepsItsFields) {
-  JobResult In{JobOutcome::NotRun, "reason", milliseconds(1200), true, true,
-               someLoad(),         {{2, {"up-1"}, 1}}};
+  JobResult In{
+      JobOutcome::NotRun, "reason",          milliseconds(1200), true, true,
+      someLoad(),         {{2, {"up-1"}, 1}}};
   JobResult Out = decoded(decodeJobResult(encodeJobResult(In)));
   EXPECT_EQ(Out.Outcome, In.Outcome);
   EXPECT_EQ(Out.Reason, In.Reason);
