cells: fetch results whose answers were lost on a silent connection

Callers got no answer to a job that had ended, and their second submission ran it again; without a shutdown they waited until their deadline and got 504.

Cause: a connection between two instances can fall silent without a reset, while new ones work. Pings have a connection of their own, so the sender is not suspected. The entry waited for the answer until the job's deadline, and an entry that shut down ended before that.

Job ended as done at its sender 57 ms after it arrived; its entry, which shut down, ended 3.3 s later with "unanswered callers=1"; the sender answered the second submission.

An entry now asks the sender for the results of overdue jobs by `cell.results`, on a connection of its own. The sender replies from the results that it retains for duplicate submissions, so a query can start nothing. A job that the sender has neither open nor retained, as two replies say, has not arrived or its rejection was lost: it is cancelled, so that a late copy is not started either, and answered as lost. The silent connection is closed, and so are the idle ones to that sender, on which later jobs would be lost too.

Pings and job messages are unchanged. Earlier versions answer the new method with an error, which is ignored.

--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -41,7 +41,9 @@
   /// Receipt of its last job that came while this process was behind; zero once
   /// a ping sent since then has been answered. See `SenderJob::ConfirmSince`.
   SteadyTime ConfirmSince{};
-  SteadyTime NextPing{};    ///< When the next ping is due.
+  SteadyTime NextPing{}; ///< When the next ping is due.
+  /// No result query is sent to it before.
+  SteadyTime NextResultQuery{};
   SteadyTime PingSent{};    ///< When the last ping was sent.
   SteadyTime Discovered{};  ///< When this instance first received its address.
   bool PingPending = false; ///< The last ping has neither answer nor failure.
--- a/src/entry/entry_base.h
+++ b/src/entry/entry_base.h
@@ -21,6 +21,9 @@
   SteadyTime Deadline{};          ///< End of the caller's time limit.
   SteadyTime Forwarded{};         ///< When it was last sent to a sender.
   bool Cancelled = false;         ///< By a caller; not forwarded any more.
+  /// When its sender first replied that it has neither the job nor a result of
+  /// it; zero before.
+  SteadyTime MissingSince{};
 };
 
 /// Counters for the metrics, since the start of the process.
@@ -33,6 +36,7 @@
   uint64_t Expired = 0;      ///< Jobs answered as expired.
   uint64_t Disconnected = 0; ///< Jobs whose caller disconnected.
   uint64_t Forwarded = 0;    ///< Forwards of jobs to senders.
+  uint64_t Fetched = 0;      ///< Results that came by a result query.
 };
 
 struct EntryState {
--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -38,6 +38,22 @@
 // after about a second.
 constexpr Duration NoSenderRetry = std::chrono::seconds(2);
 constexpr const char *NoSender = "no sender is available";
+// Time after which the result of a job is asked for: its objective, within
+// these limits. The answers of most jobs come earlier, so most jobs cost no
+// query; a wrong estimate does not delay it for longer than the upper limit.
+constexpr Duration MinQueryAge = std::chrono::milliseconds(500);
+constexpr Duration MaxQueryAge = std::chrono::milliseconds(2000);
+// Period of result queries to a sender that has overdue jobs.
+constexpr Duration QueryPeriod = std::chrono::milliseconds(500);
+// Limit on the jobs in a query. Only the oldest open ones of a sender are asked
+// for. The limit is below the number of connections to a sender, so that all of
+// them have been sent and none still waits for a connection.
+constexpr size_t MaxQueriedJobs = 64;
+// A job that its sender does not have is lost, if the sender says so twice with
+// this pause and this long after the job was sent. A first reply can overtake
+// the job, or the answer that rejects it.
+constexpr Duration MissingPause = std::chrono::milliseconds(200);
+constexpr Duration MinMissingAge = std::chrono::milliseconds(1000);
 
 void logJob(InstanceEffects &Out, const JobId &Id, std::string Message) {
   Out.push_back(LogDecision{DecisionPart::Entry, Id.Value, std::move(Message),
@@ -130,13 +146,21 @@
   return IsRemote ? Wait + RemoteCentrePenalty : Wait;
 }
 
+Duration objectiveOf(const JobOrder &Order) {
+  return scaled(Order.Step.Estimate, Order.Stretch) + Order.Slack;
+}
+
+/// Returns the time from which the result of a job is asked for.
+SteadyTime queryTime(const EntryJob &J) {
+  return J.Forwarded +
+         std::clamp(objectiveOf(J.Order), MinQueryAge, MaxQueryAge);
+}
+
 /// Returns the latest start with which the job, by its declared run time, ends
 /// before its deadline and within `LateLimit` times its objective.
 SteadyTime latestUsefulStart(const EntryJob &J) {
-  const JobOrder &O = J.Order;
-  Duration Objective = scaled(O.Step.Estimate, O.Stretch) + O.Slack;
-  Duration Useful = scaled(Objective, MaxLatenessFactor);
-  return std::min(J.Deadline, J.Arrived + Useful) - O.Step.Estimate;
+  Duration Useful = scaled(objectiveOf(J.Order), MaxLatenessFactor);
+  return std::min(J.Deadline, J.Arrived + Useful) - J.Order.Step.Estimate;
 }
 
 /// Returns the time at which a job without sender is rejected: after
@@ -150,6 +174,7 @@
                  RequestId Forward, SteadyTime Now, InstanceEffects &Out) {
   EntryJob &J = State.Jobs.at(Forward);
   J.Forwarded = Now;
+  J.MissingSince = {};
   J.Order.Number = Context.Cells.NextJob++;
   J.Order.Remaining = J.Deadline - Now;
   J.Order.Age = Now - J.Arrived;
@@ -231,13 +256,15 @@
 }
 
 /// Cancels a job whose answer is no longer awaited. The sender notices the end
-/// of the connection at once; the ping is for links that lose that.
+/// of the connection at once; the ping is for links that lose that. \p Silent
+/// is for `AbandonForward`.
 void abandonAtSender(const EntryContext &Context, const EntryJob &J,
-                     RequestId Forward, SteadyTime Now, InstanceEffects &Out) {
+                     RequestId Forward, SteadyTime Now, InstanceEffects &Out,
+                     bool Silent = false) {
   if (J.Sender.Value.empty() || J.Sender == Context.Cells.Self.Endpoint)
     return;
   cancelAtSender(Context, J, Now);
-  Out.push_back(AbandonForward{J.Sender, Forward});
+  Out.push_back(AbandonForward{J.Sender, Forward, Silent});
 }
 
 } // namespace
@@ -403,6 +430,70 @@
   }
 }
 
+void queryResults(const EntryState &State, const EntryContext &Context,
+                  SteadyTime Now, InstanceEffects &Out) {
+  std::map<Address, std::vector<JobReference>> Overdue;
+  for (const auto &[Forward, J] : State.Jobs) {
+    auto P = Context.Cells.Peers.find(J.Sender);
+    if (P != Context.Cells.Peers.end() && Now >= P->second.NextResultQuery &&
+        Now >= queryTime(J))
+      Overdue[J.Sender].push_back({J.Order.Id, J.Order.Number});
+  }
+  for (auto &[Sender, Jobs] : Overdue) {
+    Peer &P = Context.Cells.Peers.at(Sender);
+    if (P.OpenJobs.size() > MaxQueriedJobs) {
+      uint64_t End = *std::next(P.OpenJobs.begin(), MaxQueriedJobs);
+      Jobs.erase(
+          std::remove_if(Jobs.begin(), Jobs.end(),
+                         [End](const auto &Job) { return Job.Number >= End; }),
+          Jobs.end());
+    }
+    if (Jobs.empty())
+      continue;
+    P.NextResultQuery = Now + QueryPeriod;
+    Out.push_back(
+        SendResultQuery{Sender,
+                        {Context.Cells.Self.Endpoint, Context.Cells.Incarnation,
+                         std::move(Jobs)}});
+  }
+}
+
+void applyResultReply(EntryState &State, const EntryContext &Context,
+                      const ResultQueryAnswered &Event, SteadyTime Now,
+                      InstanceEffects &Out) {
+  for (const ClosedJob &Closed : Event.Reply.Jobs) {
+    auto It = std::find_if(State.Jobs.begin(), State.Jobs.end(),
+                           [&](const auto &Entry) {
+                             return Entry.second.Sender == Event.Sender &&
+                                    Entry.second.Order.Number == Closed.Number;
+                           });
+    // The answer has arrived since, or the job was abandoned.
+    if (It == State.Jobs.end())
+      continue;
+    RequestId Forward = It->first;
+    EntryJob &J = It->second;
+    if (Closed.Result) {
+      ++State.Counts.Fetched;
+      logJob(Out, J.Order.Id,
+             "the answer of sender=" + Event.Sender.Value +
+                 " was lost, its result was fetched after_ms=" +
+                 std::to_string(toMilliseconds(Now - J.Forwarded)));
+      Out.push_back(AbandonForward{Event.Sender, Forward, /*Silent=*/true});
+      applyForwardAnswer(State, Context, {Event.Sender, Forward, Closed.Result},
+                         Now, Out);
+      continue;
+    }
+    if (J.MissingSince == SteadyTime{})
+      J.MissingSince = Now;
+    if (Now - J.MissingSince < MissingPause ||
+        Now - J.Forwarded < MinMissingAge)
+      continue;
+    abandonAtSender(Context, J, Forward, Now, Out, /*Silent=*/true);
+    endJob(State, Context, Forward, AnswerStatus::Lost, Duration::zero(),
+           "the sender has neither the job nor its result", Now, Out);
+  }
+}
+
 void expireEntryJobs(EntryState &State, const EntryContext &Context,
                      SteadyTime Now, InstanceEffects &Out) {
   std::set<Address> Suspected;
--- a/src/entry/entry_cmd.h
+++ b/src/entry/entry_cmd.h
@@ -47,6 +47,17 @@
                         const ForwardAnswered &Event, SteadyTime Now,
                         InstanceEffects &Out);
 
+/// Asks the senders of overdue jobs for their results, since the answers may
+/// have been lost. Called with each tick.
+void queryResults(const EntryState &State, const EntryContext &Context,
+                  SteadyTime Now, InstanceEffects &Out);
+
+/// Applies the results that a sender has sent again, and answers a job as lost
+/// that its sender does not have.
+void applyResultReply(EntryState &State, const EntryContext &Context,
+                      const ResultQueryAnswered &Event, SteadyTime Now,
+                      InstanceEffects &Out);
+
 /// Answers the jobs that are past their deadline and those whose sender is
 /// suspected, and forwards those that wait for a sender. Called with each tick.
 void expireEntryJobs(EntryState &State, const EntryContext &Context,
--- a/src/entry/entry_type.h
+++ b/src/entry/entry_type.h
@@ -77,6 +77,9 @@
 struct AbandonForward {
   Address Sender;
   RequestId Request; ///< From `ForwardJob`.
+  /// The connection has lost a message. Others to the sender may have fallen
+  /// silent with it, so the idle ones are closed as well.
+  bool Silent = false;
 };
 
 // Events.
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -206,7 +206,7 @@
 HttpClient::HttpClient(EventLoop &Loop, HttpClientOptions Options)
     : Loop(Loop), Options(std::move(Options)),
       DeferredTimer(Loop, [this] { runDeferred(); }),
-      IdleTimer(Loop, [this] { closeIdle(); }) {
+      IdleTimer(Loop, [this] { closeExpired(); }) {
   IdleTimer.startPeriodic(std::chrono::milliseconds(500));
 }
 
@@ -317,7 +317,13 @@
     Step();
 }
 
-void HttpClient::closeIdle() {
+void HttpClient::closeIdle(const Address &Target) {
+  auto Found = Targets.find(Target);
+  if (Found != Targets.end())
+    Found->second.Idle.clear();
+}
+
+void HttpClient::closeExpired() {
   SteadyTime Limit = bootTimeNow() - Options.IdleTimeout;
   for (auto It = Targets.begin(); It != Targets.end();) {
     Target &T = It->second;
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -51,6 +51,8 @@
   /// Ends call \p Number to \p Target with a failure and closes its connection.
   /// Does nothing if the call has ended.
   void cancel(const Address &Target, uint64_t Number);
+  /// Closes the connections to \p Target that have no call.
+  void closeIdle(const Address &Target);
   /// The callback of a call has thrown an exception with this message. While
   /// nothing is connected here, the exception ends the process.
   sigc::signal<void(const std::string &)> HandlerFailed;
@@ -90,7 +92,7 @@
   void runDeferred();
   /// Closes connections that were idle for longer than `IdleTimeout`. Called
   /// periodically.
-  void closeIdle();
+  void closeExpired();
 
   EventLoop &Loop;
   HttpClientOptions Options;
--- a/src/instance/instance_effect.h
+++ b/src/instance/instance_effect.h
@@ -32,8 +32,9 @@
 struct StopProcess {};
 
 using InstanceEffect =
-    std::variant<AnswerCaller, ForwardJob, AbandonForward, AnswerJob, SendPing,
-                 AnswerPing, StartRun, StopRun, RenewUpstream, ReadCollection,
+    std::variant<AnswerCaller, ForwardJob, AbandonForward, AnswerJob,
+                 SendResultQuery, AnswerResultQuery, SendPing, AnswerPing,
+                 StartRun, StopRun, RenewUpstream, ReadCollection,
                  WatchCollection, AcquireLease, PublishInstance, RenewLease,
                  EndLease, FetchSnapshot, LogDecision, StopProcess>;
 
--- a/src/instance/instance_event.h
+++ b/src/instance/instance_event.h
@@ -23,10 +23,11 @@
 using InstanceEventBody =
     std::variant<InstanceTick, ShutdownRequested, SettingsChanged, JobSubmitted,
                  JobQueried, JobCancelled, QueueCounted, JobCallerDisconnected,
-                 ForwardAnswered, JobArrived, JobAbandoned, PingArrived,
-                 PingAnswered, StartAnswered, StopAnswered, RenewalAnswered,
-                 CollectionReadAnswered, WatchAnswered, LeaseAnswered,
-                 PublishAnswered, LeaseRenewalAnswered, SnapshotFetched>;
+                 ForwardAnswered, JobArrived, JobAbandoned, ResultQueryArrived,
+                 ResultQueryAnswered, PingArrived, PingAnswered, StartAnswered,
+                 StopAnswered, RenewalAnswered, CollectionReadAnswered,
+                 WatchAnswered, LeaseAnswered, PublishAnswered,
+                 LeaseRenewalAnswered, SnapshotFetched>;
 
 /// An event and the times at which it is handled.
 struct InstanceEvent {
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -130,6 +130,7 @@
         Now, Out);
     expireSenderJobs(State.Sender, Now, Out);
     expireEntryJobs(State.Entry, entryContext(State, Now), Now, Out);
+    queryResults(State.Entry, entryContext(State, Now), Now, Out);
     // Pauses of starts on upstreams end without an event.
     State.Sender.PlacementDue = true;
     advanceDrain();
@@ -224,6 +225,14 @@
     abandonJob(State.Sender, {E.Request, /*Local=*/false}, Now, Out);
   }
 
+  void operator()(const ResultQueryArrived &E) {
+    Out.push_back(AnswerResultQuery{
+        E.Request, answerResultQuery(State.Sender, E.Query, Now)});
+  }
+  void operator()(const ResultQueryAnswered &E) {
+    applyResultReply(State.Entry, entryContext(State, Now), E, Now, Out);
+  }
+
   void operator()(const PingArrived &E) {
     applyPing(State.Cells, E, ownReport(State, Now), Now, Out);
     stopCancelledJobs(E.Message.From.Endpoint, E.Message.CancelledJobs);
--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -107,13 +107,22 @@
            });
 }
 
-Json::Value encodeCancelled(const CancelledJob &Job) {
+/// Writes the id and the order number of a job.
+template <typename T> Json::Value encodeReference(const T &Job) {
   Json::Value V(Json::objectValue);
   V["id"] = Job.Id.Value;
   V["number"] = Json::UInt64(Job.Number);
   return V;
 }
 
+template <typename T> Result<T> decodeReference(const Json::Value &Value) {
+  ObjectReader Reader(Value, "job");
+  T Job;
+  Reader.string("id", Job.Id.Value, MaxTextLength)
+      .unsignedId("number", Job.Number);
+  return finishReading(Reader, std::move(Job));
+}
+
 Result<CancelledJob> decodeCancelled(const Json::Value &Value) {
   // Earlier versions send the id alone, for any number.
   if (Value.isString()) {
@@ -121,11 +130,7 @@
       return CancelledJob{JobId{std::move(Text)}, UINT64_MAX};
     return idError("cancelled");
   }
-  ObjectReader Reader(Value, "cancelled job");
-  CancelledJob Job;
-  Reader.string("id", Job.Id.Value, MaxTextLength)
-      .unsignedId("number", Job.Number);
-  return finishReading(Reader, std::move(Job));
+  return decodeReference<CancelledJob>(Value);
 }
 
 Json::Value encodeLoad(const SenderLoad &Load) {
@@ -290,6 +295,28 @@
     readList(Reader, "crash_records", MaxListLength, Out, decodeTaskCrash);
 }
 
+Json::Value encodeClosed(const ClosedJob &Job) {
+  Json::Value V(Json::objectValue);
+  V["number"] = Json::UInt64(Job.Number);
+  if (Job.Result)
+    V["result"] = encodeJobResult(*Job.Result);
+  return V;
+}
+
+Result<ClosedJob> decodeClosed(const Json::Value &Value) {
+  ObjectReader Reader(Value, "closed job");
+  ClosedJob Job;
+  Reader.unsignedId("number", Job.Number);
+  if (const Json::Value *Given = Reader.optionalObject("result")) {
+    Result<JobResult> Decoded = decodeJobResult(*Given);
+    if (failed(Decoded))
+      Reader.fail(errorOf(Decoded));
+    else
+      Job.Result = std::move(valueOf(Decoded));
+  }
+  return finishReading(Reader, std::move(Job));
+}
+
 } // namespace
 
 Json::Value encodePing(const PeerPing &Message) {
@@ -300,7 +327,8 @@
   V["wants_known"] = Message.WantsKnownInstances;
   V["knows_upstreams"] = Message.HasUpstreamList;
   V["oldest_job"] = Json::UInt64(Message.OldestAwaitedJob);
-  V["cancelled"] = encodeList(Message.CancelledJobs, encodeCancelled);
+  V["cancelled"] =
+      encodeList(Message.CancelledJobs, encodeReference<CancelledJob>);
   V["claims"] = encodeList(Message.Claims, encodeClaim);
   return V;
 }
@@ -334,7 +362,8 @@
   V["oldest_job"] = Json::UInt64(Message.OldestAwaitedJob);
   // Left out when empty, so that earlier versions accept the answer.
   if (!Message.CancelledJobs.empty())
-    V["cancelled"] = encodeList(Message.CancelledJobs, encodeCancelled);
+    V["cancelled"] =
+        encodeList(Message.CancelledJobs, encodeReference<CancelledJob>);
   return V;
 }
 
@@ -450,4 +479,35 @@
   return finishReading(Reader, std::move(R));
 }
 
+Json::Value encodeResultQuery(const ResultQuery &Query) {
+  Json::Value V(Json::objectValue);
+  V["entry"] = Query.Entry.Value;
+  V["incarnation"] = Json::UInt64(Query.Incarnation.Value);
+  V["jobs"] = encodeList(Query.Jobs, encodeReference<JobReference>);
+  return V;
+}
+
+Result<ResultQuery> decodeResultQuery(const Json::Value &Value) {
+  ObjectReader Reader(Value, "result query");
+  ResultQuery Query;
+  Reader.string("entry", Query.Entry.Value, MaxTextLength)
+      .unsignedId("incarnation", Query.Incarnation.Value);
+  readList(Reader, "jobs", MaxListLength, Query.Jobs,
+           decodeReference<JobReference>);
+  return finishReading(Reader, std::move(Query));
+}
+
+Json::Value encodeResultReply(const ResultReply &Reply) {
+  Json::Value V(Json::objectValue);
+  V["closed"] = encodeList(Reply.Jobs, encodeClosed);
+  return V;
+}
+
+Result<ResultReply> decodeResultReply(const Json::Value &Value) {
+  ObjectReader Reader(Value, "result reply");
+  ResultReply Reply;
+  readList(Reader, "closed", MaxListLength, Reply.Jobs, decodeClosed);
+  return finishReading(Reader, std::move(Reply));
+}
+
 } // namespace snipeshunt
--- a/src/rpc/cell_codec.h
+++ b/src/rpc/cell_codec.h
@@ -3,8 +3,10 @@
 ///
 /// Each `decode` function rejects missing, unknown and out-of-range fields with
 /// an error that gives the field. `cell.ping` carries a ping and returns a
-/// pong, `cell.snapshot` returns a snapshot; a job order is the body of a
-/// request to `/v1/cell-jobs`, and a job result that of its reply.
+/// pong, `cell.snapshot` returns a snapshot, `cell.results` carries a result
+/// query and returns a result reply; a job order is the body of a request to
+/// `/v1/cell-jobs`, and a job result that of its reply. Earlier versions answer
+/// `cell.results` with an error.
 #ifndef SNIPESHUNT_RPC_CELL_CODEC_H
 #define SNIPESHUNT_RPC_CELL_CODEC_H
 
@@ -30,6 +32,12 @@
 Json::Value encodeJobResult(const JobResult &R);
 Result<JobResult> decodeJobResult(const Json::Value &Value);
 
+Json::Value encodeResultQuery(const ResultQuery &Query);
+Result<ResultQuery> decodeResultQuery(const Json::Value &Value);
+
+Json::Value encodeResultReply(const ResultReply &Reply);
+Result<ResultReply> decodeResultReply(const Json::Value &Value);
+
 } // namespace snipeshunt
 
 #endif // SNIPESHUNT_RPC_CELL_CODEC_H
--- a/src/runtime/cell_daemon.cpp
+++ b/src/runtime/cell_daemon.cpp
@@ -89,17 +89,18 @@
                           TimeSource.steadyNow())),
       Server(Loop, peerLimits()), PingClient(Loop, clientOptions(1)),
       JobClient(Loop, clientOptions(MaxJobConnections)),
-      TickTimer(Loop,
-                [this] {
-                  dispatch(InstanceTick{});
-                  flushLog();
-                }),
+      QueryClient(Loop, clientOptions(1)), TickTimer(Loop,
+                                                     [this] {
+                                                       dispatch(InstanceTick{});
+                                                       flushLog();
+                                                     }),
       OnTerminate(Loop, SIGTERM, [this] { dispatch(ShutdownRequested{}); }),
       OnInterrupt(Loop, SIGINT, [this] { dispatch(ShutdownRequested{}); }) {
   registerPeerHandlers();
   Server.HandlerFailed.connect(sigc::ptr_fun(logHandlerFailure));
   PingClient.HandlerFailed.connect(sigc::ptr_fun(logHandlerFailure));
   JobClient.HandlerFailed.connect(sigc::ptr_fun(logHandlerFailure));
+  QueryClient.HandlerFailed.connect(sigc::ptr_fun(logHandlerFailure));
   Effects.on<LogDecision>().connect(sigc::ptr_fun(writeLog));
   Effects.on<StopProcess>().connect(
       [this](const StopProcess &) { this->Loop.stop(); });
@@ -172,6 +173,14 @@
     return encodeSnapshot(
         {State.Directory.Configuration, State.Directory.Upstreams});
   });
+  Rpc.bind("cell.results", [this](const Json::Value &Message) {
+    Result<ResultQuery> Decoded = decodeResultQuery(Message);
+    if (failed(Decoded))
+      return encodeRpcError(errorOf(Decoded));
+    ResultsReply = Json::Value(Json::objectValue);
+    dispatch(ResultQueryArrived{{}, std::move(valueOf(Decoded))});
+    return std::move(ResultsReply);
+  });
   Server.RequestReceived.connect([this](const HttpRequest &Request) {
     if (Request.Path == "/rpc")
       Server.reply(Request.Id, {200, Rpc.handle(Request.Body)});
@@ -190,6 +199,11 @@
       [this](RequestId Id) { dispatch(JobAbandoned{Id}); });
   Effects.on<AnswerPing>().connect(
       [this](const AnswerPing &E) { PongReply = encodePong(E.Message); });
+  Effects.on<AnswerResultQuery>().connect([this](const AnswerResultQuery &E) {
+    ResultsReply = encodeResultReply(E.Reply);
+  });
+  Effects.on<SendResultQuery>().connect(
+      [this](const SendResultQuery &E) { query(E); });
   Effects.on<AnswerJob>().connect([this](const AnswerJob &E) {
     Server.reply(E.Request, {200, writeJson(encodeJobResult(E.Result))});
   });
@@ -296,7 +310,36 @@
       });
 }
 
+void CellDaemon::query(const SendResultQuery &E) {
+  HttpCall Call;
+  Call.Target = E.Sender;
+  Call.Method = "POST";
+  Call.Path = "/rpc";
+  Call.Body = encodeRpcRequest("cell.results", encodeResultQuery(E.Query));
+  Call.Timeout = PingTimeout;
+  QueryClient.send(std::move(Call), [this, Sender = E.Sender](
+                                        const HttpOutcome &Outcome) {
+    const auto *Answer = std::get_if<HttpReply>(&Outcome);
+    // Without an answer the reducer sends another query later.
+    if (!Answer)
+      return;
+    Result<Json::Value> Message = decodeRpcResponse(Answer->Body);
+    // An instance of an earlier version answers no result queries.
+    if (failed(Message))
+      return;
+    Result<ResultReply> Reply = decodeResultReply(valueOf(Message));
+    if (failed(Reply))
+      SNIPESHUNT_LOG(WARNING, "entry")
+          << "malformed answer to a result query from sender=" << Sender.Value
+          << ": " << errorOf(Reply).Message;
+    else
+      dispatch(ResultQueryAnswered{Sender, std::move(valueOf(Reply))});
+  });
+}
+
 void CellDaemon::abandon(const AbandonForward &E) {
+  if (E.Silent)
+    JobClient.closeIdle(E.Sender);
   auto Call = ForwardCalls.find({E.Sender, E.Request});
   if (Call != ForwardCalls.end())
     JobClient.cancel(E.Sender, Call->second);
--- a/src/runtime/cell_daemon.h
+++ b/src/runtime/cell_daemon.h
@@ -53,6 +53,8 @@
   void ping(const SendPing &E);
   /// Sends a job to a sender and dispatches `ForwardAnswered`.
   void forward(const ForwardJob &E);
+  /// Sends a result query and dispatches its answer if one arrives.
+  void query(const SendResultQuery &E);
   /// Closes the connection of a forwarded job.
   void abandon(const AbandonForward &E);
   /// Asks a peer for a snapshot and dispatches it if it arrives.
@@ -67,10 +69,15 @@
   HttpServer Server; ///< For requests of peers.
   HttpClient PingClient;
   HttpClient JobClient; ///< For jobs and snapshots.
+  /// For result queries. Connections of `JobClient` may have fallen silent, and
+  /// those of `PingClient` must not wait for another answer.
+  HttpClient QueryClient;
   /// Calls of `JobClient` for forwarded jobs, by sender and request.
   std::map<std::pair<Address, RequestId>, uint64_t> ForwardCalls;
   RpcServer Rpc;
   Json::Value PongReply; ///< Reply to the ping that is being handled.
+  /// Reply to the result query that is being handled.
+  Json::Value ResultsReply;
   std::deque<InstanceEventBody> Pending; ///< Events to be handled.
   bool Dispatching = false;              ///< `dispatch` is on the call stack.
   Timer TickTimer; ///< Dispatches `InstanceTick` and flushes the log.
--- a/src/runtime/cell_metrics.cpp
+++ b/src/runtime/cell_metrics.cpp
@@ -62,6 +62,9 @@
                     E.Disconnected);
   Values.setCounter("entry_forwards_total", "Jobs forwarded to senders.",
                     E.Forwarded);
+  Values.setCounter("entry_results_fetched_total",
+                    "Results fetched because a sender's answer was lost.",
+                    E.Fetched);
   const SenderCounters &S = State.Sender.Counts;
   Values.setCounter("sender_jobs_total", "Jobs admitted by this sender.",
                     S.JobsAccepted);
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -64,10 +64,12 @@
                      });
 }
 
-/// Retains a result for duplicate submissions and expires old ones.
-void retainResult(SenderState &State, const JobId &Id, JobOutcome Outcome,
+/// Retains the result of a job and expires old ones.
+void retainResult(SenderState &State, const JobOrder &Order, JobOutcome Outcome,
                   uint32_t LastRun, SteadyTime Now) {
-  State.RetainedResults[Id] = {Outcome, Now, LastRun};
+  const JobId &Id = Order.Id;
+  State.RetainedResults[Id] = {
+      Outcome, Now, LastRun, Order.Entry, Order.Incarnation, Order.Number};
   State.RetainedResultOrder.emplace_back(Now, Id);
   while (!State.RetainedResultOrder.empty() &&
          (Now - State.RetainedResultOrder.front().first > ResultRetention ||
@@ -332,7 +334,7 @@
     State.DetachedRuns[Id] = DetachedRuns;
   State.PlacementDue = true;
   if (Outcome != JobOutcome::NotRun)
-    retainResult(State, Id, Outcome, lastRunOf(J), Now);
+    retainResult(State, J.Order, Outcome, lastRunOf(J), Now);
   switch (Outcome) {
   case JobOutcome::Done:
     ++State.Counts.JobsDone;
@@ -385,6 +387,42 @@
               Out);
 }
 
+ResultReply answerResultQuery(const SenderState &State,
+                              const ResultQuery &Query, SteadyTime Now) {
+  // A job or a result of a later submission has another order.
+  auto IsOrdered = [&Query](const auto &Order, const JobReference &Job) {
+    return Order.Entry == Query.Entry &&
+           Order.Incarnation == Query.Incarnation && Order.Number == Job.Number;
+  };
+  std::optional<SenderLoad> Load;
+  ResultReply Reply;
+  for (const JobReference &Job : Query.Jobs) {
+    auto Open = State.Jobs.find(Job.Id);
+    if (Open != State.Jobs.end() && IsOrdered(Open->second.Order, Job))
+      continue;
+    ClosedJob Closed{Job.Number, std::nullopt};
+    auto Retained = State.RetainedResults.find(Job.Id);
+    if (Retained != State.RetainedResults.end() &&
+        Now - Retained->second.Ended <= ResultRetention &&
+        (Retained->second.Outcome != JobOutcome::Lost ||
+         IsOrdered(Retained->second, Job))) {
+      if (Now - Retained->second.Ended < AnswerTransitTime)
+        continue;
+      JobResult &Result = Closed.Result.emplace();
+      Result.Outcome = Retained->second.Outcome;
+      Result.Reason = "retained result, its answer did not arrive";
+      Result.Leaving = State.Draining;
+      if (!Load)
+        Load = senderLoad(State, Now);
+      Result.Load = *Load;
+      if (Result.Outcome != JobOutcome::Done)
+        Result.Crashes = crashesOf(State.Crashes, Job.Id);
+    }
+    Reply.Jobs.push_back(std::move(Closed));
+  }
+  return Reply;
+}
+
 void expireSenderJobs(SenderState &State, SteadyTime Now,
                       InstanceEffects &Out) {
   std::vector<JobId> Expired = jobsWhere(State, [Now](const SenderJob &J) {
--- a/src/sender/job_cmd.h
+++ b/src/sender/job_cmd.h
@@ -33,6 +33,10 @@
     const std::function<bool(const SenderJob &)> &IsOrphaned, SteadyTime Now,
     InstanceEffects &Out);
 
+/// Answers a result query from the retained results. Starts nothing.
+ResultReply answerResultQuery(const SenderState &State,
+                              const ResultQuery &Query, SteadyTime Now);
+
 /// Ends started jobs whose deadline has passed, and rejects waiting jobs that
 /// can't finish while an answer is of use. Called on each tick.
 void expireSenderJobs(SenderState &State, SteadyTime Now, InstanceEffects &Out);
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -171,11 +171,15 @@
   Duration ExpectedRunTime{0};  ///< Of a task, on an upstream of average speed.
 };
 
-/// Result of a finished job, retained for duplicate submissions.
+/// Result of a finished job, retained for duplicate submissions and result
+/// queries.
 struct RetainedResult {
   JobOutcome Outcome = JobOutcome::Done;
-  SteadyTime Ended{};   ///< When the job ended.
-  uint32_t LastRun = 0; ///< Highest run number among its tasks.
+  SteadyTime Ended{};        ///< When the job ended.
+  uint32_t LastRun = 0;      ///< Highest run number among its tasks.
+  Address Entry;             ///< `JobOrder::Entry` of the job.
+  IncarnationId Incarnation; ///< `JobOrder::Incarnation` of the job.
+  uint64_t Number = 0;       ///< `JobOrder::Number` of the job.
 };
 
 /// Learned factor, as a natural logarithm.
--- a/src/sender/sender_table.h
+++ b/src/sender/sender_table.h
@@ -87,6 +87,9 @@
 /// first.
 constexpr Duration ResultRetention = std::chrono::seconds(8);
 constexpr size_t MaxRetainedResults = 4096;
+/// A result query leaves out jobs that have ended less than this time ago:
+/// their answers are usually on their way, and take milliseconds.
+constexpr Duration AnswerTransitTime = std::chrono::milliseconds(200);
 /// Callers have use for late answers up to this multiple of the objective.
 constexpr double MaxLatenessFactor = 3.0;
 /// A job is not started if less than this share of its expected run time is
--- a/src/sender/sender_type.h
+++ b/src/sender/sender_type.h
@@ -4,6 +4,7 @@
 
 #include "cells/cell_type.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -103,6 +104,33 @@
   std::vector<TaskCrash> Crashes; ///< Known of the job's tasks.
 };
 
+/// Names a job that an entry instance has handed over.
+struct JobReference {
+  JobId Id;
+  uint64_t Number = 0; ///< `JobOrder::Number`.
+};
+
+/// Asks a sender for the results of jobs whose answers may have been lost. It
+/// starts nothing.
+struct ResultQuery {
+  Address Entry;             ///< Instance that handed over the jobs.
+  IncarnationId Incarnation; ///< Its process.
+  std::vector<JobReference> Jobs;
+};
+
+/// A job of a result query that is not open at the sender.
+struct ClosedJob {
+  uint64_t Number = 0; ///< `JobOrder::Number`.
+  /// Absent if the job has not arrived, or its result is not retained.
+  std::optional<JobResult> Result;
+};
+
+/// Answer to a result query. It leaves out the jobs that are open and those
+/// that have ended a moment ago, whose answers are on their way.
+struct ResultReply {
+  std::vector<ClosedJob> Jobs;
+};
+
 // Effects.
 
 /// Answer the entry instance that handed over a job.
@@ -111,6 +139,18 @@
   JobResult Result;
 };
 
+/// Send a result query to a sender.
+struct SendResultQuery {
+  Address Sender;
+  ResultQuery Query;
+};
+
+/// Answer a result query.
+struct AnswerResultQuery {
+  RequestId Request; ///< From `ResultQueryArrived`.
+  ResultReply Reply;
+};
+
 // Events.
 
 /// An entry instance hands over a job.
@@ -124,6 +164,18 @@
   RequestId Request;
 };
 
+/// An entry instance asks for results.
+struct ResultQueryArrived {
+  RequestId Request; ///< Returned in `AnswerResultQuery`.
+  ResultQuery Query;
+};
+
+/// A sender has answered a result query.
+struct ResultQueryAnswered {
+  Address Sender;
+  ResultReply Reply;
+};
+
 } // namespace snipeshunt
 
 #endif // SNIPESHUNT_SENDER_SENDER_TYPE_H
--- a/tests/cell_codec_malformed_test.cpp
+++ b/tests/cell_codec_malformed_test.cpp
@@ -73,6 +73,9 @@
   JobResult Result{
       JobOutcome::NotRun,         "reason", milliseconds(1200), true, true,
       {milliseconds(12), 1, 2, 3}};
+  ResultQuery Query{Sender.Endpoint, {9}, {{{"job-1"}, 44}}};
+  ResultReply Reply;
+  Reply.Jobs = {{44, std::nullopt}, {45, Result}};
   HandoverMessage Handover;
   Handover.Tasks.emplace_back();
   Handover.Tasks.back().Spec = std::make_shared<TaskSpec>();
@@ -90,6 +93,7 @@
   for (const Json::Value &V :
        {encodePing(Ping), encodePong(Pong), encodeSnapshot(Snapshot),
         encodeJobOrder(someOrder()), encodeJobResult(Result),
+        encodeResultQuery(Query), encodeResultReply(Reply),
         encodeHandover(Handover), encodeHandoverReply({}), encodeReport(Report),
         encodeReportReply({}), encodeRevoke(Revoke), encodeRevokeReply({}),
         encodeHeartbeat(Beat), encodeConfiguration({}),
@@ -116,6 +120,8 @@
   Count(decodeSnapshot(Message));
   Count(decodeJobOrder(Message));
   Count(decodeJobResult(Message));
+  Count(decodeResultQuery(Message));
+  Count(decodeResultReply(Message));
   Count(decodeHandover(Message));
   Count(decodeHandoverReply(Message));
   Count(decodeReport(Message));
--- a/tests/cell_codec_test.cpp
+++ b/tests/cell_codec_test.cpp
@@ -147,3 +147,25 @@
   EXPECT_FALSE(encodeJobOrder({}).isMember("crash_records"));
   EXPECT_FALSE(encodeJobResult({}).isMember("crash_records"));
 }
+
+// As above, for queries of results and their answers.
+TEST(CellCodecTest, ResultQueryAndReplyKeepTheirFields) {
+  ResultQuery Query{Instance.Endpoint, {9}, {{{"job-1"}, 44}, {{"job-2"}, 45}}};
+  ResultQuery Asked = decoded(decodeResultQuery(encodeResultQuery(Query)));
+  EXPECT_EQ(Asked.Entry, Query.Entry);
+  EXPECT_EQ(Asked.Incarnation, Query.Incarnation);
+  ASSERT_EQ(Asked.Jobs.size(), 2U);
+  EXPECT_EQ(Asked.Jobs[1].Id, Query.Jobs[1].Id);
+  EXPECT_EQ(Asked.Jobs[1].Number, Query.Jobs[1].Number);
+  ResultReply Reply;
+  Reply.Jobs.push_back({44, std::nullopt});
+  Reply.Jobs.push_back({45, JobResult{}});
+  Reply.Jobs.back().Result->Outcome = JobOutcome::Failed;
+  ResultReply Out = decoded(decodeResultReply(encodeResultReply(Reply)));
+  ASSERT_EQ(Out.Jobs.size(), 2U);
+  EXPECT_EQ(Out.Jobs[0].Number, 44U);
+  EXPECT_FALSE(Out.Jobs[0].Result);
+  EXPECT_EQ(Out.Jobs[1].Number, 45U);
+  ASSERT_TRUE(Out.Jobs[1].Result);
+  EXPECT_EQ(Out.Jobs[1].Result->Outcome, JobOutcome::Failed);
+}
--- a/tests/process/cell_process_test.cpp
+++ b/tests/process/cell_process_test.cpp
@@ -1,8 +1,10 @@
 /// \file The caller and operator interfaces of a fleet of cells, on processes.
+#include "soak/link_proxy.h"
 #include "standins/cell_fleet.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <cstring>
@@ -149,6 +151,42 @@
   EXPECT_EQ(Bad, 0) << F.allLogs();
 }
 
+// Guards against a caller without an answer while its job has ended: the
+// connection on which the sender answers falls silent, and new ones work. On a
+// slow machine the sender may count as unresponsive, which is a clear failure.
+TEST(CellProcessTest, AnswerOnASilentConnectionIsFetched) {
+  CellFleet F(cellOptions(2, 1, 4));
+  LinkProxy Proxy;
+  std::vector<size_t> Links;
+  for (size_t I = 0; I < 2; ++I) {
+    Result<size_t> Link = Proxy.open(F.linkIp());
+    ASSERT_FALSE(failed(Link));
+    Links.push_back(valueOf(Link));
+    F.setLinks(I, Proxy.address(Links[I]), F.store());
+    Proxy.setTarget(Links[I], F.peers(I));
+  }
+  ASSERT_FALSE(failed(F.start()));
+  ASSERT_TRUE(F.waitUntilReady()) << F.allLogs();
+  std::vector<int> Statuses;
+  bool Fetched = false;
+  for (int Try = 0; Try < 10 && !Fetched; ++Try) {
+    std::string Id = jobId(400 + Try);
+    std::thread Fault([&] {
+      std::this_thread::sleep_for(std::chrono::milliseconds(400));
+      Proxy.silence(Links[0]);
+    });
+    Statuses.push_back(F.submit(1, Id, 2, 1200).Status);
+    Fault.join();
+    for (const auto &[Task, Starts] : F.starts(Id))
+      EXPECT_EQ(Starts, 1) << Task;
+    Fetched =
+        F.metrics(1).find("entry_results_fetched_total 1") != std::string::npos;
+  }
+  EXPECT_TRUE(Fetched) << F.allLogs();
+  EXPECT_EQ(Statuses.back(), 200);
+  EXPECT_EQ(std::count(Statuses.begin(), Statuses.end(), 504), 0);
+}
+
 // Guards against SIGHUP ending the process instead of reloading its settings.
 TEST(CellProcessTest, HangUpSignalReloadsTheSettings) {
   CellFleet F(cellOptions(1, 1, 2));
--- a/tests/support/cell_world.cpp
+++ b/tests/support/cell_world.cpp
@@ -60,6 +60,8 @@
   I.WhileFrozen.clear();
   I.Received.clear();
   I.Forwarded.clear();
+  I.SilentForwards.clear();
+  I.SilentIdle.clear();
   uint64_t StartCount = ++I.StartCount;
   Address Endpoint = I.Record.Endpoint;
   auto Tick = std::make_shared<std::function<void()>>();
@@ -198,7 +200,7 @@
       continue;
     Address To = Other;
     for (const auto &[Forward, Target] : I.Forwarded)
-      if (Target == Endpoint) {
+      if (Target == Endpoint && !I.SilentForwards.count(Forward)) {
         RequestId Request = Forward;
         schedule(Now + Hop, [this, To, Endpoint, Request] {
           ForwardAnswered Event;
@@ -208,7 +210,8 @@
         });
       }
     for (const auto &[Request, From] : I.Received)
-      if (From.first == Endpoint) {
+      if (From.first == Endpoint &&
+          !Stopped.SilentForwards.count(From.second)) {
         RequestId Closed = Request;
         schedule(Now + Hop,
                  [this, To, Closed] { deliver(To, JobAbandoned{Closed}); });
@@ -262,6 +265,15 @@
   DelayedMessages.clear();
 }
 
+void CellWorld::silenceForwards(const Address &Entry, const Address &Sender,
+                                size_t Idle) {
+  Instance &I = Instances.at(Entry);
+  for (const auto &[Forward, To] : I.Forwarded)
+    if (To == Sender)
+      I.SilentForwards.insert(Forward);
+  I.SilentIdle[Sender] = Idle;
+}
+
 void CellWorld::breakForwardAtEntry(const Address &Entry,
                                     const std::string &Job) {
   Instance &I = Instances.at(Entry);
@@ -325,7 +337,8 @@
               return;
             auto [Entry, Forward] = It->second;
             I.Received.erase(It);
-            if (!areLinked(Self, Entry) || OneWayCuts.count({Self, Entry}))
+            if (!areLinked(Self, Entry) || OneWayCuts.count({Self, Entry}) ||
+                Instances.at(Entry).SilentForwards.count(Forward))
               return;
             ForwardAnswered Event;
             Event.Sender = Self;
@@ -349,6 +362,17 @@
             if (areLinked(Self, To))
               schedule(Now + Hop, [this, To, Event] { deliver(To, Event); });
           },
+          [&](const SendResultQuery &Q) { sendQuery(I, Q); },
+          [&](const AnswerResultQuery &A) {
+            auto It = I.Pings.find(A.Request);
+            if (It == I.Pings.end())
+              return;
+            Address To = It->second;
+            I.Pings.erase(It);
+            ResultQueryAnswered Event{Self, A.Reply};
+            if (areLinked(Self, To))
+              schedule(Now + Hop, [this, To, Event] { deliver(To, Event); });
+          },
           [&](const StartRun &S) { sendOrder(I, S); },
           [&](const StopRun &S) { sendOrder(I, S); },
           [&](const RenewUpstream &R) { sendOrder(I, R); },
@@ -467,6 +491,12 @@
   Address From = I.Record.Endpoint;
   Address To = E.Sender;
   I.Forwarded[E.Request] = To;
+  I.SilentForwards.erase(E.Request);
+  if (size_t &Idle = I.SilentIdle[To]; Idle > 0) {
+    --Idle;
+    I.SilentForwards.insert(E.Request);
+    return;
+  }
   auto It = Instances.find(To);
   bool ConnectionRefused =
       It == Instances.end() || (!It->second.Alive && !It->second.PoweredOff);
@@ -492,7 +522,28 @@
   });
 }
 
+void CellWorld::sendQuery(Instance &I, const SendResultQuery &E) {
+  ++ResultQueries;
+  Address From = I.Record.Endpoint;
+  Address To = E.Sender;
+  if (OneWayCuts.count({From, To}) || OneWayCuts.count({To, From}))
+    return;
+  sendMessage(From, To, [this, From, To, E] {
+    auto Peer = Instances.find(To);
+    if (Peer == Instances.end() || !Peer->second.Alive)
+      return;
+    RequestId Request{Peer->second.NextRequest++};
+    Peer->second.Pings[Request] = From;
+    deliver(To, ResultQueryArrived{Request, E.Query});
+  });
+}
+
 void CellWorld::abandonForward(const Address &From, const AbandonForward &E) {
+  Instance &Entry = Instances.at(From);
+  if (E.Silent)
+    Entry.SilentIdle.erase(E.Sender);
+  if (Entry.SilentForwards.count(E.Request))
+    return;
   sendMessage(From, E.Sender, [this, From, E] {
     auto Sender = Instances.find(E.Sender);
     if (Sender == Instances.end())
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -116,6 +116,12 @@
   void cutOneWay(const Address &From, const Address &To) {
     OneWayCuts.insert({From, To});
   }
+  /// Makes the connections of forwarded jobs from \p Entry to \p Sender fall
+  /// silent, those with open jobs and \p Idle others, which the next jobs are
+  /// sent on: what is sent on them is lost, and their end is not noticed. New
+  /// connections work, and so do pings.
+  void silenceForwards(const Address &Entry, const Address &Sender,
+                       size_t Idle = 0);
   /// If set, messages between instances that a cut stops arrive once it heals,
   /// like bytes that TCP sends again. Otherwise they are lost.
   void setCutsDelayMessages(bool Delay) { CutsDelayMessages = Delay; }
@@ -163,6 +169,8 @@
   SteadyTime endedAt(const Address &Endpoint) const {
     return Instances.at(Endpoint).Ended;
   }
+  /// Returns the number of result queries that were sent.
+  size_t resultQueries() const { return ResultQueries; }
   /// Returns true if the machine is without power: connections to it stay open.
   bool isPoweredOff(const Address &Endpoint) const {
     return Instances.at(Endpoint).PoweredOff;
@@ -184,7 +192,12 @@
     std::map<RequestId, std::pair<Address, RequestId>> Received;
     /// Own forwards that await an answer, by request: the sender.
     std::map<RequestId, Address> Forwarded;
-    /// Pings of peers that have not been answered, by request: the peer.
+    /// Own forwards whose connection has fallen silent, by request.
+    std::set<RequestId> SilentForwards;
+    /// Idle connections that have fallen silent, by sender.
+    std::map<Address, size_t> SilentIdle;
+    /// Pings and result queries of peers that have not been answered, by
+    /// request: the peer.
     std::map<RequestId, Address> Pings;
     uint64_t NextRequest = 1; ///< Of peers.
   };
@@ -222,6 +235,7 @@
   void executeOne(Instance &I, const InstanceEffect &E);
   void sendPing(Instance &I, const SendPing &E);
   void forwardJob(Instance &I, const ForwardJob &E);
+  void sendQuery(Instance &I, const SendResultQuery &E);
   void abandonForward(const Address &From, const AbandonForward &E);
   void sendOrder(Instance &I, const StartRun &E);
   void sendOrder(Instance &I, const StopRun &E);
@@ -261,6 +275,7 @@
   /// Tasks that crash their upstreams, by job and index; see `setCrashing`.
   std::map<std::pair<JobId, uint32_t>, Duration> CrashingTasks;
   size_t Crashes = 0;
+  size_t ResultQueries = 0;
   std::vector<RunRecord> Runs;
   std::set<Address> CutGroup; ///< Cut off from all other addresses.
   /// Messages from the first address to the second one are lost.
