tests: report a deleted working directory of a fleet at once

The instance ends with a message in a log that has been deleted.

waitUntilReady() now ends once the directory is gone, and fails even if the instances are ready; allLogs() names the directory, and startInstance() fails if it can't write the settings. The new test failed before, after 30 s with empty logs.

--- a/src/standins/cell_fleet.cpp
+++ b/src/standins/cell_fleet.cpp
@@ -149,6 +149,9 @@
        << Metrics[I].Value << R"(","store":")" << StoreLinks[I].Value
        << R"(","seeds":[")" << PeersLinks[0].Value << R"("]})";
   File.close();
+  if (!File)
+    return Error{ErrorKind::Unavailable, "can't write " + settings(I),
+                 "don't delete the directory of a running fleet"};
   Result<ChildProcess> Started =
       ChildProcess::start({Options.BinaryDir + "/snipeshuntd", "--cells",
                            "--settings", settings(I)},
@@ -182,14 +185,19 @@
 }
 
 bool CellFleet::waitUntilReady() const {
-  return Fleet::waitUntil(
-      [this] {
-        for (size_t I = 0; I < instances(); ++I)
-          if (!isReady(I))
-            return false;
-        return true;
+  bool Ready = false;
+  // An instance that has not read its settings yet would never become ready,
+  // and nothing could be read of what the fleet does.
+  auto Deleted = [this] { return !std::filesystem::exists(WorkDir); };
+  Fleet::waitUntil(
+      [&] {
+        Ready = true;
+        for (size_t I = 0; I < instances() && Ready; ++I)
+          Ready = isReady(I);
+        return Ready || Deleted();
       },
       StartLimit);
+  return Ready && !Deleted();
 }
 
 HttpCall CellFleet::submission(size_t I, const std::string &Id, int Tasks,
@@ -251,6 +259,9 @@
 }
 
 std::string CellFleet::allLogs() const {
+  if (!std::filesystem::exists(WorkDir))
+    return "another program deleted " + WorkDir.string() +
+           ", the settings and logs of a running fleet";
   std::string Text;
   for (size_t I = 0; I < instances(); ++I)
     Text += logText("i" + std::to_string(I));
--- a/src/standins/cell_fleet.h
+++ b/src/standins/cell_fleet.h
@@ -83,7 +83,8 @@
 
   /// Returns true if the ready endpoint of instance \p I answers 200.
   bool isReady(size_t I) const;
-  /// Waits up to 30 s until all instances are ready.
+  /// Waits up to 30 s until all instances are ready. Returns false at once if
+  /// the working directory has been deleted.
   bool waitUntilReady() const;
 
   /// Submits a job with \p Tasks tasks of \p WorkMs milliseconds to instance
@@ -111,7 +112,7 @@
   /// Text of that log.
   std::string logText(const std::string &Name) const;
   /// Returns the logs of all instances and the first 2,000 characters of the
-  /// stand-in's log.
+  /// stand-in's log, or a message that the working directory was deleted.
   std::string allLogs() const;
 
   /// Returns all starts and ends so far, in their order.
--- a/tests/process/cell_process_test.cpp
+++ b/tests/process/cell_process_test.cpp
@@ -52,6 +52,22 @@
   EXPECT_EQ(F.get(0, "/jobs/", "other.example").Status, 404);
 }
 
+// Guards against a time-out with empty logs, which do not show the cause, after
+// another program has deleted the working directory of a fleet that starts.
+TEST(CellProcessTest, DeletedWorkingDirectoryIsReportedAtOnce) {
+  CellFleet F(cellOptions(3, 1, 6));
+  ASSERT_FALSE(failed(F.start()));
+  std::filesystem::path WorkDir =
+      std::filesystem::path(F.settings(0)).parent_path();
+  std::filesystem::remove_all(WorkDir);
+  SteadyTime Begin = std::chrono::steady_clock::now();
+  EXPECT_FALSE(F.waitUntilReady());
+  EXPECT_LT(std::chrono::steady_clock::now() - Begin, std::chrono::seconds(15));
+  EXPECT_NE(F.allLogs().find("deleted " + WorkDir.string()), std::string::npos)
+      << F.allLogs();
+  EXPECT_TRUE(failed(F.startInstance(0)));
+}
+
 // Guards against metrics of jobs and runs that are missing or not counted.
 TEST(CellProcessTest, MetricsTellOfJobs) {
   CellFleet F(cellOptions(1, 1, 2));
