entry: answer the jobs that outlast the grace period of a shutdown as lost

Callers of jobs that had not ended when their entry reached the end of its grace period got no answer: the process ended and their connections broke. The senders noticed that at once, or on a silent connection 1 s later.

100 ms before the process ends, the entry answers these callers with a 502 and cancels the jobs at their senders, this instance included. A caller then waits before its second submission, as after any lost job, and does not submit it within milliseconds as after a broken connection.

CellShutdown.JobThatOutlastsItsEntryIsAnsweredAsLost failed without the call, for a job at another sender and for one at the instance itself.

--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -494,6 +494,24 @@
   }
 }
 
+std::vector<RequestId> endAllJobs(EntryState &State,
+                                  const EntryContext &Context, SteadyTime Now,
+                                  InstanceEffects &Out) {
+  std::vector<RequestId> Own;
+  std::vector<RequestId> Others;
+  for (const auto &[Forward, J] : State.Jobs)
+    (J.Sender == Context.Cells.Self.Endpoint ? Own : Others).push_back(Forward);
+  for (RequestId Forward : Others) {
+    const EntryJob &J = State.Jobs.at(Forward);
+    bool AtSender = !J.Sender.Value.empty();
+    abandonAtSender(Context, J, Forward, Now, Out);
+    endJob(State, Context, Forward,
+           AtSender ? AnswerStatus::Lost : AnswerStatus::NotRun, ClosingRetry,
+           "this instance ends before the job", Now, Out);
+  }
+  return Own;
+}
+
 void expireEntryJobs(EntryState &State, const EntryContext &Context,
                      SteadyTime Now, InstanceEffects &Out) {
   std::set<Address> Suspected;
--- a/src/entry/entry_cmd.h
+++ b/src/entry/entry_cmd.h
@@ -58,6 +58,13 @@
                       const ResultQueryAnswered &Event, SteadyTime Now,
                       InstanceEffects &Out);
 
+/// Ends all open jobs at the end of a shutdown and has their senders stop them.
+/// Returns the keys of those whose sender is this instance, which the calling
+/// function must stop.
+std::vector<RequestId> endAllJobs(EntryState &State,
+                                  const EntryContext &Context, SteadyTime Now,
+                                  InstanceEffects &Out);
+
 /// Answers the jobs that are past their deadline and those whose sender is
 /// suspected, and forwards those that wait for a sender. Called with each tick.
 void expireEntryJobs(EntryState &State, const EntryContext &Context,
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -31,6 +31,9 @@
 constexpr Duration AnswerFlushTime = std::chrono::milliseconds(300);
 // Time before SIGKILL at which the process ends by itself.
 constexpr Duration KillMargin = std::chrono::milliseconds(300);
+// Time before the end of the process at which the callers of open jobs are told
+// that these are lost. Writing the answers takes a few milliseconds.
+constexpr Duration LastAnswerTime = std::chrono::milliseconds(100);
 // Orders that are rejected within this time after a claim show that its token
 // is too low. The cell is claimed again with a higher token after this time,
 // unless the claim of another sender has arrived by then.
@@ -393,6 +396,13 @@
     releaseCell(State.Sender, *Fenced, Now, Out);
   }
 
+  /// Answers the callers whose jobs outlast this process.
+  void endOpenJobs() {
+    for (RequestId Forward :
+         endAllJobs(State.Entry, entryContext(State, Now), Now, Out))
+      abandonJob(State.Sender, {Forward, /*Local=*/true}, Now, Out);
+  }
+
   void advanceDrain() {
     if (!State.DrainStarted || State.Stopped)
       return;
@@ -404,8 +414,12 @@
       State.LastBusy = Now;
     bool Idle =
         Passed >= MinDrainTime && Now - State.LastBusy >= AnswerFlushTime;
-    if (!Idle && Passed < Duration(State.Settings.Bounds.Grace) - KillMargin)
+    Duration Left = Duration(State.Settings.Bounds.Grace) - KillMargin - Passed;
+    if (!Idle && Left > Duration::zero()) {
+      if (Left <= LastAnswerTime)
+        endOpenJobs();
       return;
+    }
     State.Stopped = true;
     logInstance(Out, "process ends after its shutdown, unanswered callers=" +
                          std::to_string(State.Entry.Jobs.size()));
--- a/tests/cell_shutdown_test.cpp
+++ b/tests/cell_shutdown_test.cpp
@@ -168,3 +168,27 @@
   EXPECT_TRUE(ended(Again, AnswerStatus::Done));
   EXPECT_TRUE(World.overlappingRuns().empty());
 }
+
+// Guards against a caller without an answer: its job outlasts the grace period
+// of its entry, which may be the sender too. It gets a clear failure, and the
+// sender stops the job.
+TEST_F(CellShutdown, JobThatOutlastsItsEntryIsAnsweredAsLost) {
+  size_t A = World.submit(Second, "a", 2, seconds(15), seconds(20));
+  size_t B = World.submit(Strong, "b", 2, seconds(15), seconds(20));
+  World.run(milliseconds(300));
+  ASSERT_EQ(runsOf("a") + runsOf("b"), 4U);
+  World.shutDown(Second);
+  World.run(milliseconds(5500));
+  EXPECT_FALSE(World.caller(A).Answer);
+  World.run(milliseconds(400));
+  EXPECT_FALSE(World.isAlive(Second));
+  EXPECT_TRUE(ended(A, AnswerStatus::Lost));
+  for (const RunRecord &R : World.runs())
+    if (R.Key.Job.Value == "a") {
+      EXPECT_LE(R.Ended, World.now());
+    }
+  World.shutDown(Strong);
+  World.run(seconds(6));
+  EXPECT_FALSE(World.isAlive(Strong));
+  EXPECT_TRUE(ended(B, AnswerStatus::Lost));
+}
