--- a/tests/cell_codec_test.cpp
+++ b/tests/cell_codec_test.cpp
@@ -1,6 +1,8 @@
 /// \file Messages between instances of a fleet of cells keep every field when
 /// encoded and decoded.
 #include "rpc/cell_codec.h"
+#include "rpc/rpc_codec.h"
+#include "rpc/rpc_server.h"
 
 #include <gtest/gtest.h>
 
@@ -169,3 +171,17 @@
   ASSERT_TRUE(Out.Jobs[1].Result);
   EXPECT_EQ(Out.Jobs[1].Result->Outcome, JobOutcome::Failed);
 }
+
+// Guards against a new method that breaks a fleet while it is upgraded: earlier
+// versions answer it with an error, and go on serving pings.
+TEST(CellCodecTest, EarlierVersionsAnswerResultQueriesWithAnError) {
+  RpcServer Earlier;
+  Earlier.bind("cell.ping", [](const Json::Value &) {
+    return Json::Value(Json::objectValue);
+  });
+  std::string Query = encodeRpcRequest(
+      "cell.results", encodeResultQuery({Instance.Endpoint, {9}, {}}));
+  EXPECT_TRUE(failed(decodeRpcResponse(Earlier.handle(Query))));
+  std::string Ping = encodeRpcRequest("cell.ping", encodePing({}));
+  EXPECT_FALSE(failed(decodeRpcResponse(Earlier.handle(Ping))));
+}
