entry, sender: answer a rejected resubmission as lost if the job may have run

Callers submit a job again whose answer was lost or told them that the job was lost. If that submission was rejected, they got 503, which states that the job was not accepted and never runs, although its tasks had started or had even all ended for the earlier submission.

Cause: a rejection was decided from the present submission alone. The sender retained which job it had started but did not look at it in rejections, and the entry kept nothing of the jobs that it had forwarded.

A sender now marks rejections of jobs that it has started (`may_have_run`), also of those that it had admitted again and then expired or returned on its shutdown. The mark does not change the outcome, so the entry still tries the next sender. The entry keeps the jobs that it forwarded and whose outcome it doesn't know, and those that it answered as done or failed, since that answer may not have reached the caller; 30 s and 4,096 jobs each. It answers a rejection of such a job, or one with the mark, as lost. No call is added; the field is sent only if it is set.

--- a/src/entry/entry_base.h
+++ b/src/entry/entry_base.h
@@ -5,6 +5,7 @@
 #include "entry/entry_type.h"
 #include "sender/crash_base.h"
 
+#include <deque>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -24,6 +25,18 @@
   /// When its sender first replied that it has neither the job nor a result of
   /// it; zero before.
   SteadyTime MissingSince{};
+  /// An earlier submission may have started tasks of it, so that it must not be
+  /// answered as not run.
+  bool MayHaveRun = false;
+};
+
+/// Jobs of which senders may have started tasks. It outlives the jobs, since
+/// callers submit them again. Its size and age are limited.
+struct StartedJobs {
+  std::unordered_map<JobId, SteadyTime> Jobs; ///< When each was last recorded.
+  /// Jobs by the time of their records, oldest first. Those of jobs that were
+  /// recorded again since are outdated.
+  std::deque<std::pair<SteadyTime, JobId>> Order;
 };
 
 /// Counters for the metrics, since the start of the process.
@@ -48,7 +61,11 @@
   /// Keys in `Jobs`, by the request of the caller and by the id of the job.
   std::unordered_map<RequestId, RequestId> ByCaller;
   std::unordered_map<JobId, RequestId> ByJob;
-  CrashHistory Crashes; ///< Reported by senders.
+  CrashHistory Crashes;   ///< Reported by senders.
+  StartedJobs Unresolved; ///< Their outcome is unknown.
+  /// Done or failed; the answers may not have reached their callers. They are
+  /// apart, since they are many more and would displace the others.
+  StartedJobs Answered;
   EntryCounters Counts;
 };
 
--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -5,6 +5,7 @@
 #include "cells/cell_table.h"
 #include "cells/peer_func.h"
 #include "core/duration_func.h"
+#include "entry/started_cmd.h"
 #include "sender/crash_cmd.h"
 #include "sender/sender_table.h"
 
@@ -114,14 +115,37 @@
   return J;
 }
 
-/// Removes a job, answers its caller and logs any status but `Done`. \p
-/// RetryAfter is for the caller, \p Reason for the log.
+/// Records that the outcome of \p J is unknown, if it may have been run: by its
+/// present sender, or for an earlier submission.
+void recordIfUnresolved(EntryState &State, const EntryJob &J, SteadyTime Now) {
+  if (J.MayHaveRun || !J.Sender.Value.empty())
+    recordStartedJob(State.Unresolved, J.Order.Id, Now);
+}
+
+/// Returns true if an earlier submission of the job may have started tasks.
+bool mayHaveRunEarlier(const EntryState &State, const JobId &Job,
+                       SteadyTime Now) {
+  return mayHaveStarted(State.Unresolved, Job, Now) ||
+         mayHaveStarted(State.Answered, Job, Now);
+}
+
+/// Removes a job, answers its caller and logs any status but `Done`. A
+/// rejection is answered as lost if an earlier submission may have started
+/// tasks. \p RetryAfter is for the caller, \p Reason for the log.
 void endJob(EntryState &State, const EntryContext &Context, RequestId Forward,
-            AnswerStatus Status, Duration RetryAfter, const std::string &Reason,
+            AnswerStatus Status, Duration RetryAfter, std::string Reason,
             SteadyTime Now, InstanceEffects &Out) {
   std::optional<EntryJob> J = removeJob(State, Context, Forward);
   if (!J)
     return;
+  if (Status == AnswerStatus::NotRun && J->MayHaveRun) {
+    Status = AnswerStatus::Lost;
+    Reason += ", an earlier submission may have run";
+  }
+  if (Status == AnswerStatus::Lost || Status == AnswerStatus::Expired)
+    recordIfUnresolved(State, *J, Now);
+  else if (Status != AnswerStatus::NotRun)
+    recordStartedJob(State.Answered, J->Order.Id, Now);
   count(State.Counts, Status);
   if (Status != AnswerStatus::Done)
     logJob(Out, J->Order.Id,
@@ -244,6 +268,22 @@
            Now, Out);
 }
 
+/// Answers a job that is not to be forwarded. \p Reason is for the log.
+void rejectUnforwarded(EntryState &State, const JobSubmitted &Event,
+                       Duration RetryAfter, const std::string &Reason,
+                       SteadyTime Now, InstanceEffects &Out) {
+  bool MayHaveRun = mayHaveRunEarlier(State, Event.Job.Id, Now);
+  if (MayHaveRun)
+    recordStartedJob(State.Unresolved, Event.Job.Id, Now);
+  AnswerStatus Status = MayHaveRun ? AnswerStatus::Lost : AnswerStatus::NotRun;
+  count(State.Counts, Status);
+  logJob(Out, Event.Job.Id,
+         std::string("rejected before any start") +
+             (MayHaveRun ? ", an earlier submission may have run: " : ": ") +
+             Reason);
+  answerCaller(State, Event.Request, Status, RetryAfter, Out);
+}
+
 /// Makes the pings to a job's sender carry its cancellation; the next one is
 /// due at once, or when the present one has been answered.
 void cancelAtSender(const EntryContext &Context, const EntryJob &J,
@@ -273,22 +313,13 @@
                const JobSubmitted &Event, SteadyTime Now,
                InstanceEffects &Out) {
   ++State.Counts.Submitted;
-  if (!Event.Job.UnsupportedFeature.empty()) {
-    ++State.Counts.Rejected;
-    logJob(Out, Event.Job.Id,
-           "rejected before any start: unsupported feature=" +
-               Event.Job.UnsupportedFeature);
-    answerCaller(State, Event.Request, AnswerStatus::NotRun, NoSenderRetry,
-                 Out);
-    return;
-  }
-  if (State.Closing) {
-    ++State.Counts.Rejected;
-    logJob(Out, Event.Job.Id,
-           "rejected before any start: this instance is shutting down");
-    answerCaller(State, Event.Request, AnswerStatus::NotRun, ClosingRetry, Out);
-    return;
-  }
+  if (!Event.Job.UnsupportedFeature.empty())
+    return rejectUnforwarded(
+        State, Event, NoSenderRetry,
+        "unsupported feature=" + Event.Job.UnsupportedFeature, Now, Out);
+  if (State.Closing)
+    return rejectUnforwarded(State, Event, ClosingRetry,
+                             "this instance is shutting down", Now, Out);
   auto Existing = State.ByJob.find(Event.Job.Id);
   if (Existing != State.ByJob.end()) {
     EntryJob &J = State.Jobs.at(Existing->second);
@@ -316,6 +347,7 @@
   J.Order.Slack = Event.Queue.Slack;
   J.Order.Spec = Event.Job.Spec;
   J.Order.Step = Event.Job.Step;
+  J.MayHaveRun = mayHaveRunEarlier(State, J.Order.Id, Now);
   State.ByCaller[J.Caller] = Forward;
   State.ByJob[J.Order.Id] = Forward;
   // The caller may have left while the request waited in the socket. The next
@@ -367,6 +399,7 @@
   if (!J)
     return std::nullopt;
   ++State.Counts.Disconnected;
+  recordIfUnresolved(State, *J, Now);
   logJob(Out, J->Order.Id,
          "caller disconnected after_ms=" +
              std::to_string(toMilliseconds(Now - J->Arrived)) +
@@ -390,8 +423,10 @@
   if (It == State.Jobs.end() || It->second.Sender != Event.Sender)
     return;
   EntryJob &J = It->second;
-  if (Event.Result)
+  if (Event.Result) {
     mergeCrashes(State.Crashes, J.Order.Id, Event.Result->Crashes, Now);
+    J.MayHaveRun = J.MayHaveRun || Event.Result->MayHaveRun;
+  }
   if (!Event.Result) {
     if (Event.NothingSent) {
       forwardOrWait(State, Context, Event.Request, NoSenderRetry,
--- a/src/entry/entry_type.h
+++ b/src/entry/entry_type.h
@@ -56,7 +56,7 @@
 struct AnswerCaller {
   RequestId Request;
   AnswerStatus Status = AnswerStatus::Lost;
-  /// Pause after which the caller should submit again, if the job was not run.
+  /// Pause after which the caller should submit again, if the job was rejected.
   std::chrono::seconds RetryAfter{0};
   uint64_t Count =
       0; ///< Waiting jobs of the queue, with `AnswerStatus::Count`.
--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -463,6 +463,9 @@
   V["leaving"] = R.Leaving;
   V["load"] = encodeLoad(R.Load);
   writeCrashes(V, R.Crashes);
+  // Left out if false, so that earlier versions accept the message.
+  if (R.MayHaveRun)
+    V["may_have_run"] = true;
   return V;
 }
 
@@ -476,6 +479,7 @@
   readDuration(Reader, "retry_after_ms", R.RetryAfter);
   readSenderLoad(Reader, R.Load);
   readCrashes(Reader, R.Crashes);
+  Reader.optionalBoolean("may_have_run", R.MayHaveRun);
   return finishReading(Reader, std::move(R));
 }
 
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -39,6 +39,45 @@
                             /*Frequent=*/true});
 }
 
+/// Returns the result of an earlier submission of a job, or null.
+const RetainedResult *retainedResult(const SenderState &State, const JobId &Id,
+                                     SteadyTime Now) {
+  auto It = State.RetainedResults.find(Id);
+  bool Retained = It != State.RetainedResults.end() &&
+                  Now - It->second.Ended <= ResultRetention;
+  return Retained ? &It->second : nullptr;
+}
+
+/// Retains a result and expires old ones.
+void retainResult(SenderState &State, const JobId &Id, RetainedResult Result) {
+  SteadyTime Now = Result.Ended;
+  State.RetainedResults[Id] = std::move(Result);
+  State.RetainedResultOrder.emplace_back(Now, Id);
+  while (!State.RetainedResultOrder.empty() &&
+         (Now - State.RetainedResultOrder.front().first > ResultRetention ||
+          State.RetainedResultOrder.size() > MaxRetainedResults)) {
+    auto Retained =
+        State.RetainedResults.find(State.RetainedResultOrder.front().second);
+    if (Retained != State.RetainedResults.end() &&
+        Retained->second.Ended == State.RetainedResultOrder.front().first)
+      State.RetainedResults.erase(Retained);
+    State.RetainedResultOrder.pop_front();
+  }
+}
+
+/// Returns true if tasks were started for an earlier submission of a job that
+/// is rejected. Its result is retained anew, since the job may be submitted
+/// again.
+bool renewStartedResult(SenderState &State, const JobId &Id, SteadyTime Now) {
+  const RetainedResult *Earlier = retainedResult(State, Id, Now);
+  if (!Earlier || Earlier->LastRun == 0)
+    return false;
+  RetainedResult Renewed = *Earlier;
+  Renewed.Ended = Now;
+  retainResult(State, Id, std::move(Renewed));
+  return true;
+}
+
 void rejectJob(SenderState &State, const JobOrder &Order,
                const JobWaiter &Waiter, std::string Reason, bool Moved,
                SteadyTime Now, InstanceEffects &Out) {
@@ -48,7 +87,11 @@
   Result.Reason = std::move(Reason);
   Result.Moved = Moved;
   Result.Leaving = State.Draining;
-  logJob(Out, Order.Id, "rejected, nothing was started: " + Result.Reason);
+  Result.MayHaveRun = renewStartedResult(State, Order.Id, Now);
+  logJob(Out, Order.Id,
+         (Result.MayHaveRun ? "rejected, started for an earlier submission: "
+                            : "rejected, nothing was started: ") +
+             Result.Reason);
   answer(State, Order.Id, Waiter, std::move(Result), Now, Out);
 }
 
@@ -64,25 +107,6 @@
                      });
 }
 
-/// Retains the result of a job and expires old ones.
-void retainResult(SenderState &State, const JobOrder &Order, JobOutcome Outcome,
-                  uint32_t LastRun, SteadyTime Now) {
-  const JobId &Id = Order.Id;
-  State.RetainedResults[Id] = {
-      Outcome, Now, LastRun, Order.Entry, Order.Incarnation, Order.Number};
-  State.RetainedResultOrder.emplace_back(Now, Id);
-  while (!State.RetainedResultOrder.empty() &&
-         (Now - State.RetainedResultOrder.front().first > ResultRetention ||
-          State.RetainedResultOrder.size() > MaxRetainedResults)) {
-    auto Retained =
-        State.RetainedResults.find(State.RetainedResultOrder.front().second);
-    if (Retained != State.RetainedResults.end() &&
-        Retained->second.Ended == State.RetainedResultOrder.front().first)
-      State.RetainedResults.erase(Retained);
-    State.RetainedResultOrder.pop_front();
-  }
-}
-
 SenderJob makeJob(const SenderState &State, const JobOrder &Order,
                   const JobWaiter &Waiter, SteadyTime Now) {
   SenderJob J;
@@ -267,12 +291,10 @@
   auto Existing = State.Jobs.find(Order.Id);
   if (Existing != State.Jobs.end())
     return joinJob(State, Existing->second, Order, Waiter, Now, Out);
-  auto Retained = State.RetainedResults.find(Order.Id);
-  bool HasResult = Retained != State.RetainedResults.end() &&
-                   Now - Retained->second.Ended <= ResultRetention;
-  if (HasResult && Retained->second.Outcome != JobOutcome::Lost) {
+  const RetainedResult *Earlier = retainedResult(State, Order.Id, Now);
+  if (Earlier && Earlier->Outcome != JobOutcome::Lost) {
     JobResult Result;
-    Result.Outcome = Retained->second.Outcome;
+    Result.Outcome = Earlier->Outcome;
     Result.Reason = "retained result of an earlier submission";
     logJob(Out, Order.Id,
            "duplicate submission answered with the retained result");
@@ -298,9 +320,9 @@
         true, Now, Out);
   // Upstreams reject runs that are not newer than an ended one, so the numbers
   // go on rising over submissions of the same job.
-  if (HasResult)
+  if (Earlier)
     for (SenderTask &T : J.Tasks)
-      T.Run = Retained->second.LastRun;
+      T.Run = Earlier->LastRun;
   J.AdmittedLate = Now + Delay > J.Objective - J.ExpectedRunTime;
   if (!J.AdmittedLate)
     recordOfferedWork(State.Offered, J, Now);
@@ -333,8 +355,13 @@
   if (DetachedRuns > 0)
     State.DetachedRuns[Id] = DetachedRuns;
   State.PlacementDue = true;
-  if (Outcome != JobOutcome::NotRun)
-    retainResult(State, J.Order, Outcome, lastRunOf(J), Now);
+  // The numbers of runs go on from those of earlier submissions.
+  uint32_t LastRun = lastRunOf(J);
+  bool RunEarlier = Outcome == JobOutcome::NotRun && LastRun > 0;
+  if (Outcome != JobOutcome::NotRun || RunEarlier)
+    retainResult(State, Id,
+                 {RunEarlier ? JobOutcome::Lost : Outcome, Now, LastRun,
+                  J.Order.Entry, J.Order.Incarnation, J.Order.Number});
   switch (Outcome) {
   case JobOutcome::Done:
     ++State.Counts.JobsDone;
@@ -360,8 +387,10 @@
   JobResult Result;
   Result.Outcome = Outcome;
   Result.Reason = Reason;
-  if (Outcome == JobOutcome::NotRun)
+  if (Outcome == JobOutcome::NotRun) {
     Result.Moved = Result.Leaving = State.Draining;
+    Result.MayHaveRun = RunEarlier;
+  }
   answer(State, Id, J.Waiter, std::move(Result), Now, Out);
 }
 
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -175,7 +175,8 @@
 /// queries.
 struct RetainedResult {
   JobOutcome Outcome = JobOutcome::Done;
-  SteadyTime Ended{};        ///< When the job ended.
+  /// When the job ended, or was last rejected since.
+  SteadyTime Ended{};
   uint32_t LastRun = 0;      ///< Highest run number among its tasks.
   Address Entry;             ///< `JobOrder::Entry` of the job.
   IncarnationId Incarnation; ///< `JobOrder::Incarnation` of the job.
--- a/src/sender/sender_type.h
+++ b/src/sender/sender_type.h
@@ -102,6 +102,9 @@
   bool Leaving = false;   ///< This sender is shutting down.
   SenderLoad Load;        ///< Of the sender, at the time of the answer.
   std::vector<TaskCrash> Crashes; ///< Known of the job's tasks.
+  /// With `JobOutcome::NotRun`: the sender has started tasks for an earlier
+  /// submission of the job.
+  bool MayHaveRun = false;
 };
 
 /// Names a job that an entry instance has handed over.
--- a/tests/cell_chaos_test.cpp
+++ b/tests/cell_chaos_test.cpp
@@ -21,11 +21,16 @@
 constexpr uint64_t FirstFaultKinds = 9;
 constexpr uint64_t FirstSeeds = 120;
 
+/// Instances to which a lost job is submitted again.
+enum class RetryTarget { AnyInstance, SameInstance };
+
 /// A fleet under random faults, with callers that submit lost jobs again.
 class ChaosRun {
 public:
-  explicit ChaosRun(uint64_t Seed)
-      : Random(Seed), Kinds(Seed <= FirstSeeds ? FirstFaultKinds : FaultKinds) {
+  explicit ChaosRun(uint64_t Seed,
+                    RetryTarget Retries = RetryTarget::AnyInstance)
+      : Random(Seed), Kinds(Seed <= FirstSeeds ? FirstFaultKinds : FaultKinds),
+        Retries(Retries) {
     for (const char *Centre : {"centre-a", "centre-b"})
       for (int I = 0; I < 5; ++I)
         Upstreams.push_back(World.addUpstream(
@@ -37,9 +42,11 @@
     World.run(seconds(2));
   }
 
-  void runFaults() {
+  /// Submits \p JobsPerStep jobs each 30 ms. Two or more are an overload.
+  void runFaults(int JobsPerStep = 1) {
     for (int Step = 0; Step < 300; ++Step) {
-      submitJob();
+      for (int I = 0; I < JobsPerStep; ++I)
+        submitJob();
       resubmitLost();
       if (Random() % 20 == 0)
         injectFault();
@@ -65,6 +72,7 @@
       if (R.Done)
         DoneTasks[R.Key.Job.Value].insert(R.Key.Index);
     }
+    checkRejections();
     for (const auto &[Job, J] : Jobs) {
       const auto &Last = World.caller(J.Submissions.back()).Answer;
       if (Last && Last->Status == AnswerStatus::Done) {
@@ -94,10 +102,36 @@
     size_t Tasks = 1;
     Duration Time{};
     std::vector<size_t> Submissions;
+    /// Processes that received the submissions.
+    std::vector<IncarnationId> Processes;
     Address Entry;
     SteadyTime RetryAt = SteadyTime::max();
   };
 
+  /// Checks that a job that was answered as not run has not run, for each of
+  /// its submissions and for all before it that reached the same process. A
+  /// process can't know of submissions at others.
+  void checkRejections() const {
+    std::map<std::string, std::vector<SteadyTime>> Starts;
+    for (const RunRecord &R : World.runs())
+      Starts[R.Key.Job.Value].push_back(R.Started);
+    for (const auto &[Job, J] : Jobs)
+      for (size_t I = 0; I < J.Submissions.size(); ++I) {
+        if (J.Processes[I] != J.Processes[0])
+          break;
+        const auto &Answer = World.caller(J.Submissions[I]).Answer;
+        if (!Answer || Answer->Status != AnswerStatus::NotRun)
+          continue;
+        SteadyTime Next = I + 1 < J.Submissions.size()
+                              ? World.caller(J.Submissions[I + 1]).Sent
+                              : SteadyTime::max();
+        for (SteadyTime Start : Starts[Job])
+          EXPECT_GE(Start, Next)
+              << Job << " has started, but submission " << I + 1 << " of "
+              << J.Submissions.size() << " was answered as not run";
+      }
+  }
+
   const Address &anyAlive() {
     for (;;) {
       const Address &Endpoint = Instances[Random() % Instances.size()];
@@ -115,8 +149,11 @@
   }
 
   void send(const std::string &Name, CallerJob &J) {
-    J.Entry = anyAlive();
+    if (Retries == RetryTarget::AnyInstance || J.Submissions.empty() ||
+        !World.isAlive(J.Entry))
+      J.Entry = anyAlive();
     J.RetryAt = SteadyTime::max();
+    J.Processes.push_back(World.state(J.Entry).Cells.Incarnation);
     J.Submissions.push_back(World.submit(
         J.Entry, Name, static_cast<uint32_t>(J.Tasks), J.Time, Patience));
   }
@@ -132,6 +169,12 @@
           World.now() - World.caller(J.Submissions.back()).Sent >= Patience;
       bool Lost = (Answer && Answer->Status == AnswerStatus::Lost) ||
                   (!Answer && (Broken || Expired));
+      // Only rejections have a pause, also those that are answered as lost. The
+      // first suite submits no rejected jobs again, which keeps its sequences
+      // of faults.
+      bool Rejected = Answer && Answer->RetryAfter > seconds(0);
+      if (Rejected && Retries == RetryTarget::AnyInstance)
+        continue;
       if (!Lost || J.Submissions.size() > 2)
         continue;
       if (J.RetryAt == SteadyTime::max()) {
@@ -212,6 +255,7 @@
 
   std::mt19937_64 Random;
   uint64_t Kinds;
+  RetryTarget Retries;
   CellWorld World;
   std::vector<Address> Instances;
   std::vector<UpstreamId> Upstreams;
@@ -221,6 +265,7 @@
 };
 
 class CellChaos : public ::testing::TestWithParam<uint64_t> {};
+class CellChaosResubmissions : public ::testing::TestWithParam<uint64_t> {};
 
 } // namespace
 
@@ -234,3 +279,15 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, CellChaos, ::testing::Range<uint64_t>(1, 181));
+
+// Guards against a rejected job that is answered as not run although an earlier
+// submission at the same instance has started its tasks: all retries go there,
+// under an overload that has many of them rejected.
+TEST_P(CellChaosResubmissions, InvariantsHold) {
+  ChaosRun Run(GetParam(), RetryTarget::SameInstance);
+  Run.runFaults(3);
+  Run.check();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, CellChaosResubmissions,
+                         ::testing::Range<uint64_t>(1001, 1041));
--- a/tests/cell_codec_test.cpp
+++ b/tests/cell_codec_test.cpp
@@ -131,8 +131,8 @@
 // As above, for the results of forwarded jobs.
 TEST(CellCodecTest, ResultKeepsItsFields) {
   JobResult In{
-      JobOutcome::NotRun, "reason",          milliseconds(1200), true, true,
-      someLoad(),         {{2, {"up-1"}, 1}}};
+      JobOutcome::NotRun, "reason", milliseconds(1200), true, true, someLoad(),
+      {{2, {"up-1"}, 1}}, true};
   JobResult Out = decoded(decodeJobResult(encodeJobResult(In)));
   EXPECT_EQ(Out.Outcome, In.Outcome);
   EXPECT_EQ(Out.Reason, In.Reason);
@@ -141,6 +141,7 @@
   EXPECT_EQ(Out.Leaving, In.Leaving);
   expectSame(Out.Load, In.Load);
   EXPECT_EQ(Out.Crashes, In.Crashes);
+  EXPECT_EQ(Out.MayHaveRun, In.MayHaveRun);
 }
 
 // Guards against messages that earlier versions reject for an unknown field:
@@ -185,3 +186,8 @@
   std::string Ping = encodeRpcRequest("cell.ping", encodePing({}));
   EXPECT_FALSE(failed(decodeRpcResponse(Earlier.handle(Ping))));
 }
+
+// As above, for the flag of rejected jobs.
+TEST(CellCodecTest, FlagOfEarlierRunsIsLeftOutIfItIsNotSet) {
+  EXPECT_FALSE(encodeJobResult({}).isMember("may_have_run"));
+}
