entry: let open jobs be submitted again late in a shutdown

A caller that submitted a job again to an instance late in its shutdown got 503, which states that the job never runs, while its tasks were running for the earlier submission at the same instance.

Cause: the check for new jobs came before the one for open jobs. Now the new request gets the result of the open job, as at other times. The process awaits that job anyway, so its shutdown takes no longer.

Evidence: CellResubmission.OpenJobIsNotRejectedLateInAShutdown failed before: the job was rejected at 5.550 s and done at 7.003 s.

--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -317,9 +317,6 @@
     return rejectUnforwarded(
         State, Event, NoSenderRetry,
         "unsupported feature=" + Event.Job.UnsupportedFeature, Now, Out);
-  if (State.Closing)
-    return rejectUnforwarded(State, Event, ClosingRetry,
-                             "this instance is shutting down", Now, Out);
   auto Existing = State.ByJob.find(Event.Job.Id);
   if (Existing != State.ByJob.end()) {
     EntryJob &J = State.Jobs.at(Existing->second);
@@ -331,6 +328,9 @@
     State.ByCaller[J.Caller] = Existing->second;
     return;
   }
+  if (State.Closing)
+    return rejectUnforwarded(State, Event, ClosingRetry,
+                             "this instance is shutting down", Now, Out);
   RequestId Forward{State.NextForward++};
   EntryJob &J = State.Jobs[Forward];
   J.Caller = Event.Request;
--- a/tests/cell_resubmission_test.cpp
+++ b/tests/cell_resubmission_test.cpp
@@ -220,6 +220,18 @@
   EXPECT_TRUE(ended(Other, AnswerStatus::NotRun));
 }
 
+// Guards against an open job that is answered as not run when it is submitted
+// again late in a shutdown of its entry.
+TEST_F(CellResubmission, OpenJobIsNotRejectedLateInAShutdown) {
+  World.submit(Second, "a", 2, seconds(4), seconds(9));
+  World.shutDown(Second);
+  World.run(milliseconds(2550));
+  size_t Again = World.submit(Second, "a", 2, seconds(4), seconds(9));
+  World.run(seconds(3));
+  EXPECT_TRUE(ended(Again, AnswerStatus::Done));
+  EXPECT_EQ(startsOf("a"), 2U);
+}
+
 // Guards against rejections that don't say that a job has not run although the
 // sender knows so: the job had waited when its caller disconnected.
 TEST_F(CellResubmission, JobThatHadOnlyWaitedIsRejectedAsNotRun) {
