tests: serve with an old list of upstreams while the store is down

A standby that becomes the sender while the store is down uses the list that it has read last, up to 8 s old. The test has an upstream begin to drain, and leave, within these 8 s: all 40 jobs are done.

Open: an upstream that is still draining gets starts.

--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using namespace snipeshunt;
 using namespace snipeshunt::testing;
 using std::chrono::milliseconds;
@@ -136,3 +138,42 @@
   for (const RunRecord &R : World.runs())
     EXPECT_NE(R.Upstream, Upstreams[0]) << runText(R.Key);
 }
+
+// Guards against a standby that becomes the sender while the store is down and
+// serves nothing, or loses jobs on upstreams that have left but are still in
+// its list.
+TEST(DirectoryOutage, NewSenderServesWithAListThatHasAnUpstreamThatLeft) {
+  CellWorld World;
+  std::vector<UpstreamId> Upstreams;
+  Upstreams.reserve(4);
+  for (int I = 0; I < 4; ++I)
+    Upstreams.push_back(World.addUpstream({"up-" + std::to_string(I)}));
+  Address Standby = World.addInstance("standby", "centre-a", 0.1);
+  Address Sender = World.addInstance("sender", "centre-a", 0.6);
+  World.run(seconds(3));
+  ASSERT_EQ(World.senders(), std::vector<Address>{Sender});
+  // The standby reads the list each 8 s, so it doesn't learn of this.
+  World.setDraining(Upstreams[0]);
+  World.run(milliseconds(2500));
+  World.faults(Upstreams[0]).Down = true;
+  World.setStoreUp(false);
+  World.run(milliseconds(100));
+  World.kill(Sender);
+  World.run(seconds(2));
+  ASSERT_EQ(World.senders(), std::vector<Address>{Standby});
+  const auto &List = World.state(Standby).Directory.Upstreams;
+  ASSERT_TRUE(std::any_of(List.begin(), List.end(), [&](const auto &U) {
+    return U.Id == Upstreams[0] && !U.Draining;
+  }));
+  std::vector<size_t> Jobs;
+  for (int I = 0; I < 40; ++I) {
+    Jobs.push_back(World.submit(Standby, "job-" + std::to_string(I), 2,
+                                milliseconds(100)));
+    World.run(milliseconds(50));
+  }
+  World.run(seconds(2));
+  for (size_t J : Jobs) {
+    const auto &Answer = World.caller(J).Answer;
+    EXPECT_TRUE(Answer && Answer->Status == AnswerStatus::Done) << J;
+  }
+}
