http: report no refused connection if none could be opened here

A call that fails before its connection is opened, for lack of descriptors for instance, was reported as refused by the other side. Senders take refusals as a sign of crashed upstreams, and instances as one of ended peers. Found by review.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -91,8 +91,8 @@
             if (Done)
               complete(Outcome, /*Reusable=*/false);
           },
-          {!RequestBytesQueued, "can't open a connection to " + Endpoint.Value,
-           /*ConnectionRefused=*/true});
+          {!RequestBytesQueued,
+           "can't open a connection to " + Endpoint.Value});
       return;
     }
     enableKeepAlive();
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -11,6 +11,7 @@
 
 #include <arpa/inet.h>
 #include <malloc.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -443,5 +444,53 @@
   }
 }
 
+namespace {
+
+/// Returns the outcome of a call while the process has no free descriptor.
+HttpOutcome callWithoutDescriptors(const std::string &LocalIp) {
+  EventLoop Loop;
+  HttpServer Server(Loop, {});
+  Result<Address> Bound = Server.listen(Address{"127.0.0.1:0"});
+  EXPECT_FALSE(failed(Bound));
+  HttpClientOptions Options;
+  Options.LocalIp = LocalIp;
+  HttpClient Client(Loop, Options);
+  HttpCall Call;
+  Call.Target = valueOf(Bound);
+  int Free = dup(0);
+  close(Free);
+  rlimit Before{};
+  getrlimit(RLIMIT_NOFILE, &Before);
+  rlimit Low = Before;
+  Low.rlim_cur = static_cast<rlim_t>(Free);
+  setrlimit(RLIMIT_NOFILE, &Low);
+  std::optional<HttpOutcome> Out;
+  Client.send(Call, [&](const HttpOutcome &O) { Out = O; });
+  for (int I = 0; I < 50 && !Out; ++I)
+    Loop.runFor(std::chrono::milliseconds(10));
+  setrlimit(RLIMIT_NOFILE, &Before);
+  return Out.value_or(HttpFailure{});
+}
+
+void expectNothingSentAndNotRefused(const HttpOutcome &Outcome) {
+  const auto *Failure = std::get_if<HttpFailure>(&Outcome);
+  ASSERT_TRUE(Failure);
+  EXPECT_TRUE(Failure->NothingSent);
+  EXPECT_FALSE(Failure->ConnectionRefused);
+}
+
+} // namespace
+
+// Guards against a local error that is taken for a refused connection, and so
+// for a crash of the other side.
+TEST(HttpClientTest, MissingDescriptorsAreNoRefusedConnection) {
+  expectNothingSentAndNotRefused(callWithoutDescriptors("127.0.0.1"));
+}
+
+// As above, with a client that binds no local address.
+TEST(HttpClientTest, MissingDescriptorsOfAnUnboundClientAreNoRefusal) {
+  expectNothingSentAndNotRefused(callWithoutDescriptors(""));
+}
+
 } // namespace
 } // namespace snipeshunt
