sender: prove a crash only by the upstream's next process

A renewal that did not wait, or followed an unanswered one, counted as well, and its wait was measured from the decision, not from the write.

What was proof is now evidence that a run was in progress. It becomes proof when another process is seen in the upstream's place, and is taken back when the same one reports again; so are doubts. Two runs in progress give a job up as lost, two proved crashes fail it; so a deadly job ends as lost at first and as failed when it is submitted again. The former tests of deadly tasks asserted `failed` at the second crash, which no sender can know: they now assert that the job is given up within the same time and number of starts, and that it fails without a start once both upstreams have been replaced. Crashes under a task that is done end no job.

CrashEvidence tests each condition.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -57,6 +57,7 @@
     Done = std::move(WhenDone);
     Number = CallNumber;
     RequestBytesQueued = false;
+    Written.reset();
     TimedOut = false;
     Request = evhttp_request_new(handleDone, this);
     OnChunk = std::move(Call.OnChunk);
@@ -106,11 +107,13 @@
   SteadyTime IdleSince{};
 
 private:
-  static void handleOutput(evbuffer *, const evbuffer_cb_info *Info,
+  static void handleOutput(evbuffer *Output, const evbuffer_cb_info *Info,
                            void *Arg) {
     auto *Self = static_cast<Connection *>(Arg);
     if (Info->n_added > 0)
       Self->RequestBytesQueued = true;
+    if (Info->n_deleted > 0 && evbuffer_get_length(Output) == 0)
+      Self->Written = bootTimeNow();
     Self->Owner.BytesSent += Info->n_added;
   }
 
@@ -139,7 +142,8 @@
       HttpFailure Failure{!Self->RequestBytesQueued,
                           Reason + Self->Endpoint.Value};
       Failure.ConnectionRefused = !Self->RequestBytesQueued && !Self->TimedOut;
-      Failure.ConnectionLost = Self->RequestBytesQueued && !Self->TimedOut;
+      if (Self->Written && !Self->TimedOut)
+        Failure.LostAfter = bootTimeNow() - *Self->Written;
       Self->complete(Failure, /*Reusable=*/false);
       return;
     }
@@ -200,6 +204,7 @@
   std::function<void(std::string_view)> OnChunk;
   Timer Deadline;
   bool RequestBytesQueued = false;
+  std::optional<SteadyTime> Written; ///< When the last byte was written.
   bool TimedOut = false;
 };
 
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -63,8 +64,9 @@
   std::string Message; ///< What happened.
   /// The connection could not be opened, and this was known before the timeout.
   bool ConnectionRefused = false;
-  /// The other side closed the connection after the request was written.
-  bool ConnectionLost = false;
+  /// Time for which the written request waited until the other side closed the
+  /// connection; unset if the call ended in another way.
+  std::optional<Duration> LostAfter;
 };
 
 using HttpOutcome = std::variant<HttpReply, HttpFailure>;
--- a/src/orders/order_type.h
+++ b/src/orders/order_type.h
@@ -212,7 +212,9 @@
   uint64_t Sequence = 0;
   OrderStatus Status = OrderStatus::Unknown;
   std::optional<UpstreamReport> Report; ///< Present when accepted.
-  bool ConnectionLost = false; ///< The upstream closed the connection instead.
+  /// Time for which the renewal waited at the upstream until that closed the
+  /// connection without an answer; unset otherwise.
+  std::optional<Duration> LostAfter;
 };
 
 } // namespace snipeshunt
--- a/src/runtime/cell_metrics.cpp
+++ b/src/runtime/cell_metrics.cpp
@@ -82,9 +82,9 @@
   Values.setCounter("upstream_crashes_total",
                     "Upstreams that crashed with runs of this sender.",
                     S.UpstreamCrashes);
-  Values.setCounter("crashes_proved_total",
-                    "Crashes that were certainly under a task.",
-                    S.CrashesProved);
+  Values.setCounter("crashes_in_progress_total",
+                    "Crashes under a task that was in progress.",
+                    S.CrashesInProgress);
   Values.setCounter("crashes_possible_total",
                     "Crashes that may have been under a task.",
                     S.CrashesPossible);
--- a/src/sender/crash_cmd.cpp
+++ b/src/sender/crash_cmd.cpp
@@ -16,7 +16,8 @@
 // is back that crashed without a sign.
 constexpr Duration CrashRetention = std::chrono::seconds(30);
 constexpr size_t MaxCrashHistory = 4096;
-constexpr size_t MaxCrashesPerJob = MaxTasks;
+// Covers three crashes under each of the up to 200 tasks of the users' jobs.
+constexpr size_t MaxCrashesPerJob = 2000;
 
 /// Removes the oldest records of jobs.
 void limitHistory(CrashHistory &History, SteadyTime Now) {
@@ -59,10 +60,10 @@
 };
 
 /// Returns true if \p U closed the connection of a renewal that waited for the
-/// end of a run, and refuses connections since. An end would have been the
-/// answer, so the runs of \p U were in progress.
+/// end of a run, and accepts none since. An end would have been the answer, so
+/// the runs of \p U were in progress. A cut can look the same.
 bool endedWithItsRuns(const SenderUpstream &U, SteadyTime Now) {
-  return U.RenewalLost && Now - *U.RenewalLost <= MaxCrashProofDelay &&
+  return U.RenewalLost && Now - *U.RenewalLost <= MaxRefusalDelay &&
          U.LostRenewalWait >= MinRenewalTransit &&
          U.LostRenewalWait <= Duration(RenewalWait) + MinRenewalTransit;
 }
@@ -84,7 +85,7 @@
 /// Returns the runs that the process of \p U may have had when it ended, and
 /// for which no crash was recorded yet, and marks them.
 std::vector<SuspectedRun> takeSuspectedRuns(const SenderState &State,
-                                            SenderUpstream &U,
+                                            SenderUpstream &U, CrashSign Sign,
                                             const UpstreamReport *Report,
                                             SteadyTime Now) {
   std::vector<SuspectedRun> Suspects;
@@ -99,10 +100,12 @@
         (Report && lists(*Report, Key)))
       continue;
     Run.CrashCounted = true;
-    bool Proved = Ended && Run.Phase == RunPhase::Running &&
-                  !Run.StopRequested && Run.Accepted <= *U.RenewalLost;
-    Suspects.push_back(
-        {Key, Proved ? CrashEvidence::Proved : CrashEvidence::Possible});
+    bool InProgress = Ended && Run.Phase == RunPhase::Running &&
+                      !Run.StopRequested && Run.Accepted <= *U.RenewalLost;
+    Suspects.push_back({Key, !InProgress ? CrashEvidence::Possible
+                             : Sign == CrashSign::Refused
+                                 ? CrashEvidence::InProgress
+                                 : CrashEvidence::Proved});
   }
   return Suspects;
 }
@@ -208,40 +211,94 @@
 
 std::optional<JobOutcome> applyCrashHistory(const CrashHistory &History,
                                             SenderJob &J) {
-  auto It = History.Jobs.find(J.Order.Id);
-  if (It == History.Jobs.end())
-    return std::nullopt;
+  std::vector<uint32_t> InProgress(J.Tasks.size());
   std::vector<uint32_t> Proved(J.Tasks.size());
   for (SenderTask &T : J.Tasks)
     T.Crashes = 0;
-  for (const TaskCrash &Crash : It->second.Crashes) {
+  for (const TaskCrash &Crash : crashesOf(History, J.Order.Id)) {
     if (Crash.Index >= J.Tasks.size())
       continue;
     ++J.Tasks[Crash.Index].Crashes;
     J.HasSuspectedTasks = true;
-    if (Crash.Evidence == CrashEvidence::Proved)
-      ++Proved[Crash.Index];
+    InProgress[Crash.Index] += Crash.Evidence >= CrashEvidence::InProgress;
+    Proved[Crash.Index] += Crash.Evidence == CrashEvidence::Proved;
   }
   std::optional<JobOutcome> Outcome;
   for (uint32_t Index = 0; Index < J.Tasks.size(); ++Index) {
-    if (Proved[Index] >= MaxProvedCrashes)
+    if (J.Tasks[Index].State == SenderTaskState::Done)
+      continue;
+    if (Proved[Index] >= MaxCrashesInProgress)
       return JobOutcome::Failed;
-    if (J.Tasks[Index].Crashes >= MaxSuspectedCrashes)
+    if (InProgress[Index] >= MaxCrashesInProgress ||
+        J.Tasks[Index].Crashes >= MaxSuspectedCrashes)
       Outcome = JobOutcome::Lost;
   }
   return Outcome;
 }
 
+void retractCrashes(SenderState &State, SenderUpstream &U) {
+  U.CrashRecorded = false;
+  for (auto &[Key, Run] : U.Runs)
+    Run.CrashCounted = false;
+  for (auto &[Job, Entry] : State.Crashes.Jobs) {
+    auto IsRetracted = [&U](const TaskCrash &Crash) {
+      return Crash.Upstream == U.Record.Id && Crash.StartedAt == U.StartedAt;
+    };
+    auto First =
+        std::remove_if(Entry.Crashes.begin(), Entry.Crashes.end(), IsRetracted);
+    if (First == Entry.Crashes.end())
+      continue;
+    Entry.Crashes.erase(First, Entry.Crashes.end());
+    auto Open = State.Jobs.find(Job);
+    if (Open != State.Jobs.end())
+      applyCrashHistory(State.Crashes, Open->second);
+  }
+}
+
+namespace {
+
+/// Proves the crashes that were recorded for a process of \p U that has been
+/// replaced, and ends the jobs that fail by that.
+void confirmCrashes(SenderState &State, SenderUpstream &U, SteadyTime Now,
+                    InstanceEffects &Out) {
+  U.CrashRecorded = false;
+  int64_t StartedAt = U.FormerProcess.value_or(U.StartedAt);
+  std::vector<JobId> Failed;
+  for (auto &[Job, Entry] : State.Crashes.Jobs) {
+    bool Changed = false;
+    for (TaskCrash &Crash : Entry.Crashes)
+      if (Crash.Upstream == U.Record.Id && Crash.StartedAt == StartedAt &&
+          Crash.Evidence == CrashEvidence::InProgress) {
+        Crash.Evidence = CrashEvidence::Proved;
+        Changed = true;
+      }
+    auto Open = State.Jobs.find(Job);
+    if (Changed && Open != State.Jobs.end() &&
+        applyCrashHistory(State.Crashes, Open->second))
+      Failed.push_back(Job);
+  }
+  for (const JobId &Job : Failed)
+    finishJob(State, Job, JobOutcome::Failed,
+              "upstreams were replaced after crashes under one of its tasks",
+              Now, Out);
+}
+
+} // namespace
+
 void recordCrash(SenderState &State, SenderUpstream &U, CrashSign Sign,
                  const UpstreamReport *Report, SteadyTime Now,
                  InstanceEffects &Out) {
   // An upstream that leaves as announced ends with the runs that are left.
   if (U.Record.Draining)
     return;
-  std::vector<SuspectedRun> Suspects = takeSuspectedRuns(State, U, Report, Now);
+  if (Sign != CrashSign::Refused && U.CrashRecorded)
+    confirmCrashes(State, U, Now, Out);
+  std::vector<SuspectedRun> Suspects =
+      takeSuspectedRuns(State, U, Sign, Report, Now);
   if (Suspects.empty())
     return;
   ++State.Counts.UpstreamCrashes;
+  U.CrashRecorded = U.CrashRecorded || !U.FormerProcess;
   logUpstream(Out, U,
               "seems to have crashed, runs=" + std::to_string(Suspects.size()) +
                   " sign=" + crashSignName(Sign) + contactText(U, Now));
@@ -251,8 +308,9 @@
              {Key.Index, U.Record.Id, U.FormerProcess.value_or(U.StartedAt),
               Run.Evidence},
              Now);
-    ++(Run.Evidence == CrashEvidence::Proved ? State.Counts.CrashesProved
-                                             : State.Counts.CrashesPossible);
+    ++(Run.Evidence == CrashEvidence::Possible
+           ? State.Counts.CrashesPossible
+           : State.Counts.CrashesInProgress);
     Out.push_back(LogDecision{
         DecisionPart::Upstreams, Key.Job.Value,
         "run=" + runText(Key) +
--- a/src/sender/crash_cmd.h
+++ b/src/sender/crash_cmd.h
@@ -38,9 +38,13 @@
                  const UpstreamReport *Report, SteadyTime Now,
                  InstanceEffects &Out);
 
+/// Removes the crashes that were recorded for the present process of \p U,
+/// which has reported again.
+void retractCrashes(SenderState &State, SenderUpstream &U);
+
 /// Copies the known crashes to the tasks of a job. Returns how the job ends if
-/// a task has reached a limit: `Failed` if `MaxProvedCrashes` are proved, and
-/// `Lost` after `MaxSuspectedCrashes`.
+/// a task has reached `MaxCrashesInProgress` or `MaxSuspectedCrashes`: `Failed`
+/// if the former are proved, and otherwise `Lost`.
 std::optional<JobOutcome> applyCrashHistory(const CrashHistory &History,
                                             SenderJob &J);
 
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -86,6 +86,7 @@
   /// All its runs have ended by then, unless their lease is renewed.
   SteadyTime LeaseExpiry{};
   bool RenewalPending = false;  ///< A renewal awaits its answer.
+  bool RenewalWaits = false;    ///< The last renewal waits for an end.
   uint64_t RenewalSequence = 0; ///< Of the last renewal.
   SteadyTime RenewalSent{};     ///< When the last renewal was sent.
   SteadyTime LastReport{};      ///< When a renewal was last answered.
@@ -106,6 +107,7 @@
   /// Runs whose lease expired while the upstream did not answer. They are
   /// suspected if it turns out to have crashed.
   std::vector<RunKey> LapsedRuns;
+  bool CrashRecorded = false; ///< A crash of its present process is recorded.
 };
 
 /// Returns true if \p U has a run beside which nothing is started.
@@ -211,8 +213,8 @@
   uint64_t RunsStopped = 0;     ///< Stops that were accepted.
   uint64_t RunsStalled = 0;     ///< Runs stopped for lack of progress.
   uint64_t UpstreamCrashes = 0; ///< Crashes of upstreams with runs.
-  /// Crashes recorded for a task, by `CrashEvidence`.
-  uint64_t CrashesProved = 0;
+  /// Crashes recorded for a task, by their first `CrashEvidence`.
+  uint64_t CrashesInProgress = 0;
   uint64_t CrashesPossible = 0;
   uint64_t Renewals = 0; ///< Renewal calls sent.
   /// Upstreams looked at by placement, as a measure of its cost.
--- a/src/sender/sender_table.h
+++ b/src/sender/sender_table.h
@@ -54,12 +54,13 @@
 /// A run time that differs from the expected one by this factor is attributed
 /// to the upstream, not to its queue or kind; run times vary by about 40 %.
 constexpr double SlowFactor = 3.0;
-/// Proved crashes under a task after which its job fails. The task is alone on
-/// its upstream from the second on, so no other task can have caused both.
-constexpr uint32_t MaxProvedCrashes = 2;
-/// A crash is proved only while the list of upstreams is not older than this
-/// share of `FleetBounds::DrainNotice`: an upstream that leaves is listed as
-/// draining that long before. The list is read twice in that time.
+/// Crashes under a task that was in progress after which its job is given up,
+/// and fails if they are proved. The task is alone on its upstream from the
+/// second on, so no other task can have caused both.
+constexpr uint32_t MaxCrashesInProgress = 2;
+/// A run is taken to be in progress only while the list of upstreams is not
+/// older than this share of `FleetBounds::DrainNotice`: an upstream that leaves
+/// is listed as draining that long before. The list is read twice in that time.
 constexpr double MaxListAgeShare = 0.6;
 /// Crashes for which a task is suspected, proved or not, after which its job is
 /// given up. The users allow two further starts after three crashes; those are
@@ -74,9 +75,10 @@
 constexpr uint32_t MaxEarlyRenewals = 3;
 constexpr Duration EarlyRenewalDelay = std::chrono::milliseconds(10);
 /// Longest time between the loss of a renewal's connection and a refused
-/// connection that together prove a crash. The renewal is repeated at once, and
-/// is delayed by tens of milliseconds on an instance short of processor time.
-constexpr Duration MaxCrashProofDelay = std::chrono::milliseconds(60);
+/// connection that together show a run in progress. The renewal is repeated at
+/// once, and is delayed by tens of milliseconds on an instance short of
+/// processor time.
+constexpr Duration MaxRefusalDelay = std::chrono::milliseconds(60);
 /// Part of the upstreams that may be kept free of other runs for suspected
 /// tasks at a time, one in this number. The rest serve the other jobs.
 constexpr size_t UpstreamsPerReserved = 8;
--- a/src/sender/sender_type.h
+++ b/src/sender/sender_type.h
@@ -29,13 +29,22 @@
 
 /// How certain it is that an upstream crashed while it ran a task.
 enum class CrashEvidence {
-  Possible, ///< The run may not have begun, or may have ended before.
-  Proved,   ///< The run was in progress when the upstream's process ended.
+  Possible,   ///< The run may not have begun, or may have ended before.
+  InProgress, ///< It was in progress when connections ended and were refused.
+  Proved,     ///< As `InProgress`, and the process has been replaced since.
 };
 
 /// Returns the name of \p Evidence, for logs.
 inline const char *crashEvidenceName(CrashEvidence Evidence) {
-  return Evidence == CrashEvidence::Proved ? "proved" : "possible";
+  switch (Evidence) {
+  case CrashEvidence::Possible:
+    return "possible";
+  case CrashEvidence::InProgress:
+    return "in_progress";
+  case CrashEvidence::Proved:
+    return "proved";
+  }
+  return "";
 }
 
 /// A crash of an upstream for which a task is suspected.
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -236,6 +236,7 @@
   Effect.AcknowledgeUpTo = U.AcknowledgeUpTo;
   Effect.Wait = Wait;
   Effect.Sequence = ++U.RenewalSequence;
+  U.RenewalWaits = Wait.count() > 0;
   if (Prolong && U.ClockOffset) {
     Effect.LeaseDeadlineMs = leaseDeadline(U, State.Bounds, Now);
     U.LeaseExpiry = leaseExpiry(State.Bounds, Now);
@@ -472,9 +473,12 @@
     recordFencing(*U, FencedCell);
     return;
   }
-  if (Event.ConnectionLost && !U->RenewalLost) {
+  // Only a renewal that waited for an end, and followed an answer of the same
+  // process, would have reported each end.
+  if (Event.LostAfter && !U->RenewalLost && U->RenewalWaits &&
+      U->UnansweredCalls == 0 && !U->FormerProcess) {
     U->RenewalLost = Now;
-    U->LostRenewalWait = Now - U->RenewalSent;
+    U->LostRenewalWait = *Event.LostAfter;
   }
   if (Event.Status != OrderStatus::Accepted || !Event.Report) {
     checkProcess(State, *U, Event.Status, Now, Out);
@@ -483,7 +487,7 @@
                        Event.Status == OrderStatus::Refused,
                    Now, Out);
     // The next call tells whether the upstream has crashed.
-    if (Event.ConnectionLost && U->UnansweredCalls <= MaxEarlyRenewals)
+    if (Event.LostAfter && U->UnansweredCalls <= MaxEarlyRenewals)
       U->NextRenewal = Now + (U->UnansweredCalls == 1 ? Duration::zero()
                                                       : EarlyRenewalDelay);
     if (Event.Status == OrderStatus::OtherProcess)
@@ -504,6 +508,8 @@
   U->RenewalLost.reset();
   // The process has survived the runs whose leases expired.
   U->LapsedRuns.clear();
+  if (U->CrashRecorded)
+    retractCrashes(State, *U);
   if (Report.StartedAt != 0)
     U->StartedAt = Report.StartedAt;
   updateClockOffset(*U, Report.ClockMs, Now);
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -28,6 +28,7 @@
   /// are lost, though the process lives.
   bool Refuses = false;
   bool Stalls = false;     ///< Runs make no progress.
+  bool Mute = false;       ///< Renewals are carried out and get no answer.
   bool FailsAll = false;   ///< Runs end as failed at once.
   int LostRenewals = 0;    ///< Number of renewals that get no answer.
   bool LosesStops = false; ///< Stops get no answer and are not carried out.
@@ -131,6 +132,8 @@
   void setStoreTime(Duration Time) { StoreTime = Time; }
   UpstreamFaults &faults(const UpstreamId &Id) { return Upstreams[Id].Faults; }
   void setDraining(const UpstreamId &Id) { Upstreams[Id].Draining = true; }
+  /// Breaks the connections of all renewals that await an answer.
+  void resetConnections(const UpstreamId &Id);
   /// Replaces the upstream's process by a new one under the same id.
   void restartUpstream(const UpstreamId &Id);
   /// Sets the processors of an upstream, in thousandths of a core.
@@ -223,6 +226,8 @@
     uint64_t NextEnd = 1;        ///< `EndReport::Number` of the next end.
     /// Replies to renewals that wait for a run to end.
     std::vector<std::function<void()>> WaitingRenewals;
+    /// Each ends a renewal as lost with its connection, unless it has ended.
+    std::vector<std::function<void()>> OpenRenewals;
   };
 
   /// Has `run` execute \p Action at \p When, or now if that has passed.
