--- a/src/sender/crash_cmd.cpp
+++ b/src/sender/crash_cmd.cpp
@@ -258,29 +258,15 @@
 namespace {
 
 /// Proves the crashes that were recorded for a process of \p U that has been
-/// replaced, and ends the jobs that fail by that.
-void confirmCrashes(SenderState &State, SenderUpstream &U, SteadyTime Now,
-                    InstanceEffects &Out) {
+/// replaced. No open job ends by that: it would have been given up before.
+void confirmCrashes(SenderState &State, SenderUpstream &U) {
   U.CrashRecorded = false;
   int64_t StartedAt = U.FormerProcess.value_or(U.StartedAt);
-  std::vector<JobId> Failed;
-  for (auto &[Job, Entry] : State.Crashes.Jobs) {
-    bool Changed = false;
+  for (auto &[Job, Entry] : State.Crashes.Jobs)
     for (TaskCrash &Crash : Entry.Crashes)
       if (Crash.Upstream == U.Record.Id && Crash.StartedAt == StartedAt &&
-          Crash.Evidence == CrashEvidence::InProgress) {
+          Crash.Evidence == CrashEvidence::InProgress)
         Crash.Evidence = CrashEvidence::Proved;
-        Changed = true;
-      }
-    auto Open = State.Jobs.find(Job);
-    if (Changed && Open != State.Jobs.end() &&
-        applyCrashHistory(State.Crashes, Open->second))
-      Failed.push_back(Job);
-  }
-  for (const JobId &Job : Failed)
-    finishJob(State, Job, JobOutcome::Failed,
-              "upstreams were replaced after crashes under one of its tasks",
-              Now, Out);
 }
 
 } // namespace
@@ -292,7 +278,7 @@
   if (U.Record.Draining)
     return;
   if (Sign != CrashSign::Refused && U.CrashRecorded)
-    confirmCrashes(State, U, Now, Out);
+    confirmCrashes(State, U);
   std::vector<SuspectedRun> Suspects =
       takeSuspectedRuns(State, U, Sign, Report, Now);
   if (Suspects.empty())
