--- a/src/sender/crash_cmd.cpp
+++ b/src/sender/crash_cmd.cpp
@@ -170,6 +170,18 @@
          " stop_requested=" + (Run.StopRequested ? "1" : "0");
 }
 
+/// Proves the crashes that were recorded for a process of \p U that has been
+/// replaced. No open job ends by that: it would have been given up before.
+void confirmCrashes(SenderState &State, SenderUpstream &U) {
+  U.CrashRecorded = false;
+  int64_t StartedAt = U.FormerProcess.value_or(U.StartedAt);
+  for (auto &[Job, Entry] : State.Crashes.Jobs)
+    for (TaskCrash &Crash : Entry.Crashes)
+      if (Crash.Upstream == U.Record.Id && Crash.StartedAt == StartedAt &&
+          Crash.Evidence == CrashEvidence::InProgress)
+        Crash.Evidence = CrashEvidence::Proved;
+}
+
 } // namespace
 
 const char *crashSignName(CrashSign Sign) {
@@ -255,22 +267,6 @@
   }
 }
 
-namespace {
-
-/// Proves the crashes that were recorded for a process of \p U that has been
-/// replaced. No open job ends by that: it would have been given up before.
-void confirmCrashes(SenderState &State, SenderUpstream &U) {
-  U.CrashRecorded = false;
-  int64_t StartedAt = U.FormerProcess.value_or(U.StartedAt);
-  for (auto &[Job, Entry] : State.Crashes.Jobs)
-    for (TaskCrash &Crash : Entry.Crashes)
-      if (Crash.Upstream == U.Record.Id && Crash.StartedAt == StartedAt &&
-          Crash.Evidence == CrashEvidence::InProgress)
-        Crash.Evidence = CrashEvidence::Proved;
-}
-
-} // namespace
-
 void recordCrash(SenderState &State, SenderUpstream &U, CrashSign Sign,
                  const UpstreamReport *Report, SteadyTime Now,
                  InstanceEffects &Out) {
