review: a task runs twice at a time after connections went silent

TWICE: a sender stops the job of an entry instance that was killed up to 600 ms too late, since the stop goes out on connections that are silent; the caller's next submission has been started in another data centre by then. The stand-in's stops now take 40 ms.

--- a/review/support/fleet.hpp
+++ b/review/support/fleet.hpp
@@ -237,7 +237,7 @@
 class Fleet {
 public:
   Fleet(int Instances, int Zones, std::vector<std::string> Kinds,
-        int TaskCpu = 27000)
+        int TaskCpu = 27000, bool Relayed = false)
       : Instances(Instances), Zones(Zones) {
     std::string Template =
         (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
@@ -246,11 +246,6 @@
     Prefix = "127." + std::to_string(100 + Pid / 256 % 128) + "." +
              std::to_string(Pid % 256) + ".";
     Store = freeAddresses(Prefix + "1", 1)[0];
-    std::vector<std::string> Command = {"target/review/platform", Store,
-                                        std::to_string(Zones),
-                                        std::to_string(TaskCpu)};
-    Command.insert(Command.end(), Kinds.begin(), Kinds.end());
-    Platform = std::make_unique<Process>(Command, Folder + "/platform.log");
     for (int I = 0; I < Instances; ++I) {
       std::string Ip = Prefix + std::to_string(10 + I);
       std::vector<Endpoint> Free = freeAddresses(Ip, 4);
@@ -259,6 +254,16 @@
       Peers.push_back(Free[2]);
       Metrics.push_back(Free[3]);
     }
+    PeersListen = Peers;
+    if (Relayed)
+      startRelay(Kinds.size());
+    std::vector<std::string> Command = {"target/review/platform", Store,
+                                        std::to_string(Zones),
+                                        std::to_string(TaskCpu)};
+    Command.insert(Command.end(), Kinds.begin(), Kinds.end());
+    if (Relayed)
+      Command.insert(Command.begin() + 1, "--relayed");
+    Platform = std::make_unique<Process>(Command, Folder + "/platform.log");
     for (int I = 0; I < Instances; ++I) {
       writeSettings(I);
       start(I);
@@ -267,6 +272,7 @@
   ~Fleet() {
     Daemons.clear();
     Platform.reset();
+    Relay.reset();
     std::error_code Ignored;
     if (!getenv("KEEP"))
       std::filesystem::remove_all(Folder, Ignored);
@@ -295,6 +301,8 @@
 
   Process &daemon(int I) { return *Daemons.at(I); }
   void command(const std::string &Line) { Platform->write(Line + "\n"); }
+  /// Makes the open connections between nodes and to runners silent for good.
+  void silence() { Relay->write("silence\n"); }
   const Endpoint &front(int I) const { return Fronts[I]; }
   const std::string &prefix() const { return Prefix; }
   std::string log(int I) const {
@@ -328,6 +336,19 @@
   }
 
 private:
+  /// Puts a relay in front of all nodes, for each other, and of the runners.
+  void startRelay(size_t Runners) {
+    std::vector<std::string> Command = {"target/review/relay"};
+    for (int I = 0; I < Instances; ++I) {
+      Peers[I] = Prefix + std::to_string(50 + I) + ":8161";
+      Command.push_back(Peers[I] + "=" + PeersListen[I]);
+    }
+    for (size_t I = 0; I < Runners; ++I)
+      Command.push_back(Prefix + std::to_string(150 + I) + ":8161=" + Prefix +
+                        std::to_string(100 + I) + ":8161");
+    Relay = std::make_unique<Process>(Command, Folder + "/relay.log");
+  }
+
   std::string settings(int I) const {
     return Folder + "/i" + std::to_string(I) + ".json";
   }
@@ -337,9 +358,10 @@
     File << R"({"name":"edge-)" << I << R"(","data_centre":"zone)"
          << 1 + I % Zones << R"(","weight":0.)" << 62 - 3 * I << R"(,"front":")"
          << Fronts[I] << R"(","ready":")" << Ready[I] << R"(","peers":")"
-         << Peers[I] << R"(","metrics":")" << Metrics[I] << R"(","store":")"
-         << Store << R"(","seeds":[")" << Peers[0] << "\",\"" << Peers[1]
-         << "\",\"" << Peers[2]
+         << Peers[I] << R"(","peers_listen":")" << PeersListen[I]
+         << R"(","metrics":")" << Metrics[I] << R"(","store":")" << Store
+         << R"(","seeds":[")" << Peers[0] << "\",\"" << Peers[1] << "\",\""
+         << Peers[2]
          << R"("],"bounds":{"max_lease_ms":1000,"stop_timeout_ms":50,)"
          << R"("drain_notice_ms":2000,"grace_s":6}})";
   }
@@ -351,8 +373,10 @@
   Endpoint Store;
   std::vector<Endpoint> Fronts;
   std::vector<Endpoint> Ready;
-  std::vector<Endpoint> Peers;
+  std::vector<Endpoint> Peers;       ///< As other nodes reach them.
+  std::vector<Endpoint> PeersListen; ///< As the nodes listen.
   std::vector<Endpoint> Metrics;
+  std::unique_ptr<Process> Relay;
   std::unique_ptr<Process> Platform;
   std::map<int, std::unique_ptr<Process>> Daemons;
 };
--- a/review/support/platform.cc
+++ b/review/support/platform.cc
@@ -23,6 +23,8 @@
 // From the site's sheet: `max_hold_ms` 1,000 and `heartbeat_ms` 1,500.
 constexpr int64_t MaxLeaseMs = 1000;
 constexpr Duration HeartbeatPeriod = std::chrono::milliseconds(1500);
+// `stop_timeout_ms` is 50.
+constexpr int64_t StopTakesMs = 40;
 constexpr Duration StepPeriod = std::chrono::milliseconds(2);
 // Share of the real speed at which the runners' clocks run; 2 % is allowed.
 constexpr double ClockSpeed = 0.99;
@@ -74,6 +76,9 @@
     return true;
   }
 
+  /// Sets the address that the runner's entry names instead of its own.
+  void announce(const Address &Other) { Announced = Other; }
+
   void drain() {
     Draining = true;
     registerSelf();
@@ -112,10 +117,12 @@
     bool Lapsed = Now >= LeaseEnd;
     std::vector<std::string> Over;
     for (const auto &[Task, R] : Running)
-      if (Lapsed || nowMs() - R.Began >= R.Work)
+      if (Lapsed || nowMs() - R.Began >= R.Work || nowMs() >= R.StopAt)
         Over.push_back(Task);
     for (const std::string &Task : Over)
-      end(Task, Lapsed ? "lapsed" : "done");
+      end(Task, Lapsed                               ? "lapsed"
+                : nowMs() >= Running.at(Task).StopAt ? "stopped"
+                                                     : "done");
     std::vector<Held> Left;
     for (const Held &H : Holds)
       if (Ends.empty() && nowMs() < H.Until)
@@ -130,6 +137,7 @@
     uint32_t Number = 0;
     int64_t Began = 0;
     int64_t Work = 0;
+    int64_t StopAt = INT64_MAX; ///< When a stop takes effect.
   };
   struct Ended {
     uint64_t Number = 0;
@@ -167,7 +175,7 @@
   void registerSelf() {
     Json::Value R(Json::objectValue);
     R["service"] = "swapdesk";
-    R["address"] = Endpoint.Value;
+    R["address"] = (Announced.Value.empty() ? Endpoint : Announced).Value;
     R["zone"] = Zone;
     R["version"] = "v1";
     R["slots"] = 8;
@@ -239,7 +247,8 @@
       return answer(409, "old");
     if (static_cast<int64_t>(Running.size() + 1) * TaskCpu > Cpu)
       return answer(409, "room");
-    Running[Task] = {Number, nowMs(), workMs(Body["spec"].asString())};
+    Running[Task] = {Number, nowMs(), workMs(Body["spec"].asString()),
+                     INT64_MAX};
     printf("%lld start %s %u %s kind=%s state=%s spec=%s\n",
            static_cast<long long>(nowMs()), Task.c_str(), Number, Id.c_str(),
            Kind.c_str(), Draining ? "draining" : "ready",
@@ -253,7 +262,7 @@
     Last = std::max(Last, Body["run"].asUInt());
     auto It = Running.find(Task);
     if (It != Running.end() && It->second.Number <= Last)
-      end(Task, "stopped");
+      It->second.StopAt = std::min(It->second.StopAt, nowMs() + StopTakesMs);
     return answer(200, nullptr);
   }
 
@@ -321,6 +330,7 @@
   Timer Step;
   Timer Heartbeat;
   Address Endpoint;
+  Address Announced; ///< Empty: `Endpoint`.
   bool Draining = false;
   int64_t Born = 0;
   int64_t ClockZero = 0;
@@ -337,10 +347,15 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
+  bool Relayed = Argc > 1 && std::string(Argv[1]) == "--relayed";
+  Argv += Relayed;
+  Argc -= Relayed;
   if (Argc < 5) {
-    fprintf(stderr, "Usage: platform IP:PORT ZONES TASK_CPU KIND...\n"
-                    "One runner of 64 cores for each KIND; their zones take "
-                    "turns.\n");
+    fprintf(stderr,
+            "Usage: platform [--relayed] IP:PORT ZONES TASK_CPU KIND...\n"
+            "One runner of 64 cores for each KIND; their zones take "
+            "turns. With --relayed, the runners' entries name the "
+            "addresses of a relay.\n");
     return 2;
   }
   setvbuf(stdout, nullptr, _IOLBF, 0);
@@ -356,9 +371,12 @@
         std::make_unique<Runner>(Loop, Store, "runner-" + std::to_string(N),
                                  "zone" + std::to_string(1 + N % Zones),
                                  Argv[I], 64000, std::atoll(Argv[3])));
-    // Each runner has an address of its own, next to that of the store.
-    if (!Runners.back()->listen(Listen.substr(0, Listen.rfind('.') + 1) +
-                                std::to_string(100 + N)))
+    // Each runner has an address of its own, next to that of the store; that
+    // of its relay follows 50 later.
+    std::string Prefix = Listen.substr(0, Listen.rfind('.') + 1);
+    if (Relayed)
+      Runners.back()->announce({Prefix + std::to_string(150 + N) + ":8161"});
+    if (!Runners.back()->listen(Prefix + std::to_string(100 + N)))
       return 2;
   }
   if (!Store.listen({Listen}))
