sender: show no job as failed because of crashes

What callers saw: a job shown as failed though no task of it had failed. After two crashes under one of its tasks, the next submission was answered as failed once both upstreams were back.

Cause: a crash counted as a failed attempt. Only ends `failed` count, and no evidence tells whether a task caused the crash of its upstream.

Change: crashes end a job as lost, never as failed.

CellCodecTest.EvidenceOfEarlierVersionsIsRead is new. Two tests expected a deadly task's job to be failed when it is submitted again; that is what the rule forbids, so they now expect the same number of starts and crashes and the answer lost.

--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -277,7 +277,11 @@
   readCount(Reader, "index", Crash.Index);
   Reader.string("upstream", Crash.Upstream.Value, MaxTextLength)
       .integer("started_at", Crash.StartedAt, INT64_MIN, INT64_MAX);
-  readEnum(Reader, "evidence", Crash.Evidence, CrashEvidence::Proved);
+  // Earlier versions send 2 for a crash in progress whose process is replaced.
+  int64_t Evidence = 0;
+  Reader.integer("evidence", Evidence, 0, 2);
+  Crash.Evidence =
+      Evidence > 0 ? CrashEvidence::InProgress : CrashEvidence::Possible;
   return finishReading(Reader, std::move(Crash));
 }
 
--- a/src/sender/crash_base.h
+++ b/src/sender/crash_base.h
@@ -13,7 +13,7 @@
 /// Crashes for which the tasks of one job are suspected.
 struct JobCrashes {
   std::vector<TaskCrash> Crashes;
-  SteadyTime Updated{}; ///< When one was last added or proved.
+  SteadyTime Updated{}; ///< When one was added, or its evidence rose.
 };
 
 /// Crashes by job. It outlives the jobs, since callers submit a job again that
--- a/src/sender/crash_cmd.cpp
+++ b/src/sender/crash_cmd.cpp
@@ -85,7 +85,7 @@
 /// Returns the runs that the process of \p U may have had when it ended, and
 /// for which no crash was recorded yet, and marks them.
 std::vector<SuspectedRun> takeSuspectedRuns(const SenderState &State,
-                                            SenderUpstream &U, CrashSign Sign,
+                                            SenderUpstream &U,
                                             const UpstreamReport *Report,
                                             SteadyTime Now) {
   std::vector<SuspectedRun> Suspects;
@@ -102,10 +102,8 @@
     Run.CrashCounted = true;
     bool InProgress = Ended && Run.Phase == RunPhase::Running &&
                       !Run.StopRequested && Run.Accepted <= *U.RenewalLost;
-    Suspects.push_back({Key, !InProgress ? CrashEvidence::Possible
-                             : Sign == CrashSign::Refused
-                                 ? CrashEvidence::InProgress
-                                 : CrashEvidence::Proved});
+    Suspects.push_back({Key, InProgress ? CrashEvidence::InProgress
+                                        : CrashEvidence::Possible});
   }
   return Suspects;
 }
@@ -170,18 +168,6 @@
          " stop_requested=" + (Run.StopRequested ? "1" : "0");
 }
 
-/// Proves the crashes that were recorded for a process of \p U that has been
-/// replaced. No open job ends by that: it would have been given up before.
-void confirmCrashes(SenderState &State, SenderUpstream &U) {
-  U.CrashRecorded = false;
-  int64_t StartedAt = U.FormerProcess.value_or(U.StartedAt);
-  for (auto &[Job, Entry] : State.Crashes.Jobs)
-    for (TaskCrash &Crash : Entry.Crashes)
-      if (Crash.Upstream == U.Record.Id && Crash.StartedAt == StartedAt &&
-          Crash.Evidence == CrashEvidence::InProgress)
-        Crash.Evidence = CrashEvidence::Proved;
-}
-
 } // namespace
 
 const char *crashSignName(CrashSign Sign) {
@@ -221,10 +207,8 @@
     addCrash(History, Job, Crash, Now);
 }
 
-std::optional<JobOutcome> applyCrashHistory(const CrashHistory &History,
-                                            SenderJob &J) {
+bool applyCrashHistory(const CrashHistory &History, SenderJob &J) {
   std::vector<uint32_t> InProgress(J.Tasks.size());
-  std::vector<uint32_t> Proved(J.Tasks.size());
   for (SenderTask &T : J.Tasks)
     T.Crashes = 0;
   for (const TaskCrash &Crash : crashesOf(History, J.Order.Id)) {
@@ -232,20 +216,14 @@
       continue;
     ++J.Tasks[Crash.Index].Crashes;
     J.HasSuspectedTasks = true;
-    InProgress[Crash.Index] += Crash.Evidence >= CrashEvidence::InProgress;
-    Proved[Crash.Index] += Crash.Evidence == CrashEvidence::Proved;
-  }
-  std::optional<JobOutcome> Outcome;
-  for (uint32_t Index = 0; Index < J.Tasks.size(); ++Index) {
-    if (J.Tasks[Index].State == SenderTaskState::Done)
-      continue;
-    if (Proved[Index] >= MaxCrashesInProgress)
-      return JobOutcome::Failed;
-    if (InProgress[Index] >= MaxCrashesInProgress ||
-        J.Tasks[Index].Crashes >= MaxSuspectedCrashes)
-      Outcome = JobOutcome::Lost;
+    InProgress[Crash.Index] += Crash.Evidence == CrashEvidence::InProgress;
   }
-  return Outcome;
+  for (uint32_t Index = 0; Index < J.Tasks.size(); ++Index)
+    if (J.Tasks[Index].State != SenderTaskState::Done &&
+        (InProgress[Index] >= MaxCrashesInProgress ||
+         J.Tasks[Index].Crashes >= MaxSuspectedCrashes))
+      return true;
+  return false;
 }
 
 void retractCrashes(SenderState &State, SenderUpstream &U) {
@@ -262,6 +240,7 @@
       continue;
     Entry.Crashes.erase(First, Entry.Crashes.end());
     auto Open = State.Jobs.find(Job);
+    // With fewer crashes, no limit is newly reached.
     if (Open != State.Jobs.end())
       applyCrashHistory(State.Crashes, Open->second);
   }
@@ -273,10 +252,7 @@
   // An upstream that leaves as announced ends with the runs that are left.
   if (U.Record.Draining)
     return;
-  if (Sign != CrashSign::Refused && U.CrashRecorded)
-    confirmCrashes(State, U);
-  std::vector<SuspectedRun> Suspects =
-      takeSuspectedRuns(State, U, Sign, Report, Now);
+  std::vector<SuspectedRun> Suspects = takeSuspectedRuns(State, U, Report, Now);
   if (Suspects.empty())
     return;
   ++State.Counts.UpstreamCrashes;
@@ -304,9 +280,8 @@
     auto Job = State.Jobs.find(Key.Job);
     if (Job == State.Jobs.end())
       continue;
-    if (std::optional<JobOutcome> Outcome =
-            applyCrashHistory(State.Crashes, Job->second))
-      finishJob(State, Key.Job, *Outcome,
+    if (applyCrashHistory(State.Crashes, Job->second))
+      finishJob(State, Key.Job, JobOutcome::Lost,
                 crashReason(State.Crashes, Key.Job, Key.Index), Now, Out);
   }
 }
--- a/src/sender/crash_cmd.h
+++ b/src/sender/crash_cmd.h
@@ -42,11 +42,10 @@
 /// which has reported again.
 void retractCrashes(SenderState &State, SenderUpstream &U);
 
-/// Copies the known crashes to the tasks of a job. Returns how the job ends if
-/// a task has reached `MaxCrashesInProgress` or `MaxSuspectedCrashes`: `Failed`
-/// if the former are proved, and otherwise `Lost`.
-std::optional<JobOutcome> applyCrashHistory(const CrashHistory &History,
-                                            SenderJob &J);
+/// Copies the known crashes to the tasks of a job. Returns true if the job is
+/// to be given up: an unfinished task has reached `MaxCrashesInProgress` or
+/// `MaxSuspectedCrashes`.
+bool applyCrashHistory(const CrashHistory &History, SenderJob &J);
 
 } // namespace snipeshunt
 
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -264,20 +264,18 @@
   JobResult Result;
   Result.Reason = "superseded by a later submission of the job";
   answer(State, Order.Id, Earlier, std::move(Result), Now, Out);
-  if (std::optional<JobOutcome> Outcome = applyCrashHistory(State.Crashes, J))
-    finishJob(State, Order.Id, *Outcome, CrashReason, Now, Out);
+  if (applyCrashHistory(State.Crashes, J))
+    finishJob(State, Order.Id, JobOutcome::Lost, CrashReason, Now, Out);
 }
 
 /// Answers a job that is not started again because of the crashes in an earlier
-/// submission. \p Outcome is never `NotRun`, since tasks have been started
-/// then.
+/// submission. Tasks have been started then, and none is known to have failed.
 void endUnstarted(SenderState &State, const JobOrder &Order,
-                  const JobWaiter &Waiter, JobOutcome Outcome, SteadyTime Now,
+                  const JobWaiter &Waiter, SteadyTime Now,
                   InstanceEffects &Out) {
-  ++(Outcome == JobOutcome::Failed ? State.Counts.JobsFailed
-                                   : State.Counts.JobsLost);
+  ++State.Counts.JobsLost;
   JobResult Result;
-  Result.Outcome = Outcome;
+  Result.Outcome = JobOutcome::Lost;
   Result.Reason = CrashReason;
   logJob(Out, Order.Id, "not started: " + Result.Reason);
   answer(State, Order.Id, Waiter, std::move(Result), Now, Out);
@@ -301,8 +299,8 @@
     return answer(State, Order.Id, Waiter, std::move(Result), Now, Out);
   }
   SenderJob J = makeJob(State, Order, Waiter, Now);
-  if (std::optional<JobOutcome> Outcome = applyCrashHistory(State.Crashes, J))
-    return endUnstarted(State, Order, Waiter, *Outcome, Now, Out);
+  if (applyCrashHistory(State.Crashes, J))
+    return endUnstarted(State, Order, Waiter, Now, Out);
   if (State.Draining)
     return rejectJob(State, Order, Waiter, "sender is shutting down", true, Now,
                      Out);
--- a/src/sender/sender_table.h
+++ b/src/sender/sender_table.h
@@ -54,9 +54,9 @@
 /// A run time that differs from the expected one by this factor is attributed
 /// to the upstream, not to its queue or kind; run times vary by about 40 %.
 constexpr double SlowFactor = 3.0;
-/// Crashes under a task that was in progress after which its job is given up,
-/// and fails if they are proved. The task is alone on its upstream from the
-/// second on, so no other task can have caused both.
+/// Crashes under a task that was in progress after which its job is given up.
+/// The task is alone on its upstream from the second on, so no other task can
+/// have caused both; what else may have is not known.
 constexpr uint32_t MaxCrashesInProgress = 2;
 /// A run is taken to be in progress only while the list of upstreams is not
 /// older than this share of `FleetBounds::DrainNotice`: an upstream that leaves
--- a/src/sender/sender_type.h
+++ b/src/sender/sender_type.h
@@ -30,8 +30,7 @@
 /// How certain it is that an upstream crashed while it ran a task.
 enum class CrashEvidence {
   Possible,   ///< The run may not have begun, or may have ended before.
-  InProgress, ///< It was in progress when connections ended and were refused.
-  Proved,     ///< As `InProgress`, and the process has been replaced since.
+  InProgress, ///< It was in progress when connections ended; a cut can look so.
 };
 
 /// Returns the name of \p Evidence, for logs.
@@ -41,8 +40,6 @@
     return "possible";
   case CrashEvidence::InProgress:
     return "in_progress";
-  case CrashEvidence::Proved:
-    return "proved";
   }
   return "";
 }
@@ -82,7 +79,7 @@
 /// How a job ended.
 enum class JobOutcome {
   Done,   ///< All tasks succeeded.
-  Failed, ///< A task failed `MaxAttempts` times, or crashes its upstreams.
+  Failed, ///< A task failed `MaxAttempts` times.
   NotRun, ///< Nothing was started.
   Lost,   ///< It was abandoned; tasks may have run.
 };
