http: let a call name the server process that may receive it

evhttp opens a closed connection again with the next request, so a call on an idle connection may reach another process than the calls before it. HttpCall::Check names the process. The call goes over a connection that has been open since the process was known to be there, or on which it has answered a check. Otherwise a check is sent first, on the connection that the call will use, and the call is sent only if the check is passed.

Calls without a check are sent as before. A check costs one round trip and one request on a connection that isn't known; its time counts against the time-out of the call.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -47,6 +47,7 @@
     bufferevent *Buffers = evhttp_connection_get_bufferevent(Http);
     evbuffer_add_cb(bufferevent_get_output(Buffers), handleOutput, this);
     evbuffer_add_cb(bufferevent_get_input(Buffers), handleInput, this);
+    evhttp_connection_set_closecb(Http, handleClosed, this);
   }
 
   Connection(const Connection &) = delete;
@@ -56,9 +57,53 @@
   void start(HttpCall Call, Callback WhenDone, uint64_t CallNumber) {
     Done = std::move(WhenDone);
     Number = CallNumber;
+    TimedOut = false;
+    Deadline.startOnce(Call.Timeout);
+    if (!Call.Check || leadsTo(*Call.Check)) {
+      sendRequest(std::move(Call));
+      return;
+    }
+    HttpCall Question;
+    Question.Method = "POST";
+    Question.Path = Call.Check->Path;
+    Question.Body = Call.Check->Body;
+    Question.Headers = Call.Headers;
+    Question.Timeout = Call.Timeout;
+    Checked = std::move(Call);
+    sendRequest(std::move(Question));
+  }
+
+  /// Returns true if the connection is open and known to lead to the process
+  /// that \p Check demands. The end of that process would have closed it.
+  bool leadsTo(const HttpCheck &Check) const {
+    return OpenSince &&
+           (*OpenSince <= Check.KnownAt || PassedCheck == Check.Process);
+  }
+
+  /// Sends the call whose check was passed.
+  void sendChecked() {
+    HttpCall Call = std::move(*Checked);
+    Checked.reset();
+    CallDue = false;
+    // evhttp would open the connection again, to whichever process is there.
+    if (!OpenSince)
+      complete(HttpFailure{true, "connection lost to " + Endpoint.Value},
+               /*Reusable=*/false);
+    else
+      sendRequest(std::move(Call));
+  }
+
+  const Address &endpoint() const { return Endpoint; }
+  Callback takeCallback() { return std::exchange(Done, nullptr); }
+  uint64_t number() const { return Number; }
+  /// Ends the call, if it has not ended, and the connection with it.
+  void cancel() { end("cancelled request to "); }
+  SteadyTime IdleSince{};
+
+private:
+  void sendRequest(HttpCall Call) {
     RequestBytesQueued = false;
     Written.reset();
-    TimedOut = false;
     Request = evhttp_request_new(handleDone, this);
     OnChunk = std::move(Call.OnChunk);
     if (OnChunk)
@@ -81,7 +126,6 @@
     Limit.tv_sec =
         std::chrono::ceil<std::chrono::seconds>(Call.Timeout).count() + 1;
     evhttp_connection_set_timeout_tv(Http, &Limit);
-    Deadline.startOnce(Call.Timeout);
     ++Owner.CallsSent;
     if (evhttp_make_request(Http, Request, methodType(Call.Method),
                             Call.Path.c_str()) != 0) {
@@ -92,21 +136,21 @@
             if (Done)
               complete(Outcome, /*Reusable=*/false);
           },
-          {!RequestBytesQueued,
-           "can't open a connection to " + Endpoint.Value});
+          {!isCallSent(), "can't open a connection to " + Endpoint.Value});
       return;
     }
     enableKeepAlive();
   }
 
-  const Address &endpoint() const { return Endpoint; }
-  Callback takeCallback() { return std::exchange(Done, nullptr); }
-  uint64_t number() const { return Number; }
-  /// Ends the call, if it has not ended, and the connection with it.
-  void cancel() { end("cancelled request to "); }
-  SteadyTime IdleSince{};
+  /// Returns true if bytes of the call itself may have been written.
+  bool isCallSent() const { return RequestBytesQueued && !Checked; }
+
+  static void handleClosed(evhttp_connection *, void *Arg) {
+    auto *Self = static_cast<Connection *>(Arg);
+    Self->OpenSince.reset();
+    Self->PassedCheck.reset();
+  }
 
-private:
   static void handleOutput(evbuffer *Output, const evbuffer_cb_info *Info,
                            void *Arg) {
     auto *Self = static_cast<Connection *>(Arg);
@@ -139,10 +183,9 @@
       std::string Reason = Self->TimedOut             ? "timed out waiting for "
                            : Self->RequestBytesQueued ? "connection lost to "
                                                       : "can't connect to ";
-      HttpFailure Failure{!Self->RequestBytesQueued,
-                          Reason + Self->Endpoint.Value};
+      HttpFailure Failure{!Self->isCallSent(), Reason + Self->Endpoint.Value};
       Failure.ConnectionRefused = !Self->RequestBytesQueued && !Self->TimedOut;
-      if (Self->Written && !Self->TimedOut)
+      if (Self->isCallSent() && Self->Written && !Self->TimedOut)
         Failure.LostAfter = bootTimeNow() - *Self->Written;
       Self->complete(Failure, /*Reusable=*/false);
       return;
@@ -157,7 +200,30 @@
       Reply.Headers.emplace_back(Kv->key, Kv->value);
     const char *Close = evhttp_find_header(Headers, "Connection");
     bool Reusable = !Close || evutil_ascii_strcasecmp(Close, "close") != 0;
-    Self->complete(std::move(Reply), Reusable);
+    if (Reusable && !Self->OpenSince)
+      Self->OpenSince = bootTimeNow();
+    if (Self->Checked)
+      Self->applyCheck(std::move(Reply), Reusable);
+    else
+      Self->complete(std::move(Reply), Reusable);
+  }
+
+  void applyCheck(HttpReply Reply, bool Reusable) {
+    const HttpCheck &Check = *Checked->Check;
+    if (!Reusable || !Check.Accepts(Reply)) {
+      HttpFailure Failure{true, "check not passed by " + Endpoint.Value};
+      Failure.CheckReply = std::move(Reply);
+      complete(Failure, Reusable);
+      return;
+    }
+    PassedCheck = Check.Process;
+    CallDue = true;
+    // evhttp still uses the connection after this callback.
+    Owner.Deferred.push_back([&Client = Owner, To = Endpoint, Call = Number] {
+      if (Connection *C = Client.findBusy(To, Call))
+        C->sendChecked();
+    });
+    Owner.DeferredTimer.startOnce(Duration::zero());
   }
 
   /// Turns on TCP keep-alive, so that a dead connection fails early even if its
@@ -182,16 +248,19 @@
   }
 
   void end(const char *Reason) {
-    if (!Request)
+    if (!Request && !CallDue)
       return;
     // evhttp does not call `handleDone` for a cancelled request.
-    evhttp_cancel_request(std::exchange(Request, nullptr));
-    complete(HttpFailure{!RequestBytesQueued, Reason + Endpoint.Value},
+    if (Request)
+      evhttp_cancel_request(std::exchange(Request, nullptr));
+    complete(HttpFailure{!isCallSent(), Reason + Endpoint.Value},
              /*Reusable=*/false);
   }
 
   void complete(const HttpOutcome &Outcome, bool Reusable) {
     Deadline.stop();
+    Checked.reset();
+    CallDue = false;
     Owner.finish(this, Outcome, Reusable);
   }
 
@@ -206,6 +275,16 @@
   bool RequestBytesQueued = false;
   std::optional<SteadyTime> Written; ///< When the last byte was written.
   bool TimedOut = false;
+  /// The call that follows once its check is passed; unset if there is no check
+  /// or the call itself was sent.
+  std::optional<HttpCall> Checked;
+  bool CallDue = false; ///< The check was passed; the call is sent next.
+  /// When the first reply arrived on the open connection; unset while it is not
+  /// open. evhttp opens a closed connection again with the next request.
+  std::optional<SteadyTime> OpenSince;
+  /// `HttpCheck::Process` of the last check that was passed on the connection
+  /// since it was opened.
+  std::optional<int64_t> PassedCheck;
 };
 
 HttpClient::HttpClient(EventLoop &Loop, HttpClientOptions Options)
@@ -245,9 +324,33 @@
     Queue.erase(Queued);
     return;
   }
-  for (const std::unique_ptr<Connection> &C : Found->second.Busy)
+  if (Connection *C = findBusy(Target, Number))
+    C->cancel();
+}
+
+HttpClient::Connection *HttpClient::findBusy(const Address &Endpoint,
+                                             uint64_t Number) {
+  for (const std::unique_ptr<Connection> &C : Targets[Endpoint].Busy)
     if (C->number() == Number)
-      return C->cancel();
+      return C.get();
+  return nullptr;
+}
+
+std::unique_ptr<HttpClient::Connection>
+HttpClient::takeIdle(Target &T, const HttpCall &Call) {
+  if (T.Idle.empty())
+    return nullptr;
+  auto Best = std::prev(T.Idle.end());
+  if (Call.Check) {
+    auto Known =
+        std::find_if(T.Idle.rbegin(), T.Idle.rend(),
+                     [&](const auto &C) { return C->leadsTo(*Call.Check); });
+    if (Known != T.Idle.rend())
+      Best = std::prev(Known.base());
+  }
+  std::unique_ptr<Connection> C = std::move(*Best);
+  T.Idle.erase(Best);
+  return C;
 }
 
 void HttpClient::dispatch(const Address &Endpoint) {
@@ -255,11 +358,8 @@
   while (!T.Queue.empty() && T.Busy.size() < Options.MaxConnectionsPerTarget) {
     QueuedCall Next = std::move(T.Queue.front());
     T.Queue.pop_front();
-    std::unique_ptr<Connection> C;
-    if (!T.Idle.empty()) {
-      C = std::move(T.Idle.back());
-      T.Idle.pop_back();
-    } else {
+    std::unique_ptr<Connection> C = takeIdle(T, Next.Call);
+    if (!C) {
       Result<HostPort> Parts = parseAddress(Endpoint);
       if (failed(Parts)) {
         failLater(std::move(Next.Done), {true, errorOf(Parts).Message});
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -79,6 +79,10 @@
     std::deque<QueuedCall> Queue;
   };
 
+  /// Takes the best of the idle connections for \p Call, null if there is none.
+  static std::unique_ptr<Connection> takeIdle(Target &T, const HttpCall &Call);
+  /// Returns the connection that has call \p Number, or null.
+  Connection *findBusy(const Address &Endpoint, uint64_t Number);
   /// Starts queued calls to a target while connections are available.
   void dispatch(const Address &Endpoint);
   /// Releases a connection whose call has ended and reports the outcome.
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -41,6 +41,23 @@
   HttpHeaders Headers; ///< Without `Content-Type` when sending.
 };
 
+/// Restricts a call to connections that lead to one process of the server. An
+/// open connection never leads to another process than at first, so it is
+/// enough to know the process once.
+struct HttpCheck {
+  /// Identifies the process. Connections on which a check with the same value
+  /// was passed before need no other one.
+  int64_t Process = 0;
+  /// Connections that have been open since then, or longer, need no check.
+  SteadyTime KnownAt{};
+  /// POST request that is sent before the call on all other connections.
+  std::string Path;
+  std::string Body;
+  /// Returns true if the process is the one that has sent this reply to the
+  /// request. Otherwise the call is not sent.
+  std::function<bool(const HttpReply &)> Accepts;
+};
+
 /// A request to send.
 struct HttpCall {
   Address Target; ///< Server to connect to.
@@ -54,6 +71,9 @@
   /// Receives the parts of the reply's body as they arrive. They are then not
   /// in the reply. Used for replies that have no end, such as watches.
   std::function<void(std::string_view)> OnChunk;
+  /// Which process of the server may receive the call; any if it is unset. The
+  /// time-out includes that of the check.
+  std::optional<HttpCheck> Check;
 };
 
 /// Why a call has no reply.
@@ -67,6 +87,8 @@
   /// Time for which the written request waited until the other side closed the
   /// connection; unset if the call ended in another way.
   std::optional<Duration> LostAfter;
+  /// The reply to the check of the call, if it was not accepted.
+  std::optional<HttpReply> CheckReply;
 };
 
 using HttpOutcome = std::variant<HttpReply, HttpFailure>;
