sender: start tasks with a requirement only on the process whose label is known

The sender compared the requirement with the record of the former process, and the start went to whichever process was at the address. A start of a task with a requirement now names the process of the record (StartRun::OnlyTo). It goes over a connection that has been open since that process last reported, or that has just passed a check, which reads the lists on it. If another process answers, nothing is sent, the lists are read, and the upstream is unused until its new record was read. A record without the start of its process satisfies no requirement.

Cost: one look and one round trip for a start with a requirement on a connection that isn't known. Starts without a requirement are unchanged.

--- a/src/orders/order_type.h
+++ b/src/orders/order_type.h
@@ -154,6 +154,15 @@
 
 // Effects.
 
+/// Names the only process of an upstream that may receive an order. The order
+/// goes over a connection that was open by `KnownAt`, which leads to that
+/// process or to none, or over one on which the process has just reported its
+/// start. If another process reports, the order is not sent.
+struct ProcessCondition {
+  int64_t StartedAt = 0; ///< Start of the process, Unix ms.
+  SteadyTime KnownAt{};  ///< When the process was last known to be there.
+};
+
 /// Order an upstream to start a run under a lease.
 struct StartRun {
   UpstreamId Upstream;
@@ -162,6 +171,8 @@
   RunKey Key;
   std::string Spec;            ///< Opaque to the dispatcher.
   int64_t LeaseDeadlineMs = 0; ///< End of the lease, on the upstream's clock.
+  /// Which process may receive the order; any if it is unset.
+  std::optional<ProcessCondition> OnlyTo;
 };
 
 /// Order an upstream to stop a run.
@@ -195,6 +206,9 @@
   RunKey Key;
   OrderStatus Status = OrderStatus::Unknown;
   std::optional<int64_t> ClockMs; ///< The upstream's clock, if answered.
+  /// Start of the process that answered in place of the one that the order
+  /// was for, Unix ms. The order was not sent.
+  std::optional<int64_t> OtherStartedAt;
 };
 
 /// A stop was answered, or has failed.
--- a/src/sender/placement_cmd.cpp
+++ b/src/sender/placement_cmd.cpp
@@ -37,15 +37,21 @@
          U.UnansweredCalls == 0 && !mustLapse(State, U);
 }
 
+/// Returns true if the present process of the upstream has the label. Its
+/// predecessor may have been of another kind, so a record without the start of
+/// its process shows nothing.
+bool hasLabel(const SenderUpstream &U, const std::string &Label) {
+  return U.Record.StartedAt != 0 && U.Record.StartedAt == U.StartedAt &&
+         (Label == U.Record.Kind || Label == U.Record.Rack);
+}
+
 /// Returns true if the task may run on the upstream, regardless of the state
 /// and the free capacity of the upstream.
 bool fitsTask(const SenderUpstream &U, const JobOrder &Order,
               const SenderTask &T) {
   if (U.Record.Service != Order.Service)
     return false;
-  if (!Order.Step.Requirement.empty() &&
-      Order.Step.Requirement != U.Record.Kind &&
-      Order.Step.Requirement != U.Record.Rack)
+  if (!Order.Step.Requirement.empty() && !hasLabel(U, Order.Step.Requirement))
     return false;
   if (Order.Step.MaxPerUpstream > 0) {
     auto Same = std::count_if(U.Runs.begin(), U.Runs.end(), [&](const auto &E) {
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -90,6 +90,9 @@
   uint64_t RenewalSequence = 0; ///< Of the last renewal.
   SteadyTime RenewalSent{};     ///< When the last renewal was sent.
   SteadyTime LastReport{};      ///< When a renewal was last answered.
+  /// When the renewal was sent that the process answered last; zero before its
+  /// first answer. Connections that were open by then lead to it or to none.
+  SteadyTime ProcessKnownAt{};
   /// When the upstream closed the connection of a renewal without an answer,
   /// and how long the renewal had waited; the first one since the last answer.
   std::optional<SteadyTime> RenewalLost;
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -311,6 +311,9 @@
   Effect.Key = Key;
   Effect.Spec = J.Order.Spec;
   Effect.LeaseDeadlineMs = leaseDeadline(U, Bounds, Now);
+  // The next process may be of another kind, which upstreams don't check.
+  if (!J.Order.Step.Requirement.empty())
+    Effect.OnlyTo = ProcessCondition{U.StartedAt, U.ProcessKnownAt};
   Out.push_back(std::move(Effect));
 }
 
@@ -368,7 +371,11 @@
   SenderUpstream *U = findUpstream(State, Event.Upstream, Event.Token);
   if (!U)
     return;
-  checkProcess(State, *U, Event.Status, Now, Out);
+  // The report of the process that follows shows which runs have ended.
+  if (!Event.OtherStartedAt)
+    checkProcess(State, *U, Event.Status, Now, Out);
+  else if (*Event.OtherStartedAt != U->StartedAt)
+    beginSync(*U, Now);
   auto It = U->Runs.find(Event.Key);
   if (It == U->Runs.end())
     return;
@@ -413,8 +420,10 @@
     recordNoAnswer(State, *U, true, Now, Out);
     break;
   case OrderStatus::OtherProcess:
-    U->Phase = UpstreamPhase::Unresponsive;
-    U->NextRenewal = Now + RetryDelay;
+    if (!Event.OtherStartedAt) {
+      U->Phase = UpstreamPhase::Unresponsive;
+      U->NextRenewal = Now + RetryDelay;
+    }
     break;
   case OrderStatus::TooLate:
     if (!Run.ProcessChanged)
@@ -510,8 +519,10 @@
   U->LapsedRuns.clear();
   if (U->CrashRecorded)
     retractCrashes(State, *U);
-  if (Report.StartedAt != 0)
+  if (Report.StartedAt != 0) {
     U->StartedAt = Report.StartedAt;
+    U->ProcessKnownAt = U->RenewalSent;
+  }
   updateClockOffset(*U, Report.ClockMs, Now);
   U->UnansweredCalls = 0;
   U->AcknowledgedUpTo = std::max(U->AcknowledgedUpTo, U->AcknowledgeUpTo);
--- a/src/sender/upstream_list_cmd.cpp
+++ b/src/sender/upstream_list_cmd.cpp
@@ -45,6 +45,7 @@
   U.AcknowledgedUpTo = 0;
   U.ClockOffset.reset();
   U.StartedAt = StartedAt;
+  U.ProcessKnownAt = {};
   U.RenewalLost.reset();
   U.LogSlowdown = 0;
   recordSuccess(U);
--- a/tests/support/cell_world.cpp
+++ b/tests/support/cell_world.cpp
@@ -166,7 +166,7 @@
 
 size_t CellWorld::submit(const Address &Entry, const std::string &Job,
                          uint32_t Tasks, Duration TaskTime, Duration Patience,
-                         int64_t CpuMillis) {
+                         int64_t CpuMillis, const std::string &Requirement) {
   size_t Number = Callers.size();
   Callers.push_back({Now, std::nullopt, {}});
   RequestId Request{Number + 1};
@@ -180,6 +180,7 @@
   Event.Job.Step.Count = Tasks;
   Event.Job.Step.PerTask = {CpuMillis, 64, 0};
   Event.Job.Step.Estimate = TaskTime;
+  Event.Job.Step.Requirement = Requirement;
   Event.Patience = Patience;
   deliver(Entry, Event);
   return Number;
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -50,6 +50,7 @@
   SteadyTime Started;
   SteadyTime Ended;  ///< `SteadyTime::max()` while it runs.
   bool Done = false; ///< It ended with success.
+  std::string Kind;  ///< Of the upstream's process that started it.
 };
 
 /// A caller's request and its answer.
@@ -87,7 +88,7 @@
   /// Submits a job to an instance; returns its number for `caller`.
   size_t submit(const Address &Entry, const std::string &Job, uint32_t Tasks,
                 Duration TaskTime, Duration Patience = std::chrono::seconds(3),
-                int64_t CpuMillis = 27000);
+                int64_t CpuMillis = 27000, const std::string &Requirement = "");
   const CallerRecord &caller(size_t Number) const { return Callers[Number]; }
   /// The caller closes its connection.
   void disconnectCaller(size_t Number);
@@ -140,6 +141,10 @@
   void setCapacity(const UpstreamId &Id, int64_t CpuMillis) {
     Upstreams[Id].Record.Capacity.CpuMillis = CpuMillis;
   }
+  /// Sets the kind of an upstream's process.
+  void setKind(const UpstreamId &Id, const std::string &Kind) {
+    Upstreams[Id].Record.Kind = Kind;
+  }
   /// Starts that brought an upstream over its capacity.
   const std::vector<RunRecord> &overloads() const { return Overloads; }
   /// Ends the upstream's process. Another one starts under the same id after
@@ -261,6 +266,9 @@
   bool occurs(double Share);
   /// Ends the upstream's runs with its process.
   void endProcess(Upstream &U);
+  /// Answers a start in place of the upstream if another process of it is there
+  /// than the one that the start is for. Returns true if it has.
+  bool answerOtherProcess(const Address &From, const StartRun &E);
   void endRun(Upstream &U, const RunKey &Key, RunEnd Outcome);
   /// Ends the runs that are complete or whose lease has lapsed.
   void advanceUpstreams();
--- a/tests/support/cell_world_upstreams.cpp
+++ b/tests/support/cell_world_upstreams.cpp
@@ -74,7 +74,8 @@
   R.Started = Now;
   R.Work = std::chrono::duration_cast<Duration>(TaskTimes[E.Key.Job] / U.Speed);
   R.Record = Runs.size();
-  Runs.push_back({E.Key, U.Record.Id, Now, SteadyTime::max(), false});
+  Runs.push_back(
+      {E.Key, U.Record.Id, Now, SteadyTime::max(), false, U.Record.Kind});
   U.Running[E.Key] = R;
   int64_t UsedCpu = 0;
   for (const auto &[Key, Other] : U.Running)
@@ -99,10 +100,23 @@
   return Share > 0 && std::bernoulli_distribution(Share)(Random);
 }
 
+bool CellWorld::answerOtherProcess(const Address &From, const StartRun &E) {
+  const Upstream &U = Upstreams[E.Upstream];
+  if (!E.OnlyTo || U.Faults.Down || U.Faults.Refuses ||
+      E.OnlyTo->StartedAt == U.Record.StartedAt)
+    return false;
+  StartAnswered Event{E.Upstream, E.Token,
+                      E.Key,      OrderStatus::OtherProcess,
+                      {},         U.Record.StartedAt};
+  if (canReach(From, U))
+    schedule(Now + Hop, [this, From, Event] { deliver(From, Event); });
+  return true;
+}
+
 void CellWorld::sendOrder(Instance &I, const StartRun &E) {
   Address From = I.Record.Endpoint;
   UpstreamId Id = E.Upstream;
-  StartAnswered Lost{Id, E.Token, E.Key, OrderStatus::Unknown, {}};
+  StartAnswered Lost{Id, E.Token, E.Key, OrderStatus::Unknown, {}, {}};
   Upstream &U = Upstreams[Id];
   std::optional<Duration> Delay = U.Faults.StartDelay;
   if (occurs(U.Faults.LateOrders))
@@ -126,7 +140,9 @@
   }
   schedule(Now + Hop, [this, From, Id, E, Lost] {
     Upstream &Target = Upstreams[Id];
-    StartAnswered Event{Id, E.Token, E.Key, OrderStatus::Refused, {}};
+    if (answerOtherProcess(From, E))
+      return;
+    StartAnswered Event{Id, E.Token, E.Key, OrderStatus::Refused, {}, {}};
     if (!Target.Faults.Down && !Target.Faults.Refuses) {
       Event.Status = applyStart(Target, E);
       Event.ClockMs = clockOf(Target);
