entry: ask senders about jobs that are not open here

cancelJob and queryJob looked only into the jobs that their own process had taken. An entry without the job now asks the instances that may have it, by the new RPC cell.open_jobs: senders, former ones, those that shut down, and listed ones that it has not heard of. One that has the job open stops it and answers its entry as for any cancelled job; all remember the id for 10 s and reject forwards whose request reached its entry before the cancellation, or up to 1 s after it. The caller gets 200 as soon as one had the job, 410 once none has, and 503 with Retry-After after 1 s at the latest if that is not known.

Requests that come meanwhile share a query. A DELETE at the job's own entry costs nothing more. While a sender does not answer, unknown jobs are answered 503 after 1 s, and 410 comes 0.75 s later once others have its cells. Instances of earlier versions answer the query with an error, so that unknown jobs are answered 503 until they have been replaced.

--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -51,11 +51,16 @@
   /// a ping since.
   bool ConnectionRefused = false;
   bool Draining = false; ///< It reports that it is shutting down.
+  /// It has answered a ping while it was shutting down, so that
+  /// `UpstreamsInUse` is valid.
+  bool DrainReported = false;
   /// It has a list of upstreams, so it can be a sender.
   bool HasUpstreamList = false;
   /// It answered a job by reporting that it takes no more of them.
   bool RejectsJobs = false;
   std::vector<CellClaim> Claims; ///< Cells that it is the sender of.
+  /// When it last reported that it is no longer a sender.
+  SteadyTime ClaimsReleased{};
   /// A sender of another data centre whose load this instance keeps up to date.
   bool Followed = false;
   /// As reported last, less the processors of jobs forwarded to it since.
--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -48,7 +48,8 @@
                     });
 }
 
-void applyClaims(CellState &State, Peer &P, std::vector<CellClaim> Claims) {
+void applyClaims(CellState &State, Peer &P, std::vector<CellClaim> Claims,
+                 SteadyTime Now) {
   if (equalClaims(P.Claims, Claims))
     return;
   State.ClaimsDue = true;
@@ -56,6 +57,8 @@
   // instance without upstreams.
   if (P.Claims.empty())
     P.Load = {};
+  if (Claims.empty())
+    P.ClaimsReleased = Now;
   for (const CellClaim &Claim : Claims)
     recordToken(State, Claim);
   P.Claims = std::move(Claims);
@@ -112,9 +115,11 @@
   P.CancelledHere.clear();
   P.Incarnation = Incarnation;
   P.Draining = false;
+  P.DrainReported = false;
   P.RejectsJobs = false;
   P.UpstreamsInUse.clear();
   P.Claims.clear();
+  P.ClaimsReleased = {};
   P.OldestAwaitedJob = 0;
   P.UnconfirmedSince = {};
   P.LastConfirmation = {};
@@ -243,7 +248,7 @@
     P.ConnectionRefused = false;
     P.OldestAwaitedJob = std::max(P.OldestAwaitedJob, Message.OldestAwaitedJob);
     bool NewClaims = P.Claims.size() != Message.Claims.size();
-    applyClaims(State, P, Message.Claims);
+    applyClaims(State, P, Message.Claims, Now);
     schedulePingEarlier(State, P, Now);
     // Its answer reports the upstreams that it still uses.
     if ((Message.Draining && !P.Draining) || NewClaims ||
@@ -320,7 +325,7 @@
     P.ConfirmSince = {};
   State.ClaimsDue = State.ClaimsDue || P.Draining != Reply.Draining ||
                     P.HasUpstreamList != Reply.HasUpstreamList;
-  P.Draining = Reply.Draining;
+  P.Draining = P.DrainReported = Reply.Draining;
   P.HasUpstreamList = Reply.HasUpstreamList;
   P.UpstreamsInUse = std::set<UpstreamId>(Reply.UpstreamsInUse.begin(),
                                           Reply.UpstreamsInUse.end());
@@ -329,7 +334,7 @@
   for (auto C = P.CancelledJobs.begin(); C != P.CancelledJobs.end();)
     C = C->second.At <= P.PingSent ? P.CancelledJobs.erase(C) : std::next(C);
   recordCancelledJobs(P, Reply.CancelledJobs, Now);
-  applyClaims(State, P, Reply.Claims);
+  applyClaims(State, P, Reply.Claims, Now);
   schedulePingEarlier(State, P, Now);
   for (const InstanceRecord &Record : Reply.KnownInstances)
     addPeer(State, Record, Now);
--- a/src/cells/peer_func.h
+++ b/src/cells/peer_func.h
@@ -28,6 +28,21 @@
 /// when it last was, such as by a forwarded job.
 bool isSuspected(const Peer &P, SteadyTime Reached, SteadyTime Now);
 
+/// Returns true if \p P, provided that it does not answer, starts no tasks: it
+/// refuses connections; or the store has listed the instances without it since
+/// it was heard of; or senders with newer claims have its cells; or it was
+/// shutting down, and reported no runs then or must have ended since. \p Grace
+/// is the time limit of a shutdown.
+bool isGone(const CellState &State, const Address &Endpoint, const Peer &P,
+            Duration Grace, SteadyTime Now);
+
+/// Returns the peers that may have a job open that another entry forwarded to
+/// them: senders, former ones, those that are shutting down, and listed ones
+/// that have not been heard of yet. Those that are silent and gone are left
+/// out.
+std::vector<Address> possibleSenders(const CellState &State, Duration Grace,
+                                     SteadyTime Now);
+
 } // namespace snipeshunt
 
 #endif // SNIPESHUNT_CELLS_PEER_FUNC_H
--- a/src/entry/entry_base.h
+++ b/src/entry/entry_base.h
@@ -3,6 +3,7 @@
 #define SNIPESHUNT_ENTRY_ENTRY_BASE_H
 
 #include "entry/entry_type.h"
+#include "entry/open_job_base.h"
 #include "sender/crash_base.h"
 
 #include <deque>
@@ -66,6 +67,7 @@
   /// Done or failed; the answers may not have reached their callers. They are
   /// apart, since they are many more and would displace the others.
   StartedJobs Answered;
+  OpenJobState Elsewhere; ///< Questions about jobs that are not open here.
   EntryCounters Counts;
 };
 
--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -38,6 +38,9 @@
 // Retry pause for jobs rejected without an available sender. There is one again
 // after about a second.
 constexpr Duration NoSenderRetry = std::chrono::seconds(2);
+// Retry pause while it is not known whether a job is open. The cells of a
+// failed sender are acquired by another instance in about a second.
+constexpr Duration UnknownRetry = std::chrono::seconds(1);
 constexpr const char *NoSender = "no sender is available";
 // Time after which the result of a job is asked for: its objective, within
 // these limits. The answers of most jobs come earlier, so most jobs cost no
@@ -61,9 +64,9 @@
                             /*Frequent=*/true});
 }
 
-void answerCaller(EntryState &State, RequestId Caller, AnswerStatus Status,
-                  Duration RetryAfter, InstanceEffects &Out,
-                  Duration Took = Duration::zero()) {
+void answerCaller(const EntryState &State, RequestId Caller,
+                  AnswerStatus Status, Duration RetryAfter,
+                  InstanceEffects &Out, Duration Took = Duration::zero()) {
   AnswerCaller Effect;
   Effect.Request = Caller;
   Effect.Status = Status;
@@ -357,34 +360,24 @@
   forwardOrWait(State, Context, Forward, NoSenderRetry, NoSender, Now, Out);
 }
 
-void queryJob(EntryState &State, const JobQueried &Event,
-              InstanceEffects &Out) {
-  bool IsOpen = State.ByJob.count(Event.Id) != 0;
-  answerCaller(State, Event.Request,
-               IsOpen ? AnswerStatus::Running : AnswerStatus::NoSuchJob,
-               Duration::zero(), Out);
-}
-
-void cancelJob(EntryState &State, const EntryContext &Context,
-               const JobCancelled &Event, SteadyTime Now,
-               InstanceEffects &Out) {
-  auto Existing = State.ByJob.find(Event.Id);
-  if (Existing == State.ByJob.end()) {
-    answerCaller(State, Event.Request, AnswerStatus::NoSuchJob,
-                 Duration::zero(), Out);
-    return;
-  }
+void cancelJob(EntryState &State, const EntryContext &Context, const JobId &Id,
+               SteadyTime Now, InstanceEffects &Out) {
   // A forwarded job stays open: the sender answers the forward once it has
   // stopped the job.
-  RequestId Forward = Existing->second;
+  RequestId Forward = State.ByJob.at(Id);
   EntryJob &J = State.Jobs.at(Forward);
   J.Cancelled = true;
   if (J.Sender.Value.empty())
     forwardOrWait(State, Context, Forward, NoSenderRetry, NoSender, Now, Out);
   else
     cancelAtSender(Context, J, Now);
-  answerCaller(State, Event.Request, AnswerStatus::Cancelled, Duration::zero(),
-               Out);
+}
+
+void answerAbout(const EntryState &State, RequestId Caller, AnswerStatus Status,
+                 InstanceEffects &Out) {
+  answerCaller(
+      State, Caller, Status,
+      Status == AnswerStatus::Unknown ? UnknownRetry : Duration::zero(), Out);
 }
 
 std::optional<RequestId> dropCaller(EntryState &State,
--- a/src/entry/entry_cmd.h
+++ b/src/entry/entry_cmd.h
@@ -26,13 +26,14 @@
 void submitJob(EntryState &State, const EntryContext &Context,
                const JobSubmitted &Event, SteadyTime Now, InstanceEffects &Out);
 
-/// Answers whether the job is open at this instance.
-void queryJob(EntryState &State, const JobQueried &Event, InstanceEffects &Out);
+/// Has the sender of a job that is open here stop it. If this instance is the
+/// sender, the calling function must do so.
+void cancelJob(EntryState &State, const EntryContext &Context, const JobId &Id,
+               SteadyTime Now, InstanceEffects &Out);
 
-/// Has the sender of a job stop it. If this instance is the sender, the calling
-/// function must do so.
-void cancelJob(EntryState &State, const EntryContext &Context,
-               const JobCancelled &Event, SteadyTime Now, InstanceEffects &Out);
+/// Answers a caller's request about a job without ending the job.
+void answerAbout(const EntryState &State, RequestId Caller, AnswerStatus Status,
+                 InstanceEffects &Out);
 
 /// Removes the job of a caller that has disconnected and has its sender stop
 /// it. If this instance is the sender, returns the key of the job, which the
--- a/src/entry/entry_type.h
+++ b/src/entry/entry_type.h
@@ -3,6 +3,7 @@
 #ifndef SNIPESHUNT_ENTRY_ENTRY_TYPE_H
 #define SNIPESHUNT_ENTRY_ENTRY_TYPE_H
 
+#include "sender/open_job_type.h"
 #include "sender/sender_type.h"
 
 #include <string>
@@ -17,7 +18,8 @@
   Lost,      ///< Abandoned after a possible start; it may be run again.
   Expired,   ///< The caller's deadline passed after a possible start.
   NoRoute,   ///< No queue matches the request.
-  NoSuchJob, ///< This instance has no such job.
+  NoSuchJob, ///< No instance has such a job open.
+  Unknown,   ///< Whether the job is open isn't known; the caller asks again.
   Running,   ///< Answer to a query: the job has not ended.
   Cancelled, ///< Answer to a cancel: the job is being stopped.
   Count,     ///< Number of waiting jobs of a queue.
@@ -40,6 +42,8 @@
     return "no_route";
   case AnswerStatus::NoSuchJob:
     return "no_such_job";
+  case AnswerStatus::Unknown:
+    return "unknown";
   case AnswerStatus::Running:
     return "running";
   case AnswerStatus::Cancelled:
@@ -56,7 +60,8 @@
 struct AnswerCaller {
   RequestId Request;
   AnswerStatus Status = AnswerStatus::Lost;
-  /// Pause after which the caller should submit again, if the job was rejected.
+  /// Pause after which the caller should try again, if the job was rejected or
+  /// the answer to a query or cancel is not known.
   std::chrono::seconds RetryAfter{0};
   uint64_t Count =
       0; ///< Waiting jobs of the queue, with `AnswerStatus::Count`.
--- a/src/instance/instance_effect.h
+++ b/src/instance/instance_effect.h
@@ -33,10 +33,11 @@
 
 using InstanceEffect =
     std::variant<AnswerCaller, ForwardJob, AbandonForward, AnswerJob,
-                 SendResultQuery, AnswerResultQuery, SendPing, AnswerPing,
-                 StartRun, StopRun, RenewUpstream, ReadCollection,
-                 WatchCollection, AcquireLease, PublishInstance, RenewLease,
-                 EndLease, FetchSnapshot, LogDecision, StopProcess>;
+                 SendResultQuery, AnswerResultQuery, SendOpenJobQuery,
+                 AnswerOpenJobQuery, SendPing, AnswerPing, StartRun, StopRun,
+                 RenewUpstream, ReadCollection, WatchCollection, AcquireLease,
+                 PublishInstance, RenewLease, EndLease, FetchSnapshot,
+                 LogDecision, StopProcess>;
 
 using InstanceEffects = std::vector<InstanceEffect>;
 
--- a/src/instance/instance_event.h
+++ b/src/instance/instance_event.h
@@ -24,10 +24,11 @@
     std::variant<InstanceTick, ShutdownRequested, SettingsChanged, JobSubmitted,
                  JobQueried, JobCancelled, QueueCounted, JobCallerDisconnected,
                  ForwardAnswered, JobArrived, JobAbandoned, ResultQueryArrived,
-                 ResultQueryAnswered, PingArrived, PingAnswered, StartAnswered,
-                 StopAnswered, RenewalAnswered, CollectionReadAnswered,
-                 WatchAnswered, LeaseAnswered, PublishAnswered,
-                 LeaseRenewalAnswered, SnapshotFetched>;
+                 ResultQueryAnswered, OpenJobQueryArrived, OpenJobQueryAnswered,
+                 PingArrived, PingAnswered, StartAnswered, StopAnswered,
+                 RenewalAnswered, CollectionReadAnswered, WatchAnswered,
+                 LeaseAnswered, PublishAnswered, LeaseRenewalAnswered,
+                 SnapshotFetched>;
 
 /// An event and the times at which it is handled.
 struct InstanceEvent {
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -8,8 +8,10 @@
 #include "directory/directory_cmd.h"
 #include "directory/directory_table.h"
 #include "entry/entry_cmd.h"
+#include "entry/open_job_cmd.h"
 #include "sender/job_cmd.h"
 #include "sender/placement_cmd.h"
+#include "sender/remote_cancel_cmd.h"
 #include "sender/sender_table.h"
 #include "sender/upstream_cmd.h"
 
@@ -105,6 +107,17 @@
          !isAbandonedByEntry(Cells, J, Now);
 }
 
+/// Passes a forwarded job to the sender, unless its caller has cancelled it at
+/// another instance.
+void acceptUnlessCancelled(SenderState &Sender, const JobOrder &Order,
+                           JobWaiter Waiter, bool MayBeLate, SteadyTime Now,
+                           InstanceEffects &Out) {
+  if (isCancelledRemotely(Sender.Cancelled, Order, MayBeLate, Now))
+    rejectCancelledJob(Sender, Order, Waiter, Now, Out);
+  else
+    acceptJob(Sender, Order, Waiter, Now, Out);
+}
+
 /// Handles one event in the parts that it concerns.
 struct Router {
   FleetInstance &State;
@@ -134,6 +147,7 @@
     expireSenderJobs(State.Sender, Now, Out);
     expireEntryJobs(State.Entry, entryContext(State, Now), Now, Out);
     queryResults(State.Entry, entryContext(State, Now), Now, Out);
+    advanceQuestions(State.Entry, State.Cells, grace(), Now, Out);
     // Pauses of starts on upstreams end without an event.
     State.Sender.PlacementDue = true;
     advanceDrain();
@@ -170,16 +184,32 @@
   void operator()(const JobSubmitted &E) {
     submitJob(State.Entry, entryContext(State, Now), E, Now, Out);
   }
-  void operator()(const JobQueried &E) { queryJob(State.Entry, E, Out); }
+  void operator()(const JobQueried &E) {
+    if (isOpenHere(E.Id))
+      return answerAbout(State.Entry, E.Request, AnswerStatus::Running, Out);
+    askForJob(State.Entry, State.Cells, E.Request, {E.Id, /*Cancel=*/false},
+              grace(), Now, Out);
+  }
   void operator()(const JobCancelled &E) {
-    auto Existing = State.Entry.ByJob.find(E.Id);
-    bool Own = Existing != State.Entry.ByJob.end() &&
-               State.Entry.Jobs.at(Existing->second).Sender ==
-                   State.Settings.Self.Endpoint;
-    RequestId Forward = Own ? Existing->second : RequestId{};
-    cancelJob(State.Entry, entryContext(State, Now), E, Now, Out);
-    if (Own)
-      abandonJob(State.Sender, {Forward, /*Local=*/true}, Now, Out);
+    if (cancelHere(E.Id))
+      return answerAbout(State.Entry, E.Request, AnswerStatus::Cancelled, Out);
+    recordRemoteCancel(State.Sender.Cancelled, E.Id, Now);
+    askForJob(State.Entry, State.Cells, E.Request, {E.Id, /*Cancel=*/true},
+              grace(), Now, Out);
+  }
+  void operator()(const OpenJobQueryArrived &E) {
+    OpenJobReply Reply;
+    for (uint32_t I = 0; I < E.Query.Jobs.size(); ++I) {
+      const QueriedJob &Job = E.Query.Jobs[I];
+      if (Job.Cancel)
+        recordRemoteCancel(State.Sender.Cancelled, Job.Id, Now);
+      if (Job.Cancel ? cancelHere(Job.Id) : isOpenHere(Job.Id))
+        Reply.Open.push_back(I);
+    }
+    Out.push_back(AnswerOpenJobQuery{E.Request, std::move(Reply)});
+  }
+  void operator()(const OpenJobQueryAnswered &E) {
+    applyOpenJobReply(State.Entry, State.Cells, E, grace(), Now, Out);
   }
   void operator()(const QueueCounted &E) {
     AnswerCaller Answer;
@@ -216,7 +246,11 @@
       }
       confirmJob(P->second);
     }
-    acceptJob(State.Sender, E.Order, {E.Request, /*Local=*/false}, Now, Out);
+    bool MayBeLate = isLagging(State.Cells, Now) ||
+                     (P != State.Cells.Peers.end() &&
+                      P->second.UnconfirmedSince != SteadyTime{});
+    acceptUnlessCancelled(State.Sender, E.Order, {E.Request, /*Local=*/false},
+                          MayBeLate, Now, Out);
     auto Job = State.Sender.Jobs.find(E.Order.Id);
     if (Job == State.Sender.Jobs.end())
       return;
@@ -305,6 +339,25 @@
   }
 
 private:
+  Duration grace() const { return State.Settings.Bounds.Grace; }
+
+  bool isOpenHere(const JobId &Id) const {
+    return State.Entry.ByJob.count(Id) != 0 || State.Sender.Jobs.count(Id) != 0;
+  }
+
+  /// Stops a job that is open at the entry or the sender of this instance.
+  /// Returns false if there is none.
+  bool cancelHere(const JobId &Id) {
+    bool AtEntry = State.Entry.ByJob.count(Id) != 0;
+    if (AtEntry)
+      cancelJob(State.Entry, entryContext(State, Now), Id, Now, Out);
+    bool AtSender = State.Sender.Jobs.count(Id) != 0;
+    if (AtSender)
+      finishJob(State.Sender, Id, JobOutcome::Lost, "cancelled by its caller",
+                Now, Out);
+    return AtEntry || AtSender;
+  }
+
   /// Requests the configuration and the upstreams from a peer, preferably a
   /// sender, if the store doesn't answer. A process that starts in a data
   /// centre that is cut off can work this way.
@@ -401,6 +454,7 @@
     for (RequestId Forward :
          endAllJobs(State.Entry, entryContext(State, Now), Now, Out))
       abandonJob(State.Sender, {Forward, /*Local=*/true}, Now, Out);
+    endQuestions(State.Entry, Out);
   }
 
   void advanceDrain() {
@@ -410,7 +464,8 @@
     // Callers keep sending on open connections, which are closed with the next
     // answer.
     State.Entry.Closing = Passed >= MinDrainTime;
-    if (!State.Entry.Jobs.empty() || !State.Sender.Jobs.empty())
+    if (!State.Entry.Jobs.empty() || !State.Sender.Jobs.empty() ||
+        !State.Entry.Elsewhere.Questions.empty())
       State.LastBusy = Now;
     bool Idle =
         Passed >= MinDrainTime && Now - State.LastBusy >= AnswerFlushTime;
@@ -438,8 +493,9 @@
   for (InstanceEffect &E : Pending) {
     if (auto *Forward = std::get_if<ForwardJob>(&E);
         Forward && Forward->Sender == State.Settings.Self.Endpoint) {
-      acceptJob(State.Sender, Forward->Order,
-                {Forward->Request, /*Local=*/true}, Now, From);
+      acceptUnlessCancelled(State.Sender, Forward->Order,
+                            {Forward->Request, /*Local=*/true},
+                            /*MayBeLate=*/false, Now, From);
       Delivered = true;
     } else if (auto *Answer = std::get_if<AnswerJob>(&E);
                Answer && (Answer->Request.Value & LocalRequestBit)) {
--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -321,6 +321,40 @@
   return finishReading(Reader, std::move(Job));
 }
 
+/// Returns the field \p Name of \p Value alone, so that fields of later
+/// versions are ignored.
+Json::Value onlyField(const Json::Value &Value, const char *Name) {
+  Json::Value Known(Json::objectValue);
+  if (Value.isObject() && Value.isMember(Name))
+    Known[Name] = Value[Name];
+  return Known;
+}
+
+Json::Value encodeQueriedJob(const QueriedJob &Job) {
+  Json::Value V(Json::objectValue);
+  V["id"] = Job.Id.Value;
+  if (Job.Cancel)
+    V["cancel"] = true;
+  return V;
+}
+
+Result<QueriedJob> decodeQueriedJob(const Json::Value &Value) {
+  ObjectReader Reader(Value, "queried job");
+  QueriedJob Job;
+  // A field of a later version may change what is asked, so it is an error.
+  Reader.string("id", Job.Id.Value, MaxJobIdLength)
+      .optionalBoolean("cancel", Job.Cancel);
+  return finishReading(Reader, std::move(Job));
+}
+
+Result<uint32_t> decodePosition(const Json::Value &Value) {
+  if (Value.isUInt() && Value.asUInt() < MaxQueriedOpenJobs)
+    return Value.asUInt();
+  return Error{ErrorKind::InvalidField, "open has an item that is no position",
+               "send whole numbers below " +
+                   std::to_string(MaxQueriedOpenJobs)};
+}
+
 } // namespace
 
 Json::Value encodePing(const PeerPing &Message) {
@@ -518,4 +552,33 @@
   return finishReading(Reader, std::move(Reply));
 }
 
+Json::Value encodeOpenJobQuery(const OpenJobQuery &Query) {
+  Json::Value V(Json::objectValue);
+  V["jobs"] = encodeList(Query.Jobs, encodeQueriedJob);
+  return V;
+}
+
+Result<OpenJobQuery> decodeOpenJobQuery(const Json::Value &Value) {
+  Json::Value Known = onlyField(Value, "jobs");
+  ObjectReader Reader(Known, "open-job query");
+  OpenJobQuery Query;
+  readList(Reader, "jobs", MaxQueriedOpenJobs, Query.Jobs, decodeQueriedJob);
+  return finishReading(Reader, std::move(Query));
+}
+
+Json::Value encodeOpenJobReply(const OpenJobReply &Reply) {
+  Json::Value V(Json::objectValue);
+  V["open"] = encodeList(
+      Reply.Open, [](uint32_t Position) { return Json::Value(Position); });
+  return V;
+}
+
+Result<OpenJobReply> decodeOpenJobReply(const Json::Value &Value) {
+  Json::Value Known = onlyField(Value, "open");
+  ObjectReader Reader(Known, "open-job reply");
+  OpenJobReply Reply;
+  readList(Reader, "open", MaxQueriedOpenJobs, Reply.Open, decodePosition);
+  return finishReading(Reader, std::move(Reply));
+}
+
 } // namespace snipeshunt
--- a/src/rpc/cell_codec.h
+++ b/src/rpc/cell_codec.h
@@ -4,13 +4,17 @@
 /// Each `decode` function rejects missing, unknown and out-of-range fields with
 /// an error that gives the field. `cell.ping` carries a ping and returns a
 /// pong, `cell.snapshot` returns a snapshot, `cell.results` carries a result
-/// query and returns a result reply; a job order is the body of a request to
+/// query and returns a result reply, `cell.open_jobs` carries an open-job query
+/// and returns an open-job reply; a job order is the body of a request to
 /// `/v1/cell-jobs`, and a job result that of its reply. Earlier versions answer
-/// `cell.results` with an error.
+/// `cell.results` and `cell.open_jobs` with an error. Unknown fields of the two
+/// messages of `cell.open_jobs` are ignored, so that later versions can add
+/// some.
 #ifndef SNIPESHUNT_RPC_CELL_CODEC_H
 #define SNIPESHUNT_RPC_CELL_CODEC_H
 
 #include "core/error_type.h"
+#include "sender/open_job_type.h"
 #include "sender/sender_type.h"
 
 #include <json/json.h>
@@ -38,6 +42,12 @@
 Json::Value encodeResultReply(const ResultReply &Reply);
 Result<ResultReply> decodeResultReply(const Json::Value &Value);
 
+Json::Value encodeOpenJobQuery(const OpenJobQuery &Query);
+Result<OpenJobQuery> decodeOpenJobQuery(const Json::Value &Value);
+
+Json::Value encodeOpenJobReply(const OpenJobReply &Reply);
+Result<OpenJobReply> decodeOpenJobReply(const Json::Value &Value);
+
 } // namespace snipeshunt
 
 #endif // SNIPESHUNT_RPC_CELL_CODEC_H
--- a/src/runtime/cell_daemon.cpp
+++ b/src/runtime/cell_daemon.cpp
@@ -181,6 +181,18 @@
     dispatch(ResultQueryArrived{{}, std::move(valueOf(Decoded))});
     return std::move(ResultsReply);
   });
+  Rpc.bind("cell.open_jobs", [this](const Json::Value &Message) {
+    Result<OpenJobQuery> Decoded = decodeOpenJobQuery(Message);
+    if (failed(Decoded)) {
+      SNIPESHUNT_LOG(WARNING, "sender")
+          << "malformed open-job query from a peer rejected: "
+          << errorOf(Decoded).Message << "; " << errorOf(Decoded).Remedy;
+      return encodeRpcError(errorOf(Decoded));
+    }
+    OpenJobsReply = Json::Value(Json::objectValue);
+    dispatch(OpenJobQueryArrived{{}, std::move(valueOf(Decoded))});
+    return std::move(OpenJobsReply);
+  });
   Server.RequestReceived.connect([this](const HttpRequest &Request) {
     if (Request.Path == "/rpc")
       Server.reply(Request.Id, {200, Rpc.handle(Request.Body)});
@@ -202,6 +214,11 @@
   Effects.on<AnswerResultQuery>().connect([this](const AnswerResultQuery &E) {
     ResultsReply = encodeResultReply(E.Reply);
   });
+  Effects.on<AnswerOpenJobQuery>().connect([this](const AnswerOpenJobQuery &E) {
+    OpenJobsReply = encodeOpenJobReply(E.Reply);
+  });
+  Effects.on<SendOpenJobQuery>().connect(
+      [this](const SendOpenJobQuery &E) { query(E); });
   Effects.on<SendResultQuery>().connect(
       [this](const SendResultQuery &E) { query(E); });
   Effects.on<AnswerJob>().connect([this](const AnswerJob &E) {
@@ -337,6 +354,39 @@
   });
 }
 
+void CellDaemon::query(const SendOpenJobQuery &E) {
+  HttpCall Call;
+  Call.Target = E.Receiver;
+  Call.Method = "POST";
+  Call.Path = "/rpc";
+  Call.Body = encodeRpcRequest("cell.open_jobs", encodeOpenJobQuery(E.Query));
+  Call.Timeout = PingTimeout;
+  QueryClient.send(std::move(Call), [this, Receiver = E.Receiver,
+                                     Number =
+                                         E.Number](const HttpOutcome &Outcome) {
+    OpenJobQueryAnswered Event;
+    Event.Receiver = Receiver;
+    Event.Number = Number;
+    if (const auto *Failure = std::get_if<HttpFailure>(&Outcome)) {
+      Event.ConnectionRefused = Failure->ConnectionRefused;
+      return dispatch(std::move(Event));
+    }
+    Result<OpenJobReply> Reply =
+        decodeParsed(decodeRpcResponse(std::get<HttpReply>(Outcome).Body),
+                     decodeOpenJobReply);
+    if (failed(Reply)) {
+      SNIPESHUNT_LOG(WARNING, "entry")
+          << "no usable answer to an open-job query from peer="
+          << Receiver.Value
+          << ", it may be of an earlier version: " << errorOf(Reply).Message;
+      Event.NotUnderstood = true;
+    } else {
+      Event.Reply = std::move(valueOf(Reply));
+    }
+    dispatch(std::move(Event));
+  });
+}
+
 void CellDaemon::abandon(const AbandonForward &E) {
   if (E.Silent)
     JobClient.closeIdle(E.Sender);
--- a/src/runtime/cell_daemon.h
+++ b/src/runtime/cell_daemon.h
@@ -55,6 +55,9 @@
   void forward(const ForwardJob &E);
   /// Sends a result query and dispatches its answer if one arrives.
   void query(const SendResultQuery &E);
+  /// Asks an instance which jobs are open there and dispatches
+  /// `OpenJobQueryAnswered`.
+  void query(const SendOpenJobQuery &E);
   /// Closes the connection of a forwarded job.
   void abandon(const AbandonForward &E);
   /// Asks a peer for a snapshot and dispatches it if it arrives.
@@ -69,8 +72,9 @@
   HttpServer Server; ///< For requests of peers.
   HttpClient PingClient;
   HttpClient JobClient; ///< For jobs and snapshots.
-  /// For result queries. Connections of `JobClient` may have fallen silent, and
-  /// those of `PingClient` must not wait for another answer.
+  /// For result queries and open-job queries. Connections of `JobClient` may
+  /// have fallen silent, and those of `PingClient` must not wait for another
+  /// answer.
   HttpClient QueryClient;
   /// Calls of `JobClient` for forwarded jobs, by sender and request.
   std::map<std::pair<Address, RequestId>, uint64_t> ForwardCalls;
@@ -78,6 +82,7 @@
   Json::Value PongReply; ///< Reply to the ping that is being handled.
   /// Reply to the result query that is being handled.
   Json::Value ResultsReply;
+  Json::Value OpenJobsReply; ///< Reply to the open-job query being handled.
   std::deque<InstanceEventBody> Pending; ///< Events to be handled.
   bool Dispatching = false;              ///< `dispatch` is on the call stack.
   Timer TickTimer; ///< Dispatches `InstanceTick` and flushes the log.
--- a/src/runtime/cell_metrics.cpp
+++ b/src/runtime/cell_metrics.cpp
@@ -65,6 +65,14 @@
   Values.setCounter("entry_results_fetched_total",
                     "Results fetched because a sender's answer was lost.",
                     E.Fetched);
+  const OpenJobState &Elsewhere = State.Entry.Elsewhere;
+  Values.setCounter("entry_questions_total",
+                    "Queries and cancels of jobs that were not open here.",
+                    Elsewhere.Asked);
+  Values.setCounter("entry_questions_unresolved_total",
+                    "Of these, answered 503 because it was not known whether "
+                    "the job was open.",
+                    Elsewhere.Unresolved);
   const SenderCounters &S = State.Sender.Counts;
   Values.setCounter("sender_jobs_total", "Jobs admitted by this sender.",
                     S.JobsAccepted);
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -392,6 +392,13 @@
   answer(State, Id, J.Waiter, std::move(Result), Now, Out);
 }
 
+void rejectCancelledJob(SenderState &State, const JobOrder &Order,
+                        const JobWaiter &Waiter, SteadyTime Now,
+                        InstanceEffects &Out) {
+  rejectJob(State, Order, Waiter, "cancelled by its caller at another instance",
+            /*Moved=*/false, Now, Out);
+}
+
 void abandonJob(SenderState &State, const JobWaiter &Waiter, SteadyTime Now,
                 InstanceEffects &Out) {
   auto It = State.JobsByWaiter.find(Waiter);
--- a/src/sender/job_cmd.h
+++ b/src/sender/job_cmd.h
@@ -21,6 +21,11 @@
 void acceptJob(SenderState &State, const JobOrder &Order, JobWaiter Waiter,
                SteadyTime Now, InstanceEffects &Out);
 
+/// Rejects a job that its caller has cancelled at another instance.
+void rejectCancelledJob(SenderState &State, const JobOrder &Order,
+                        const JobWaiter &Waiter, SteadyTime Now,
+                        InstanceEffects &Out);
+
 /// Ends a job as lost, since its waiter no longer awaits it. Called when the
 /// caller cancels or disconnects, or the entry closes the connection.
 void abandonJob(SenderState &State, const JobWaiter &Waiter, SteadyTime Now,
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -239,6 +239,14 @@
   SteadyTime Updated{}; ///< When a job was last added.
 };
 
+/// Jobs that callers have cancelled at other instances. Their number and age
+/// are limited.
+struct RemoteCancels {
+  std::unordered_map<JobId, SteadyTime> Jobs; ///< When each arrived last.
+  /// Jobs by arrival, oldest first; those that arrived again are outdated.
+  std::deque<std::pair<SteadyTime, JobId>> Order;
+};
+
 /// State of the sender part of an instance.
 struct SenderState {
   FleetBounds Bounds; ///< From the settings.
@@ -261,6 +269,7 @@
   /// Retained results by end of the job, oldest first.
   std::deque<std::pair<SteadyTime, JobId>> RetainedResultOrder;
   CrashHistory Crashes;
+  RemoteCancels Cancelled;
   LearnedTimes Learned;
   SenderCounters Counts;
 };
--- a/tests/cell_codec_malformed_test.cpp
+++ b/tests/cell_codec_malformed_test.cpp
@@ -94,10 +94,11 @@
        {encodePing(Ping), encodePong(Pong), encodeSnapshot(Snapshot),
         encodeJobOrder(someOrder()), encodeJobResult(Result),
         encodeResultQuery(Query), encodeResultReply(Reply),
-        encodeHandover(Handover), encodeHandoverReply({}), encodeReport(Report),
-        encodeReportReply({}), encodeRevoke(Revoke), encodeRevokeReply({}),
-        encodeHeartbeat(Beat), encodeConfiguration({}),
-        encodeAnswers({1}, Answers)})
+        encodeOpenJobQuery({{{{"job-1"}, true}, {{"job-2"}, false}}}),
+        encodeOpenJobReply({{0, 1}}), encodeHandover(Handover),
+        encodeHandoverReply({}), encodeReport(Report), encodeReportReply({}),
+        encodeRevoke(Revoke), encodeRevokeReply({}), encodeHeartbeat(Beat),
+        encodeConfiguration({}), encodeAnswers({1}, Answers)})
     Texts.push_back(writeJson(V));
   return Texts;
 }
@@ -122,6 +123,8 @@
   Count(decodeJobResult(Message));
   Count(decodeResultQuery(Message));
   Count(decodeResultReply(Message));
+  Count(decodeOpenJobQuery(Message));
+  Count(decodeOpenJobReply(Message));
   Count(decodeHandover(Message));
   Count(decodeHandoverReply(Message));
   Count(decodeReport(Message));
--- a/tests/cell_codec_test.cpp
+++ b/tests/cell_codec_test.cpp
@@ -1,6 +1,8 @@
 /// \file Messages between instances of a fleet of cells keep every field when
 /// encoded and decoded.
 #include "rpc/cell_codec.h"
+
+#include "core/json_func.h"
 #include "rpc/rpc_codec.h"
 #include "rpc/rpc_server.h"
 
@@ -204,3 +206,65 @@
 TEST(CellCodecTest, FlagOfEarlierRunsIsLeftOutIfItIsNotSet) {
   EXPECT_FALSE(encodeJobResult({}).isMember("may_have_run"));
 }
+
+// As above, for queries of open jobs and their answers.
+TEST(CellCodecTest, OpenJobQueryAndReplyKeepTheirFields) {
+  OpenJobQuery Query{{{{"job-1"}, true}, {{"job-2"}, false}}};
+  OpenJobQuery Asked = decoded(decodeOpenJobQuery(encodeOpenJobQuery(Query)));
+  ASSERT_EQ(Asked.Jobs.size(), 2U);
+  EXPECT_EQ(Asked.Jobs[0].Id, Query.Jobs[0].Id);
+  EXPECT_TRUE(Asked.Jobs[0].Cancel);
+  EXPECT_EQ(Asked.Jobs[1].Id, Query.Jobs[1].Id);
+  EXPECT_FALSE(Asked.Jobs[1].Cancel);
+  OpenJobReply Reply{{0, 255}};
+  EXPECT_EQ(decoded(decodeOpenJobReply(encodeOpenJobReply(Reply))).Open,
+            Reply.Open);
+}
+
+// Guards against a later version whose additions make its queries unreadable.
+TEST(CellCodecTest, AddedFieldsOfOpenJobMessagesAreIgnored) {
+  Json::Value Query = encodeOpenJobQuery({{{{"job-1"}, true}}});
+  Query["added"] = 1;
+  EXPECT_EQ(decoded(decodeOpenJobQuery(Query)).Jobs.size(), 1U);
+  Json::Value Reply = encodeOpenJobReply({{0}});
+  Reply["added"] = 1;
+  EXPECT_EQ(decoded(decodeOpenJobReply(Reply)).Open.size(), 1U);
+}
+
+// Guards against a malformed message that is taken for an answer that no job is
+// open, or for a query of other jobs.
+TEST(CellCodecTest, MalformedOpenJobMessagesAreErrors) {
+  auto Query = [](const char *Text) {
+    return decodeOpenJobQuery(valueOf(parseJson(Text)));
+  };
+  for (const char *Text : {"{}", R"({"jobs": {}})", R"({"jobs": ["job-1"]})",
+                           R"({"jobs": [{"cancel": true}]})",
+                           R"({"jobs": [{"id": "a", "cancel": 1}]})",
+                           R"({"jobs": [{"id": "a", "state": "x"}]})"}) {
+    Result<OpenJobQuery> Decoded = Query(Text);
+    ASSERT_TRUE(failed(Decoded)) << Text;
+    EXPECT_FALSE(errorOf(Decoded).Message.empty());
+  }
+  EXPECT_TRUE(failed(
+      decodeOpenJobQuery(encodeOpenJobQuery({{{{std::string(257, 'a')}}}}))));
+  EXPECT_TRUE(failed(decodeOpenJobQuery(
+      encodeOpenJobQuery({std::vector<QueriedJob>(257, {{"a"}, true})}))));
+  for (const char *Text :
+       {"{}", R"({"open": 0})", R"({"open": [-1]})", R"({"open": [256]})",
+        R"({"open": ["0"]})", R"({"open": [0.5]})"})
+    EXPECT_TRUE(failed(decodeOpenJobReply(valueOf(parseJson(Text))))) << Text;
+}
+
+// Guards against queries that break a fleet while it is upgraded, as for
+// queries of results.
+TEST(CellCodecTest, EarlierVersionsAnswerOpenJobQueriesWithAnError) {
+  RpcServer Earlier;
+  Earlier.bind("cell.ping", [](const Json::Value &) {
+    return Json::Value(Json::objectValue);
+  });
+  std::string Query =
+      encodeRpcRequest("cell.open_jobs", encodeOpenJobQuery({{{{"job-1"}}}}));
+  EXPECT_TRUE(failed(decodeRpcResponse(Earlier.handle(Query))));
+  std::string Ping = encodeRpcRequest("cell.ping", encodePing({}));
+  EXPECT_FALSE(failed(decodeRpcResponse(Earlier.handle(Ping))));
+}
--- a/tests/support/cell_world.cpp
+++ b/tests/support/cell_world.cpp
@@ -185,6 +185,24 @@
   return Number;
 }
 
+size_t CellWorld::cancel(const Address &Entry, const std::string &Job) {
+  size_t Number = Callers.size();
+  Callers.push_back({Now, std::nullopt, {}});
+  RequestId Request{Number + 1};
+  CallerByRequest[{Entry, Request}] = Number;
+  deliver(Entry, JobCancelled{Request, {Job}});
+  return Number;
+}
+
+size_t CellWorld::query(const Address &Entry, const std::string &Job) {
+  size_t Number = Callers.size();
+  Callers.push_back({Now, std::nullopt, {}});
+  RequestId Request{Number + 1};
+  CallerByRequest[{Entry, Request}] = Number;
+  deliver(Entry, JobQueried{Request, {Job}});
+  return Number;
+}
+
 void CellWorld::disconnectCaller(size_t Number) {
   for (const auto &[Key, N] : CallerByRequest)
     if (N == Number)
@@ -373,6 +391,21 @@
             if (areLinked(Self, To))
               schedule(Now + Hop, [this, To, Event] { deliver(To, Event); });
           },
+          [&](const SendOpenJobQuery &Q) { sendQuery(I, Q); },
+          [&](const AnswerOpenJobQuery &A) {
+            auto It = I.Pings.find(A.Request);
+            if (It == I.Pings.end())
+              return;
+            Address To = It->second;
+            OpenJobQueryAnswered Event;
+            Event.Receiver = Self;
+            Event.Number = I.QueryNumbers[A.Request];
+            Event.Reply = A.Reply;
+            I.Pings.erase(It);
+            I.QueryNumbers.erase(A.Request);
+            if (areLinked(Self, To))
+              schedule(Now + Hop, [this, To, Event] { deliver(To, Event); });
+          },
           [&](const StartRun &S) { sendOrder(I, S); },
           [&](const StopRun &S) { sendOrder(I, S); },
           [&](const RenewUpstream &R) { sendOrder(I, R); },
@@ -538,6 +571,39 @@
   });
 }
 
+void CellWorld::sendQuery(Instance &I, const SendOpenJobQuery &E) {
+  ++OpenJobQueries;
+  Address From = I.Record.Endpoint;
+  Address To = E.Receiver;
+  auto It = Instances.find(To);
+  OpenJobQueryAnswered Failure;
+  Failure.Receiver = To;
+  Failure.Number = E.Number;
+  Failure.ConnectionRefused =
+      areLinked(From, To) &&
+      (It == Instances.end() || (!It->second.Alive && !It->second.PoweredOff));
+  Failure.NotUnderstood = areLinked(From, To) && EarlierVersions.count(To) != 0;
+  bool AtOnce = Failure.ConnectionRefused || Failure.NotUnderstood;
+  // The reducer ignores the time-out of a query that was answered before.
+  uint64_t StartCount = I.StartCount;
+  schedule(Now + (AtOnce ? Hop * 2 : PingLimit),
+           [this, From, StartCount, Failure] {
+             if (Instances.at(From).StartCount == StartCount)
+               deliver(From, Failure);
+           });
+  if (AtOnce || OneWayCuts.count({From, To}) || OneWayCuts.count({To, From}))
+    return;
+  sendMessage(From, To, [this, From, To, E] {
+    auto Peer = Instances.find(To);
+    if (Peer == Instances.end() || !Peer->second.Alive)
+      return;
+    RequestId Request{Peer->second.NextRequest++};
+    Peer->second.Pings[Request] = From;
+    Peer->second.QueryNumbers[Request] = E.Number;
+    deliver(To, OpenJobQueryArrived{Request, E.Query});
+  });
+}
+
 void CellWorld::abandonForward(const Address &From, const AbandonForward &E) {
   Instance &Entry = Instances.at(From);
   if (E.Silent)
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -89,6 +89,10 @@
                 Duration TaskTime, Duration Patience = std::chrono::seconds(3),
                 int64_t CpuMillis = 27000);
   const CallerRecord &caller(size_t Number) const { return Callers[Number]; }
+  /// Cancels a job at an instance; returns the request's number for `caller`.
+  size_t cancel(const Address &Entry, const std::string &Job);
+  /// Asks an instance for a job's state, as `cancel`.
+  size_t query(const Address &Entry, const std::string &Job);
   /// The caller closes its connection.
   void disconnectCaller(size_t Number);
 
@@ -172,6 +176,13 @@
   SteadyTime endedAt(const Address &Endpoint) const {
     return Instances.at(Endpoint).Ended;
   }
+  /// Makes an instance answer open-job queries with an error, as those of
+  /// earlier versions do.
+  void setEarlierVersion(const Address &Endpoint) {
+    EarlierVersions.insert(Endpoint);
+  }
+  /// Returns the number of open-job queries that were sent.
+  size_t openJobQueries() const { return OpenJobQueries; }
   /// Returns the number of result queries that were sent.
   size_t resultQueries() const { return ResultQueries; }
   /// Returns true if the machine is without power: connections to it stay open.
@@ -199,9 +210,11 @@
     std::set<RequestId> SilentForwards;
     /// Idle connections that have fallen silent, by sender.
     std::map<Address, size_t> SilentIdle;
-    /// Pings and result queries of peers that have not been answered, by
+    /// Pings and queries of peers that have not been answered, by
     /// request: the peer.
     std::map<RequestId, Address> Pings;
+    /// Numbers of the open-job queries among them.
+    std::map<RequestId, uint64_t> QueryNumbers;
     uint64_t NextRequest = 1; ///< Of peers.
   };
   struct Run {
@@ -241,6 +254,7 @@
   void sendPing(Instance &I, const SendPing &E);
   void forwardJob(Instance &I, const ForwardJob &E);
   void sendQuery(Instance &I, const SendResultQuery &E);
+  void sendQuery(Instance &I, const SendOpenJobQuery &E);
   void abandonForward(const Address &From, const AbandonForward &E);
   void sendOrder(Instance &I, const StartRun &E);
   void sendOrder(Instance &I, const StopRun &E);
@@ -281,6 +295,8 @@
   std::map<std::pair<JobId, uint32_t>, Duration> CrashingTasks;
   size_t Crashes = 0;
   size_t ResultQueries = 0;
+  size_t OpenJobQueries = 0;
+  std::set<Address> EarlierVersions; ///< See `setEarlierVersion`.
   std::vector<RunRecord> Runs;
   std::set<Address> CutGroup; ///< Cut off from all other addresses.
   /// Messages from the first address to the second one are lost.
