http: close idle connections that may be silent after a time-out

Open connections go silent together, and the stop of a job is sent on up to three of them, one after another, each of which costs its time-out.

Cause: a time-out closed the connection of its own call only.

Change: a call that times out closes the idle connections to its target whose last call was sent before it. The request counts, not the reply: a reply may have been on its way when the connection fell silent. Open calls and connections with a later answered call are kept. A process that was delayed by 20 ms or more reads for 5 ms what has arrived before a call counts as timed out, so that its own delay closes no connections.

Cost: at most as many new connections for a time-out as were idle, three to an upstream.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -18,6 +18,14 @@
 
 namespace {
 
+// A timer that fires this late shows that the process was delayed, so that
+// replies may have arrived in time that have not been read. Timers are usually
+// late by a few milliseconds.
+constexpr Duration LateTimer = std::chrono::milliseconds(20);
+// Time for reading the replies that arrived during a delay. Each turn of the
+// event loop reads from a limited number of sockets before it runs timers.
+constexpr Duration LateReadTime = std::chrono::milliseconds(5);
+
 evhttp_cmd_type methodType(std::string_view Name) {
   if (Name == "POST")
     return EVHTTP_REQ_POST;
@@ -59,6 +67,9 @@
     RequestBytesQueued = false;
     Written.reset();
     TimedOut = false;
+    ReadAfterDelay = false;
+    Started = bootTimeNow();
+    Timeout = Call.Timeout;
     Request = evhttp_request_new(handleDone, this);
     OnChunk = std::move(Call.OnChunk);
     if (OnChunk)
@@ -104,6 +115,7 @@
   uint64_t number() const { return Number; }
   /// Ends the call, if it has not ended, and the connection with it.
   void cancel() { end("cancelled request to "); }
+  SteadyTime startedAt() const { return Started; }
   SteadyTime IdleSince{};
 
 private:
@@ -177,6 +189,12 @@
   }
 
   void expire() {
+    // The delay of this process is no sign of a lost request or reply.
+    if (!ReadAfterDelay && bootTimeNow() - Started >= Timeout + LateTimer) {
+      ReadAfterDelay = true;
+      Deadline.startOnce(LateReadTime);
+      return;
+    }
     TimedOut = true;
     end("timed out waiting for ");
   }
@@ -186,8 +204,10 @@
       return;
     // evhttp does not call `handleDone` for a cancelled request.
     evhttp_cancel_request(std::exchange(Request, nullptr));
-    complete(HttpFailure{!RequestBytesQueued, Reason + Endpoint.Value},
-             /*Reusable=*/false);
+    HttpFailure Failure{!RequestBytesQueued, Reason + Endpoint.Value};
+    if (TimedOut)
+      Failure.UnansweredSince = Started;
+    complete(Failure, /*Reusable=*/false);
   }
 
   void complete(const HttpOutcome &Outcome, bool Reusable) {
@@ -206,6 +226,9 @@
   bool RequestBytesQueued = false;
   std::optional<SteadyTime> Written; ///< When the last byte was written.
   bool TimedOut = false;
+  bool ReadAfterDelay = false; ///< The time-out was put off; see `expire`.
+  SteadyTime Started{};        ///< When the present call was sent.
+  Duration Timeout{0};         ///< Of the present call.
 };
 
 HttpClient::HttpClient(EventLoop &Loop, HttpClientOptions Options)
@@ -283,6 +306,11 @@
                    [C](const auto &Candidate) { return Candidate.get() == C; });
   std::unique_ptr<Connection> Owned = std::move(*It);
   T.Busy.erase(It);
+  const auto *Failure = std::get_if<HttpFailure>(&Outcome);
+  // Connections may fall silent together. Each would cost a later call its
+  // time-out.
+  if (Failure && Failure->UnansweredSince)
+    closeIdleSince(Endpoint, *Failure->UnansweredSince);
   // evhttp still uses the connection after its callback, so the connection can
   // be neither freed nor given a new request before that has returned.
   (Reusable ? PendingIdle : PendingDeletion).push_back(std::move(Owned));
@@ -328,6 +356,17 @@
     Found->second.Idle.clear();
 }
 
+void HttpClient::closeIdleSince(const Address &Target, SteadyTime Since) {
+  auto Found = Targets.find(Target);
+  if (Found == Targets.end())
+    return;
+  auto &Idle = Found->second.Idle;
+  Idle.erase(
+      std::remove_if(Idle.begin(), Idle.end(),
+                     [Since](const auto &C) { return C->startedAt() < Since; }),
+      Idle.end());
+}
+
 void HttpClient::closeExpired() {
   SteadyTime Limit = bootTimeNow() - Options.IdleTimeout;
   for (auto It = Targets.begin(); It != Targets.end();) {
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -53,6 +53,12 @@
   void cancel(const Address &Target, uint64_t Number);
   /// Closes the connections to \p Target that have no call.
   void closeIdle(const Address &Target);
+  /// Closes the connections to \p Target that have no call and whose last call
+  /// was sent before \p Since. The reply to it may have been on its way when
+  /// the connection fell silent, so only its request shows when the connection
+  /// worked. A call that times out does so by itself, with the time when it was
+  /// sent.
+  void closeIdleSince(const Address &Target, SteadyTime Since);
   /// The callback of a call has thrown an exception with this message. While
   /// nothing is connected here, the exception ends the process.
   sigc::signal<void(const std::string &)> HandlerFailed;
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -62,6 +62,8 @@
   /// can't have received it.
   bool NothingSent = false;
   std::string Message; ///< What happened.
+  /// When the call was sent, if it got no reply within `HttpCall::Timeout`.
+  std::optional<SteadyTime> UnansweredSince;
   /// The connection could not be opened, and this was known before the timeout.
   bool ConnectionRefused = false;
   /// Time for which the written request waited until the other side closed the
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -2,13 +2,10 @@
 #include "http/http_address.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
+#include "support/counting_server.h"
 
 #include <gtest/gtest.h>
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
-
 #include <arpa/inet.h>
 #include <malloc.h>
 #include <sys/resource.h>
@@ -21,6 +18,8 @@
 namespace snipeshunt {
 namespace {
 
+using testing::CountingServer;
+
 /// Sends \p Call and runs the loop until its outcome is known.
 HttpOutcome callAndWait(EventLoop &Loop, HttpClient &Client, HttpCall Call) {
   HttpOutcome Out = HttpFailure{};
@@ -78,62 +77,6 @@
   int Socket;
 };
 
-/// Answers each request with an empty body, and counts connections.
-class CountingServer {
-public:
-  explicit CountingServer(EventLoop &Loop) : Loop(Loop) {
-    sockaddr_in Local{};
-    Local.sin_family = AF_INET;
-    inet_pton(AF_INET, "127.0.0.1", &Local.sin_addr);
-    Listener = evconnlistener_new_bind(
-        Loop.base(), handleAccept, this,
-        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, -1,
-        reinterpret_cast<sockaddr *>(&Local), sizeof(Local));
-  }
-  CountingServer(const CountingServer &) = delete;
-  CountingServer &operator=(const CountingServer &) = delete;
-  ~CountingServer() {
-    for (bufferevent *C : Connections)
-      bufferevent_free(C);
-    evconnlistener_free(Listener);
-  }
-
-  Address endpoint() const {
-    sockaddr_in Local{};
-    socklen_t Size = sizeof(Local);
-    getsockname(evconnlistener_get_fd(Listener),
-                reinterpret_cast<sockaddr *>(&Local), &Size);
-    return {"127.0.0.1:" + std::to_string(ntohs(Local.sin_port))};
-  }
-  size_t accepted() const { return Connections.size(); }
-  size_t requests() const { return Requests; }
-
-private:
-  static void handleAccept(evconnlistener *, evutil_socket_t Socket, sockaddr *,
-                           int, void *Arg) {
-    auto *Self = static_cast<CountingServer *>(Arg);
-    bufferevent *C = bufferevent_socket_new(Self->Loop.base(), Socket,
-                                            BEV_OPT_CLOSE_ON_FREE);
-    bufferevent_setcb(C, handleRead, nullptr, nullptr, Self);
-    bufferevent_enable(C, EV_READ | EV_WRITE);
-    Self->Connections.push_back(C);
-  }
-  /// A request without a body arrives in one piece over loopback.
-  static void handleRead(bufferevent *C, void *Arg) {
-    ++static_cast<CountingServer *>(Arg)->Requests;
-    evbuffer *Input = bufferevent_get_input(C);
-    evbuffer_drain(Input, evbuffer_get_length(Input));
-    constexpr std::string_view Reply =
-        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-    bufferevent_write(C, Reply.data(), Reply.size());
-  }
-
-  EventLoop &Loop;
-  evconnlistener *Listener;
-  std::vector<bufferevent *> Connections;
-  size_t Requests = 0;
-};
-
 // Guards against an unlimited number of connections: none is accepted while
 // more descriptors are open than allowed.
 TEST(HttpServerTest, PausesAcceptingAboveDescriptorLimit) {
