sender: repeat a stop without an answer at once

An entry instance is killed while open connections are silent. Its sender stops the job 1,000 ms after its last ping, and the stop reached the upstream up to 600 ms later, after the caller's next submission had been started elsewhere.

Cause: a stop that had timed out after 150 ms waited until 200 ms after it was sent, and was lost again on the next silent connection. The time for a stop was assumed, not added up.

Change: the first stop without an answer is repeated at once; the time-out has closed the other connections that may be silent.

Cost: one stop more, at most, for a run whose stop gets no answer.

--- a/src/cells/cell_table.h
+++ b/src/cells/cell_table.h
@@ -36,8 +36,9 @@
 /// for much longer than the leases of its upstreams last, about 1 s.
 constexpr Duration SuspectAfter = std::chrono::milliseconds(900);
 /// Silence of an entry instance after which its jobs are stopped. Together with
-/// the time that a stop takes, it is below the pause after which a caller
-/// submits a job again elsewhere, 1.3 s.
+/// the time that a stop takes, one time-out included, it is below the pause
+/// after which a caller submits a job again elsewhere, 1.3 s; docs/proofs.md,
+/// "The margin of a stop", adds up the steps.
 constexpr Duration EntryTimeout = std::chrono::milliseconds(1000);
 /// A peer is a candidate for the sender of a cell for the period of its pings
 /// and this long after its last answer or message.
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -34,6 +34,8 @@
   bool StopRequested = false;  ///< The run is to be stopped.
   bool StopPending = false;    ///< A stop has been sent and not answered yet.
   SteadyTime StopSent{};       ///< When the last stop was sent.
+  /// A stop without an answer was repeated at once; further ones wait.
+  bool StopRepeated = false;
   /// When the upstream's acceptance of the stop was received.
   std::optional<SteadyTime> StopAcknowledged;
   /// The upstream's process changed before the start was answered. The next one
--- a/src/sender/sender_table.h
+++ b/src/sender/sender_table.h
@@ -19,7 +19,8 @@
 /// time.
 constexpr Duration RenewalSlack = std::chrono::milliseconds(140);
 /// Timeout of starts and stops. Upstreams answer within a few milliseconds; the
-/// rest of the lease remains for stopping a run whose start timed out.
+/// rest of the lease remains for stopping a run whose start timed out. A stop
+/// and its repetition have to fit into the time that `EntryTimeout` leaves.
 constexpr Duration OrderTimeout = std::chrono::milliseconds(150);
 /// Longest delay before an end is acknowledged. A renewal for further runs
 /// usually acknowledges it earlier, which saves a call.
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-// Interval at which a stop is repeated until the upstream accepts it.
+// Interval at which a stop is repeated until the upstream accepts it, except
+// for the first repetition.
 constexpr Duration StopRetryInterval = std::chrono::milliseconds(200);
 
 int64_t steadyMs(SteadyTime T) { return toMilliseconds(T.time_since_epoch()); }
@@ -450,6 +451,12 @@
   if (It == U->Runs.end())
     return;
   It->second.StopPending = false;
+  if (Event.Status == OrderStatus::Unknown && !It->second.StopRepeated) {
+    // The time-out has closed the connections that may be silent as well. The
+    // caller of the job may submit it again elsewhere soon.
+    It->second.StopRepeated = true;
+    orderStop(*U, It->second, Now, Out);
+  }
   if (Event.Status != OrderStatus::Accepted)
     return;
   It->second.StopAcknowledged = Now;
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -41,6 +41,9 @@
   double LateOrders = 0;
   /// Share of the renewals that get no answer and are not carried out.
   double LostRenewalShare = 0;
+  /// The sender's connections for starts and stops have fallen silent: an order
+  /// is lost until one has timed out, after which the client opens new ones.
+  bool SilentConnections = false;
 };
 
 /// A run as a simulated upstream has carried it out.
@@ -174,6 +177,8 @@
   }
   /// Returns the number of result queries that were sent.
   size_t resultQueries() const { return ResultQueries; }
+  /// Returns the number of stops that were sent to upstreams.
+  size_t stopsSent() const { return StopsSent; }
   /// Returns true if the machine is without power: connections to it stay open.
   bool isPoweredOff(const Address &Endpoint) const {
     return Instances.at(Endpoint).PoweredOff;
@@ -257,6 +262,9 @@
   int64_t clockOf(const Upstream &U) const;
   OrderStatus applyStart(Upstream &U, const StartRun &E);
   OrderStatus applyStop(Upstream &U, const StopRun &E);
+  /// Delivers \p Answer of an order to \p Id that got none.
+  void timeOutOrder(const Address &From, const UpstreamId &Id,
+                    InstanceEventBody Answer);
   /// Returns true in the given share of the calls.
   bool occurs(double Share);
   /// Ends the upstream's runs with its process.
@@ -281,6 +289,7 @@
   std::map<std::pair<JobId, uint32_t>, Duration> CrashingTasks;
   size_t Crashes = 0;
   size_t ResultQueries = 0;
+  size_t StopsSent = 0;
   std::vector<RunRecord> Runs;
   std::set<Address> CutGroup; ///< Cut off from all other addresses.
   /// Messages from the first address to the second one are lost.
--- a/tests/support/cell_world_upstreams.cpp
+++ b/tests/support/cell_world_upstreams.cpp
@@ -99,6 +99,14 @@
   return Share > 0 && std::bernoulli_distribution(Share)(Random);
 }
 
+void CellWorld::timeOutOrder(const Address &From, const UpstreamId &Id,
+                             InstanceEventBody Answer) {
+  schedule(Now + OrderLimit, [this, From, Id, Answer = std::move(Answer)] {
+    Upstreams[Id].Faults.SilentConnections = false;
+    deliver(From, Answer);
+  });
+}
+
 void CellWorld::sendOrder(Instance &I, const StartRun &E) {
   Address From = I.Record.Endpoint;
   UpstreamId Id = E.Upstream;
@@ -117,11 +125,11 @@
           Target.Faults.StartsOutliveProcess)
         applyStart(Target, E);
     });
-    schedule(Now + OrderLimit, [this, From, Lost] { deliver(From, Lost); });
+    timeOutOrder(From, Id, Lost);
     return;
   }
-  if (!canReach(From, U)) {
-    schedule(Now + OrderLimit, [this, From, Lost] { deliver(From, Lost); });
+  if (!canReach(From, U) || U.Faults.SilentConnections) {
+    timeOutOrder(From, Id, Lost);
     return;
   }
   schedule(Now + Hop, [this, From, Id, E, Lost] {
@@ -169,10 +177,12 @@
                if (Upstreams[Id].Record.StartedAt == StartedAt)
                  applyStop(Upstreams[Id], E);
              });
+  ++StopsSent;
   if (Late || !canReach(From, Upstreams[Id]) ||
-      Upstreams[Id].Faults.LosesStops) {
+      Upstreams[Id].Faults.LosesStops ||
+      Upstreams[Id].Faults.SilentConnections) {
     StopAnswered Lost{Id, E.Token, E.Key, OrderStatus::Unknown};
-    schedule(Now + OrderLimit, [this, From, Lost] { deliver(From, Lost); });
+    timeOutOrder(From, Id, Lost);
     return;
   }
   schedule(Now + Hop, [this, From, Id, E] {
