--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -96,7 +96,6 @@
            "can't open a connection to " + Endpoint.Value});
       return;
     }
-    HasSocket = socket() >= 0;
     enableKeepAlive();
   }
 
@@ -142,8 +141,7 @@
                                                       : "can't connect to ";
       HttpFailure Failure{!Self->RequestBytesQueued,
                           Reason + Self->Endpoint.Value};
-      Failure.ConnectionRefused =
-          Self->HasSocket && !Self->RequestBytesQueued && !Self->TimedOut;
+      Failure.ConnectionRefused = !Self->RequestBytesQueued && !Self->TimedOut;
       if (Self->Written && !Self->TimedOut)
         Failure.LostAfter = bootTimeNow() - *Self->Written;
       Self->complete(Failure, /*Reusable=*/false);
@@ -162,14 +160,10 @@
     Self->complete(std::move(Reply), Reusable);
   }
 
-  int socket() const {
-    return bufferevent_getfd(evhttp_connection_get_bufferevent(Http));
-  }
-
   /// Turns on TCP keep-alive, so that a dead connection fails early even if its
   /// call waits for a long time.
   void enableKeepAlive() {
-    int Socket = socket();
+    int Socket = bufferevent_getfd(evhttp_connection_get_bufferevent(Http));
     if (Owner.Options.KeepAliveIdle.count() == 0 || Socket < 0)
       return;
     auto Set = [Socket](int Level, int Option, int Value) {
@@ -209,8 +203,6 @@
   Callback Done;
   std::function<void(std::string_view)> OnChunk;
   Timer Deadline;
-  /// False if none could be opened for the call, as without free descriptors.
-  bool HasSocket = false;
   bool RequestBytesQueued = false;
   std::optional<SteadyTime> Written; ///< When the last byte was written.
   bool TimedOut = false;
