http: read arrived replies before their calls time out

Calls to the store failed with time-outs although their answers had arrived.

Cause: libevent reads 4 KiB from a connection in each turn of the event loop, so that a configuration of 300 kB takes 75 turns, in each of which a busy process handles many other events. The time-out of the call, which also counts the time in which the process gets no processor time, expires meanwhile.

Change: the client reads all that has arrived, up to 1 MiB in a turn. A time-out no longer counts the time in which the event loop ran late, which a timer of 50 ms measures, and a call whose reply is arriving is extended. A call lasts at most twice its time-out, and at most 2 s longer.

Cost: 20 timer events a second, and one ioctl for each 4 KiB of a reply. A process that is behind notices a silent peer later, by at most the time-out of the call.

--- a/src/http/event_loop.cpp
+++ b/src/http/event_loop.cpp
@@ -20,8 +20,40 @@
   return Tv;
 }
 
+// Period of the checks whether the loop is late.
+constexpr Duration LagCheckPeriod = std::chrono::milliseconds(50);
+// Shorter delays occur between any two events and are not counted.
+constexpr Duration LagTolerance = std::chrono::milliseconds(10);
+
 } // namespace
 
+/// Adds up how late a periodic timer of the loop runs.
+class EventLoop::LagMeter {
+public:
+  explicit LagMeter(EventLoop &Loop) : Check(Loop, [this] { restart(); }) {
+    restart();
+  }
+
+  Duration total() const { return Total + currentDelay(); }
+
+private:
+  Duration currentDelay() const {
+    Duration Late = bootTimeNow() - Due;
+    return Late > LagTolerance ? Late : Duration::zero();
+  }
+
+  void restart() {
+    if (Due != SteadyTime{})
+      Total += currentDelay();
+    Due = bootTimeNow() + LagCheckPeriod;
+    Check.startOnce(LagCheckPeriod);
+  }
+
+  Timer Check;
+  Duration Total{0};
+  SteadyTime Due{}; ///< Of the next check; unset before the first.
+};
+
 void EventLoop::BaseDeleter::operator()(event_base *B) const {
   event_base_free(B);
 }
@@ -48,6 +80,12 @@
 
 void EventLoop::stop() { event_base_loopbreak(Base.get()); }
 
+Duration EventLoop::timeBehind() {
+  if (!Lag)
+    Lag = std::make_unique<LagMeter>(*this);
+  return Lag->total();
+}
+
 void Timer::EventDeleter::operator()(event *E) const { event_free(E); }
 
 Timer::Timer(EventLoop &Loop, std::function<void()> Function)
--- a/src/http/event_loop.h
+++ b/src/http/event_loop.h
@@ -27,12 +27,17 @@
   /// Makes `run` return once the current callback has ended.
   void stop();
   event_base *base() const { return Base.get(); }
+  /// Returns the total time for which due events waited because the process
+  /// did not run or handled others. Measured since the first call.
+  Duration timeBehind();
 
 private:
   struct BaseDeleter {
     void operator()(event_base *B) const;
   };
+  class LagMeter;
   std::unique_ptr<event_base, BaseDeleter> Base;
+  std::unique_ptr<LagMeter> Lag; ///< Null before the first `timeBehind`.
 };
 
 /// Calls a function after a delay, once or periodically. Starting a running
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -10,6 +10,7 @@
 #include <event2/keyvalq_struct.h>
 
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -18,6 +19,22 @@
 
 namespace {
 
+// A call that the process was too late to read may outlast its time-out by at
+// most this, and at most by the time-out itself.
+constexpr Duration MaxExtension = std::chrono::seconds(2);
+// A reply that is arriving at the time-out may pause for less than this.
+constexpr Duration ArrivalCheckPeriod = std::chrono::milliseconds(100);
+// evhttp ends a call itself this long after the last possible moment, which
+// only guards against a call that is never ended. A process that stood still
+// for less than this must not lose its calls by it.
+constexpr std::chrono::seconds EvhttpSlack{30};
+// Most bytes that libevent reads from a connection in one turn of the event
+// loop. An answer of 300 kB takes 75 turns, and a busy process handles many
+// other events in each.
+constexpr size_t LibeventRead = 4096;
+// Bytes of a reply that are read at most before other events are handled.
+constexpr size_t MaxReadPerTurn = 1 << 20;
+
 evhttp_cmd_type methodType(std::string_view Name) {
   if (Name == "POST")
     return EVHTTP_REQ_POST;
@@ -75,13 +92,18 @@
       evhttp_add_header(Headers, Key.c_str(), Value.c_str());
     evbuffer_add(evhttp_request_get_output_buffer(Request), Call.Body.data(),
                  Call.Body.size());
+    Timeout = Call.Timeout;
+    StartedAt = bootTimeNow();
+    BehindAtStart = Owner.Loop.timeBehind();
+    Arrived = 0;
     // The default timeout of evhttp is 50 s. It is set to more than that of the
     // call, so that `Deadline` ends the call and evhttp does not.
     timeval Limit{};
     Limit.tv_sec =
-        std::chrono::ceil<std::chrono::seconds>(Call.Timeout).count() + 1;
+        std::chrono::ceil<std::chrono::seconds>(longestTime() + EvhttpSlack)
+            .count();
     evhttp_connection_set_timeout_tv(Http, &Limit);
-    Deadline.startOnce(Call.Timeout);
+    Deadline.startOnce(Timeout);
     ++Owner.CallsSent;
     if (evhttp_make_request(Http, Request, methodType(Call.Method),
                             Call.Path.c_str()) != 0) {
@@ -117,8 +139,34 @@
     Self->Owner.BytesSent += Info->n_added;
   }
 
-  static void handleInput(evbuffer *, const evbuffer_cb_info *Info, void *Arg) {
-    static_cast<Connection *>(Arg)->Owner.BytesReceived += Info->n_added;
+  static void handleInput(evbuffer *Input, const evbuffer_cb_info *Info,
+                          void *Arg) {
+    auto *Self = static_cast<Connection *>(Arg);
+    Self->Owner.BytesReceived += Info->n_added;
+    Self->Arrived += Info->n_added;
+    if (Info->n_added >= LibeventRead && !Self->ReadingMore)
+      Self->readMore(Input);
+  }
+
+  /// Reads what has arrived in addition to what libevent has read.
+  void readMore(evbuffer *Input) {
+    ReadingMore = true;
+    int Socket = bufferevent_getfd(evhttp_connection_get_bufferevent(Http));
+    for (size_t Total = 0; Total < MaxReadPerTurn;) {
+      // An end or an error of the connection is left to evhttp.
+      int Unread = unreadBytes(Socket);
+      int Count = Unread > 0 ? evbuffer_read(Input, Socket, Unread) : 0;
+      if (Count <= 0)
+        break;
+      Total += static_cast<size_t>(Count);
+    }
+    ReadingMore = false;
+  }
+
+  /// Returns the number of bytes that have arrived and were not read yet.
+  static int unreadBytes(int Socket) {
+    int Bytes = 0;
+    return Socket >= 0 && ioctl(Socket, FIONREAD, &Bytes) == 0 ? Bytes : 0;
   }
 
   static void handleChunk(evhttp_request *Request, void *Arg) {
@@ -176,7 +224,27 @@
     Set(IPPROTO_TCP, TCP_KEEPCNT, 2);
   }
 
+  /// Longest time for which the call can last.
+  Duration longestTime() const {
+    return Timeout + std::min(Timeout, MaxExtension);
+  }
+
+  /// Returns true if a part of the reply has arrived since the last check.
+  bool replyArrives() {
+    int Socket = bufferevent_getfd(evhttp_connection_get_bufferevent(Http));
+    return std::exchange(Arrived, 0) > 0 || unreadBytes(Socket) > 0;
+  }
+
+  /// Ends the call, or extends it if the process could not have read the reply
+  /// for a part of the time, or is reading it.
   void expire() {
+    Duration Used = bootTimeNow() - StartedAt;
+    Duration Left = Timeout + (Owner.Loop.timeBehind() - BehindAtStart) - Used;
+    if (Left <= Duration::zero() && replyArrives())
+      Left = ArrivalCheckPeriod;
+    Left = std::min(Left, longestTime() - Used);
+    if (Left > Duration::zero())
+      return Deadline.startOnce(Left);
     TimedOut = true;
     end("timed out waiting for ");
   }
@@ -203,6 +271,11 @@
   Callback Done;
   std::function<void(std::string_view)> OnChunk;
   Timer Deadline;
+  Duration Timeout{0};       ///< Of the present call.
+  SteadyTime StartedAt{};    ///< Start of the present call.
+  Duration BehindAtStart{0}; ///< `EventLoop::timeBehind` at that time.
+  size_t Arrived = 0; ///< Bytes of the reply since the last `replyArrives`.
+  bool ReadingMore = false;
   bool RequestBytesQueued = false;
   std::optional<SteadyTime> Written; ///< When the last byte was written.
   bool TimedOut = false;
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -49,7 +49,9 @@
   std::string Body;
   /// Sent in addition to `Host` and, with a body, `Content-Type`.
   HttpHeaders Headers;
-  /// Time until the call fails, from when a connection takes it.
+  /// Time until the call fails, from when a connection takes it. Time in which
+  /// the process was too busy to read the reply does not count, nor does the
+  /// time in which the reply arrives; the call lasts at most twice as long.
   Duration Timeout = std::chrono::seconds(5);
   /// Receives the parts of the reply's body as they arrive. They are then not
   /// in the reply. Used for replies that have no end, such as watches.
