directory: keep the watch while a peer has a newer configuration

Callers saw requests refused with 404, or handled by an older version, while versions of the configuration followed each other quickly.

Cause: an instance that learned from a peer's answer to a ping of a newer version gave up its watch at once and read. In a quick succession some peer is always ahead, so that each version led to a read and a new watch. The answer to the former watch was still read and decoded, and then ignored.

Change: the read follows 400 ms after a peer was first ahead, unless a newer version was applied meanwhile; at once if there is no configuration. A read ends the watch that it replaces.

Evidence: DirectoryReads.WatchGoesOnWhileVersionsFollowEachOtherQuickly failed with the former rule: the first ping led to a read, and the answer to the watch was ignored.

Cost: an instance whose watch is silent reads a version up to 400 ms later.

--- a/src/directory/directory_base.h
+++ b/src/directory/directory_base.h
@@ -6,6 +6,7 @@
 #include "directory/directory_type.h"
 
 #include <array>
+#include <optional>
 
 namespace snipeshunt {
 
@@ -56,6 +57,8 @@
   Duration DrainNotice = std::chrono::seconds(2); ///< See `FleetBounds`.
   bool Leaving = false; ///< The registration was withdrawn.
   std::optional<FleetConfiguration> Configuration;
+  /// Since when peers are known to have a newer configuration; unset if none.
+  std::optional<SteadyTime> ConfigurationBehindSince;
   std::vector<UpstreamRecord> Upstreams; ///< Of all data centres.
   SteadyTime NextSnapshotRequest{};      ///< Earliest time to ask a peer again.
 };
--- a/src/directory/directory_cmd.cpp
+++ b/src/directory/directory_cmd.cpp
@@ -93,6 +93,7 @@
                " routes=" + std::to_string(Received.Routes.size()) +
                " revision=" + std::to_string(Revision.Value));
   State.Configuration = Received;
+  State.ConfigurationBehindSince.reset();
 }
 
 /// Delay after a read of the instances.
@@ -159,6 +160,11 @@
 
 void advanceDirectory(DirectoryState &State, SteadyTime Now,
                       InstanceEffects &Out) {
+  if (State.ConfigurationBehindSince &&
+      Now - *State.ConfigurationBehindSince >= ConfigurationReadDelay) {
+    State.ConfigurationBehindSince.reset();
+    rereadNow(State, StoreCollection::Configuration, Now);
+  }
   for (StoreCollection Collection :
        {StoreCollection::Configuration, StoreCollection::Upstreams,
         StoreCollection::Instances})
@@ -307,6 +313,17 @@
                std::to_string(State.Upstreams.size()));
 }
 
+void recordPeerConfiguration(DirectoryState &State, uint64_t Version,
+                             SteadyTime Now) {
+  uint64_t Own = State.Configuration ? State.Configuration->Version : 0;
+  if (Version <= Own)
+    return;
+  if (!State.Configuration)
+    rereadNow(State, StoreCollection::Configuration, Now);
+  else if (!State.ConfigurationBehindSince)
+    State.ConfigurationBehindSince = Now;
+}
+
 void rereadNow(DirectoryState &State, StoreCollection Collection,
                SteadyTime Now) {
   CollectionReader &Reader = readerOf(State, Collection);
--- a/src/directory/directory_cmd.h
+++ b/src/directory/directory_cmd.h
@@ -51,6 +51,12 @@
 void applySnapshot(DirectoryState &State, const SnapshotFetched &Event,
                    InstanceEffects &Out);
 
+/// A peer uses \p Version of the configuration. If it is newer than the one in
+/// use, a read follows after `ConfigurationReadDelay`, unless the watch brings
+/// a newer one before; at once if there is none in use.
+void recordPeerConfiguration(DirectoryState &State, uint64_t Version,
+                             SteadyTime Now);
+
 /// Schedules a read of a collection at once. The answer to a pending call is
 /// ignored; a pending read of the configuration is left to finish instead.
 void rereadNow(DirectoryState &State, StoreCollection Collection,
--- a/src/directory/directory_table.h
+++ b/src/directory/directory_table.h
@@ -24,6 +24,10 @@
 /// moment later.
 constexpr uint32_t EarlyReads = 2;
 constexpr Duration EarlyReadPeriod = std::chrono::milliseconds(250);
+/// Time for which a watch of the configuration goes on although a peer has a
+/// newer one. Instances receive a version at different moments, and a read for
+/// each version of a quick succession would double the calls to the store.
+constexpr Duration ConfigurationReadDelay = std::chrono::milliseconds(400);
 /// Interval of the requests to peers for a snapshot while the store does not
 /// answer.
 constexpr Duration SnapshotPeriod = std::chrono::milliseconds(200);
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -247,11 +247,9 @@
       State.Sender.PlacementDue = true;
     if (E.Reply)
       stopCancelledJobs(E.Endpoint, E.Reply->CancelledJobs);
-    uint64_t Own = State.Directory.Configuration
-                       ? State.Directory.Configuration->Version
-                       : 0;
-    if (E.Reply && E.Reply->ConfigurationVersion > Own)
-      rereadNow(State.Directory, StoreCollection::Configuration, Now);
+    if (E.Reply)
+      recordPeerConfiguration(State.Directory, E.Reply->ConfigurationVersion,
+                              Now);
     if (State.Cells.ClaimsDue)
       updateOwnCells();
   }
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -76,6 +76,73 @@
   EXPECT_TRUE(D.State.Upstreams[0].Draining);
 }
 
+namespace {
+
+FleetConfiguration version(uint64_t Version) {
+  FleetConfiguration Out;
+  Out.Version = Version;
+  return Out;
+}
+
+/// Returns the read of the configuration among \p Out.
+const ReadCollection *configurationRead(const InstanceEffects &Out) {
+  for (const InstanceEffect &E : Out)
+    if (const auto *Read = std::get_if<ReadCollection>(&E);
+        Read && Read->Collection == StoreCollection::Configuration)
+      return Read;
+  return nullptr;
+}
+
+/// Returns the answer to the current watch of the configuration.
+WatchAnswered watchAnswer(const DirectoryState &State, uint64_t Version) {
+  WatchAnswered Out;
+  Out.Sequence = State.Readers[0].Sequence;
+  Out.Status = StoreStatus::Done;
+  Out.Revision = {Version};
+  Out.Changed = true;
+  Out.Configuration = version(Version);
+  return Out;
+}
+
+} // namespace
+
+// Guards against a read for each of the versions that follow each other
+// quickly, in addition to the watch that brings them: the peers that have a
+// version first made each other instance give up its watch and read, and the
+// reads of instances without processor time failed.
+TEST(DirectoryReads, WatchGoesOnWhileVersionsFollowEachOtherQuickly) {
+  DirectoryState State;
+  SteadyTime Now{seconds(100)};
+  InstanceEffects Out;
+  advanceDirectory(State, Now, Out);
+  const ReadCollection *Read = configurationRead(Out);
+  ASSERT_TRUE(Read);
+  CollectionReadAnswered First;
+  First.Sequence = Read->Sequence;
+  First.Status = StoreStatus::Done;
+  First.Revision = {1};
+  First.Configuration = version(1);
+  ASSERT_TRUE(applyCollectionRead(State, First, Now, Out));
+  for (uint64_t Version = 2; Version < 12; ++Version) {
+    for (int Ping = 0; Ping < 3; ++Ping) {
+      Out.clear();
+      recordPeerConfiguration(State, Version, Now);
+      Now += milliseconds(100);
+      advanceDirectory(State, Now, Out);
+      EXPECT_FALSE(configurationRead(Out)) << Version;
+    }
+    applyWatchAnswer(State, watchAnswer(State, Version), Now, Out);
+    ASSERT_EQ(State.Configuration->Version, Version);
+  }
+  // A watch that brings nothing is replaced by a read.
+  recordPeerConfiguration(State, 20, Now);
+  Out.clear();
+  advanceDirectory(State, Now + milliseconds(399), Out);
+  EXPECT_FALSE(configurationRead(Out));
+  advanceDirectory(State, Now + milliseconds(400), Out);
+  EXPECT_TRUE(configurationRead(Out));
+}
+
 // Guards against a list that is never updated again after the store was
 // restored with a lower revision.
 TEST(DirectoryReads, OutdatedListIsFollowedByACurrentRead) {
