sender: follow the records of upstreams in a shutdown

Cause: a sender in shutdown releases its cells within milliseconds and keeps the upstreams that have runs of its jobs. applyUpstreams then skipped their records, since their cells were not claimed, and applyRole let the process read the list like a standby, every 8 s and stale.

Change: records of upstreams that are still used are applied, unless a newer sender has taken them over, and the list is read like by any sender while upstreams are used. No message and no setting changes.

Cost: at most one priced read a second for the rest of the shutdown of a sender, as long as it uses upstreams.

--- a/src/directory/directory_base.h
+++ b/src/directory/directory_base.h
@@ -50,7 +50,9 @@
   /// By `StoreCollection`.
   std::array<CollectionReader, CollectionCount> Readers;
   Registration OwnRegistration;
-  bool IsSender = false; ///< This instance has claimed a cell.
+  /// This instance has claimed a cell, or still uses upstreams of released
+  /// ones.
+  bool IsSender = false;
   /// This instance may become a sender soon, so it reads the upstreams.
   bool IsStandby = true;
   Duration DrainNotice = std::chrono::seconds(2); ///< See `FleetBounds`.
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -119,8 +119,7 @@
       logInstance(
           Out, "was paused or is short of processor time, since_last_tick_ms=" +
                    std::to_string(toMilliseconds(Now - LastTick)));
-    applyRole(State.Directory, !State.Cells.Claims.empty(),
-              State.Cells.IsStandby, Now, Out);
+    updateRole();
     advanceDirectory(State.Directory, Now, Out);
     requestSnapshot();
     updateOwnCells();
@@ -329,13 +328,20 @@
     Out.push_back(FetchSnapshot{*Source});
   }
 
+  /// Reads of the list depend on whether this instance uses upstreams, which
+  /// it may do in a shutdown after it has released its cells.
+  void updateRole() {
+    applyRole(State.Directory,
+              !State.Cells.Claims.empty() || usesUpstreams(State.Sender),
+              State.Cells.IsStandby, Now, Out);
+  }
+
   void updateOwnCells() {
     recordUpstreamList(State.Cells, !State.Directory.Upstreams.empty(), Now);
     ClaimChanges Changes = updateClaims(State.Cells, Now, Wall, Out);
     for (const CellId &Cell : Changes.Lost)
       releaseCell(State.Sender, Cell, Now, Out);
-    applyRole(State.Directory, !State.Cells.Claims.empty(),
-              State.Cells.IsStandby, Now, Out);
+    updateRole();
     if (Changes.Acquired.empty())
       return;
     State.Sender.UpstreamListPending = true;
--- a/src/sender/upstream_cmd.h
+++ b/src/sender/upstream_cmd.h
@@ -11,16 +11,18 @@
 namespace snipeshunt {
 
 /// Applies a list of upstreams: adds and updates those whose cell, given by
-/// \p CellOf, is among \p Claims. If \p Complete, upstreams that stay unlisted
-/// for `UnlistedTimeout` and run nothing are removed. Called after each read of
-/// the list, with \p Complete unset if it failed or may have been stale.
+/// \p CellOf, is among \p Claims, and updates those of released cells that this
+/// sender still uses. If \p Complete, upstreams that stay unlisted for
+/// `UnlistedTimeout` and run nothing are removed. Called after each read of the
+/// list, with \p Complete unset if it failed or may have been stale.
 void applyUpstreams(SenderState &State, const std::vector<UpstreamRecord> &List,
                     const std::map<CellId, OwnClaim> &Claims,
                     const std::function<CellId(const UpstreamRecord &)> &CellOf,
                     bool Complete, SteadyTime Now, InstanceEffects &Out);
 
 /// Removes the upstreams of a cell whose claim was lost; jobs with runs on them
-/// end as lost. A draining sender keeps the upstreams that still run its tasks.
+/// end as lost. A draining sender keeps the upstreams that still run its tasks;
+/// see `usesUpstreams`.
 void releaseCell(SenderState &State, const CellId &Cell, SteadyTime Now,
                  InstanceEffects &Out);
 
@@ -85,6 +87,10 @@
 void resetIncarnation(SenderUpstream &U, int64_t StartedAt,
                       InstanceEffects &Out);
 
+/// Returns true if this sender has runs on upstreams or may start some. It has
+/// to read the list of upstreams then, even if it has released all cells.
+bool usesUpstreams(const SenderState &State);
+
 /// Upstreams with runs of this sender.
 std::vector<UpstreamId> upstreamsInUse(const SenderState &State);
 
--- a/src/sender/upstream_list_cmd.cpp
+++ b/src/sender/upstream_list_cmd.cpp
@@ -4,6 +4,8 @@
 #include "sender/sender_table.h"
 #include "sender/upstream_cmd.h"
 
+#include <algorithm>
+
 namespace snipeshunt {
 
 void logUpstream(InstanceEffects &Out, const SenderUpstream &U,
@@ -59,22 +61,28 @@
   for (const UpstreamRecord &Record : List) {
     CellId Cell = CellOf(Record);
     auto Claim = Claims.find(Cell);
-    if (Claim == Claims.end())
+    bool Claimed = Claim != Claims.end();
+    auto It = State.Upstreams.find(Record.Id);
+    // A draining sender goes on using upstreams of cells that it has released,
+    // until the next sender takes them over, so it follows their records too.
+    bool InUse = It != State.Upstreams.end() && It->second.Cell == Cell &&
+                 It->second.Phase != UpstreamPhase::Fenced;
+    if (!Claimed && !InUse)
       continue;
     Listed.insert(Record.Id);
-    auto [It, Added] = State.Upstreams.try_emplace(Record.Id);
-    SenderUpstream &U = It->second;
-    U.UnlistedSince = {};
-    if (Added) {
-      U.Record = Record;
-      U.Cell = Cell;
-      U.Token = Claim->second.Token;
-      U.Free = Record.Capacity;
-      U.StartedAt = Record.StartedAt;
+    if (It == State.Upstreams.end()) {
+      SenderUpstream &Added = State.Upstreams[Record.Id];
+      Added.Record = Record;
+      Added.Cell = Cell;
+      Added.Token = Claim->second.Token;
+      Added.Free = Record.Capacity;
+      Added.StartedAt = Record.StartedAt;
       continue;
     }
+    SenderUpstream &U = It->second;
+    U.UnlistedSince = {};
     // Runs that a draining sender still has on it stay under the earlier token.
-    if (U.Token != Claim->second.Token && U.Runs.empty()) {
+    if (Claimed && U.Token != Claim->second.Token && U.Runs.empty()) {
       U.Token = Claim->second.Token;
       U.RenewalPending = false;
       beginSync(U, Now);
@@ -149,6 +157,16 @@
               Now, Out);
 }
 
+bool usesUpstreams(const SenderState &State) {
+  bool HasJobs = !State.Jobs.empty();
+  return std::any_of(State.Upstreams.begin(), State.Upstreams.end(),
+                     [HasJobs](const auto &Entry) {
+                       const SenderUpstream &U = Entry.second;
+                       return !U.Runs.empty() ||
+                              (HasJobs && U.Phase != UpstreamPhase::Fenced);
+                     });
+}
+
 std::vector<UpstreamId> upstreamsInUse(const SenderState &State) {
   std::vector<UpstreamId> Used;
   for (const auto &[Id, U] : State.Upstreams)
--- a/tests/cell_shutdown_test.cpp
+++ b/tests/cell_shutdown_test.cpp
@@ -1,5 +1,6 @@
 /// \file Shutdowns that coincide with other faults, and answers that are lost,
 /// on a fake clock.
+#include "sender/upstream_cmd.h"
 #include "support/cell_world.h"
 
 #include <gtest/gtest.h>
@@ -11,6 +12,10 @@
 
 namespace {
 
+// Longest time between two reads of the upstreams by a sender, with a margin
+// for the answer.
+constexpr Duration ReadPeriod = milliseconds(1100);
+
 /// Three instances and four upstreams of one data centre; "strong" is the
 /// sender, and "first" succeeds it.
 class CellShutdown : public ::testing::Test {
@@ -71,8 +76,39 @@
     EXPECT_TRUE(World.overlappingRuns().empty());
   }
 
+  /// Shuts the sender down while its only job, of 120 tasks, runs on all
+  /// upstreams for four more seconds. The next sender has claimed the cells on
+  /// return.
+  void shutDownDuringALongJob(Duration TaskTime = milliseconds(300)) {
+    LongJob = World.submit(Second, "long", 120, TaskTime, seconds(20));
+    World.run(milliseconds(200));
+    World.shutDown(Strong);
+    World.run(milliseconds(400));
+    ASSERT_EQ(World.senders(), std::vector<Address>{First});
+    ASSERT_EQ(World.state(Strong).Sender.Jobs.size(), 1U);
+  }
+  /// Returns the number of runs that began on \p Id at \p From or later.
+  size_t startsOn(const UpstreamId &Id, SteadyTime From) const {
+    size_t Count = 0;
+    for (const RunRecord &R : World.runs())
+      Count += R.Upstream == Id && R.Started >= From ? 1 : 0;
+    return Count;
+  }
+  /// Checks that the first upstream gets no starts from now on while the others
+  /// do, and that the long job is done.
+  void expectStartsOnlyOnTheOthers() {
+    SteadyTime From = World.now();
+    World.run(seconds(5));
+    EXPECT_EQ(startsOn({"up-1"}, From), 0U);
+    for (const char *Other : {"up-2", "up-3", "up-4"})
+      EXPECT_GT(startsOn({Other}, From), 5U) << Other;
+    EXPECT_TRUE(ended(LongJob, AnswerStatus::Done));
+    EXPECT_TRUE(World.overlappingRuns().empty());
+  }
+
   CellWorld World;
   Address Strong, First, Second;
+  size_t LongJob = 0;
   std::vector<size_t> Jobs;
 };
 
@@ -192,3 +228,133 @@
   EXPECT_FALSE(World.isAlive(Strong));
   EXPECT_TRUE(ended(B, AnswerStatus::Lost));
 }
+
+// Guards against starts on an upstream that has begun to drain after the sender
+// has released its cell: the sender goes on using it in its shutdown.
+TEST_F(CellShutdown, UpstreamThatDrainsDuringTheShutdownGetsNoStarts) {
+  shutDownDuringALongJob();
+  World.setDraining({"up-1"});
+  World.run(ReadPeriod);
+  expectStartsOnlyOnTheOthers();
+}
+
+// As above, with an upstream that has left the list, or whose record can't be
+// read, which looks the same.
+TEST_F(CellShutdown, UpstreamThatIsUnlistedDuringTheShutdownGetsNoStarts) {
+  shutDownDuringALongJob();
+  World.setListed({"up-1"}, false);
+  World.run(ReadPeriod);
+  expectStartsOnlyOnTheOthers();
+}
+
+// As above, with an upstream that serves another service now.
+TEST_F(CellShutdown, UpstreamOfAnotherServiceGetsNoStartsDuringTheShutdown) {
+  shutDownDuringALongJob();
+  World.record({"up-1"}).Service = {"other"};
+  World.run(ReadPeriod);
+  expectStartsOnlyOnTheOthers();
+}
+
+// Guards against overloads of an upstream that has less capacity since the
+// sender has released its cell.
+TEST_F(CellShutdown, UpstreamThatShrinksDuringTheShutdownIsNotOverloaded) {
+  shutDownDuringALongJob();
+  World.setCapacity({"up-1"}, 30000);
+  World.run(ReadPeriod);
+  SteadyTime From = World.now();
+  World.run(seconds(5));
+  for (const RunRecord &R : World.overloads())
+    EXPECT_LT(R.Started, From) << runText(R.Key);
+  EXPECT_GT(startsOn({"up-1"}, From), 3U);
+  EXPECT_TRUE(ended(LongJob, AnswerStatus::Done));
+}
+
+// Guards against a departure that was announced during the shutdown and counts
+// as a crash, for which the tasks on the upstream would be suspected.
+TEST_F(CellShutdown, AnnouncedDepartureDuringTheShutdownIsNoCrash) {
+  shutDownDuringALongJob(seconds(4));
+  World.setDraining({"up-1"});
+  World.run(seconds(2));
+  World.crashUpstream({"up-1"}, seconds(10));
+  World.run(milliseconds(500));
+  EXPECT_EQ(World.state(Strong).Sender.Counts.UpstreamCrashes, 0U);
+}
+
+// Guards against a sender that keeps the former record of an upstream in use
+// after it has released its cell: its address, kind, capacity and process.
+TEST_F(CellShutdown, UpstreamInUseFollowsItsRecordAfterTheRelease) {
+  shutDownDuringALongJob();
+  FleetInstance State = World.state(Strong);
+  ASSERT_TRUE(State.Cells.Claims.empty());
+  SenderUpstream &U = State.Sender.Upstreams.at({"up-1"});
+  ASSERT_FALSE(U.Runs.empty());
+  SenderUpstream Before = U;
+  UpstreamRecord Record = U.Record;
+  Record.Endpoint = {"10.1.0.99:8000"};
+  Record.StartedAt += 1;
+  Record.Kind = "other";
+  Record.Capacity.CpuMillis -= 1000;
+  UpstreamRecord Unknown = Record;
+  Unknown.Id = {"up-9"};
+  InstanceEffects Out;
+  applyUpstreams(State.Sender, {Record, Unknown}, State.Cells.Claims, cellOf,
+                 /*Complete=*/true, World.now(), Out);
+  EXPECT_EQ(U.Record.Endpoint, Record.Endpoint);
+  EXPECT_EQ(U.Record.Kind, "other");
+  EXPECT_EQ(U.StartedAt, Record.StartedAt);
+  EXPECT_EQ(U.Free.CpuMillis, Before.Free.CpuMillis - 1000);
+  EXPECT_EQ(U.Phase, UpstreamPhase::Syncing);
+  EXPECT_EQ(U.Token, Before.Token);
+  EXPECT_EQ(U.UnlistedSince, SteadyTime{});
+  EXPECT_NE(State.Sender.Upstreams.at({"up-2"}).UnlistedSince, SteadyTime{});
+  // The upstreams of the released cells that it does not use are not its own.
+  EXPECT_EQ(State.Sender.Upstreams.count({"up-9"}), 0U);
+  // An upstream that the next sender has taken over stays with it.
+  SenderUpstream &Taken = State.Sender.Upstreams.at({"up-3"});
+  Taken.Phase = UpstreamPhase::Fenced;
+  UpstreamRecord Restarted = Taken.Record;
+  Restarted.StartedAt += 1;
+  applyUpstreams(State.Sender, {Restarted}, State.Cells.Claims, cellOf,
+                 /*Complete=*/true, World.now(), Out);
+  EXPECT_EQ(Taken.Phase, UpstreamPhase::Fenced);
+  // In another data centre, it belongs to a cell that was never its own.
+  Record.Centre = {"centre-b"};
+  applyUpstreams(State.Sender, {Record}, State.Cells.Claims, cellOf,
+                 /*Complete=*/true, World.now(), Out);
+  EXPECT_NE(U.UnlistedSince, SteadyTime{});
+}
+
+// Guards against a list that is not read while the upstreams in it are used,
+// and against priced reads by a process that uses none any more.
+TEST_F(CellShutdown, ListIsReadAsLongAsUpstreamsAreUsed) {
+  shutDownDuringALongJob();
+  size_t Before = World.upstreamReads(Strong);
+  World.run(seconds(3));
+  EXPECT_GE(World.upstreamReads(Strong), Before + 2);
+  EXPECT_LE(World.upstreamReads(Strong), Before + 4);
+  World.run(seconds(4));
+  EXPECT_FALSE(World.isAlive(Strong));
+
+  World.submit(Second, "short", 2, milliseconds(300));
+  World.run(milliseconds(100));
+  World.shutDown(First);
+  World.run(milliseconds(500));
+  ASSERT_TRUE(World.state(First).Sender.Jobs.empty());
+  Before = World.upstreamReads(First);
+  World.run(milliseconds(1900));
+  ASSERT_TRUE(World.isAlive(First));
+  EXPECT_EQ(World.upstreamReads(First), Before);
+}
+
+// Guards against an instance in shutdown that goes on accepting jobs by an
+// older configuration: the watch does not depend on its role.
+TEST_F(CellShutdown, ConfigurationIsAppliedDuringTheShutdown) {
+  shutDownDuringALongJob();
+  FleetConfiguration Next;
+  Next.Version = 2;
+  World.setConfiguration(Next);
+  World.run(milliseconds(600));
+  ASSERT_TRUE(World.isAlive(Strong));
+  EXPECT_EQ(World.state(Strong).Directory.Configuration->Version, 2U);
+  EXPECT_TRUE(World.state(Strong).Directory.Configuration->Routes.empty());
+}
--- a/tests/support/cell_world.cpp
+++ b/tests/support/cell_world.cpp
@@ -377,6 +377,8 @@
           [&](const StopRun &S) { sendOrder(I, S); },
           [&](const RenewUpstream &R) { sendOrder(I, R); },
           [&](const ReadCollection &R) {
+            if (R.Collection == StoreCollection::Upstreams && !R.AllowStale)
+              ++I.UpstreamReads;
             Store([this, R](bool Up) {
               CollectionReadAnswered Event;
               Event.Collection = R.Collection;
@@ -387,6 +389,8 @@
                 Event.Configuration = Configuration;
               if (R.Collection == StoreCollection::Upstreams)
                 for (const auto &[Id, U] : Upstreams) {
+                  if (!U.Listed)
+                    continue;
                   Event.Upstreams.push_back(U.Record);
                   Event.Upstreams.back().Draining = U.Draining;
                 }
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -136,6 +136,14 @@
   void resetConnections(const UpstreamId &Id);
   /// Replaces the upstream's process by a new one under the same id.
   void restartUpstream(const UpstreamId &Id);
+  /// Returns the record of an upstream in the store, which may be changed. Its
+  /// `Draining` has no effect, see `setDraining`.
+  UpstreamRecord &record(const UpstreamId &Id) { return Upstreams[Id].Record; }
+  /// Removes the record of an upstream from the store, or writes it anew. The
+  /// upstream goes on serving.
+  void setListed(const UpstreamId &Id, bool Listed) {
+    Upstreams[Id].Listed = Listed;
+  }
   /// Sets the processors of an upstream, in thousandths of a core.
   void setCapacity(const UpstreamId &Id, int64_t CpuMillis) {
     Upstreams[Id].Record.Capacity.CpuMillis = CpuMillis;
@@ -174,6 +182,11 @@
   }
   /// Returns the number of result queries that were sent.
   size_t resultQueries() const { return ResultQueries; }
+  /// Returns the number of reads of the upstreams that an instance has made,
+  /// without the stale ones.
+  size_t upstreamReads(const Address &Endpoint) const {
+    return Instances.at(Endpoint).UpstreamReads;
+  }
   /// Returns true if the machine is without power: connections to it stay open.
   bool isPoweredOff(const Address &Endpoint) const {
     return Instances.at(Endpoint).PoweredOff;
@@ -203,6 +216,7 @@
     /// request: the peer.
     std::map<RequestId, Address> Pings;
     uint64_t NextRequest = 1; ///< Of peers.
+    size_t UpstreamReads = 0; ///< See `upstreamReads`.
   };
   struct Run {
     RunKey Key;
@@ -215,6 +229,7 @@
     double Speed = 1;
     UpstreamFaults Faults;
     bool Draining = false;
+    bool Listed = true;      ///< The store has its record.
     FencingToken Token;      ///< Highest token of an order.
     int64_t LeaseEndMs = 0;  ///< On the upstream's clock.
     SteadyTime ClockStart{}; ///< Zero of the upstream's clock.
