sender: forget a recorded crash with the process that it was of

What went wrong: a run without an answer could be counted under two crashes though one upstream crashed once under it, so that its job was given up early.

Evidence: CrashEvidenceTest.NextProcessHasNoRecordedCrash. Found by a review.

--- a/src/sender/crash_cmd.cpp
+++ b/src/sender/crash_cmd.cpp
@@ -252,6 +252,9 @@
   // An upstream that leaves as announced ends with the runs that are left.
   if (U.Record.Draining)
     return;
+  // The recorded crash is that of the process before.
+  if (Sign != CrashSign::Refused)
+    U.CrashRecorded = false;
   std::vector<SuspectedRun> Suspects = takeSuspectedRuns(State, U, Report, Now);
   if (Suspects.empty())
     return;
--- a/tests/cell_crash_test.cpp
+++ b/tests/cell_crash_test.cpp
@@ -388,6 +388,33 @@
   }
 }
 
+// Guards against an open job that fails at its second crash, because a later
+// process shows at once that the one before has ended.
+TEST(CrashEvidenceTest, CrashesSeenByTheNextProcessEndAJobAsLost) {
+  EndedUpstream E;
+  SenderJob &J = E.State.Jobs[{"a"}];
+  J.Order.Id = {"a"};
+  J.Tasks.resize(1);
+  InstanceEffects Out;
+  mergeCrashes(E.State.Crashes, {"a"},
+               {{0, {"up-2"}, 3, CrashEvidence::InProgress}}, E.Now);
+  recordCrash(E.State, E.U, CrashSign::OtherProcess, nullptr, E.Now, Out);
+  EXPECT_TRUE(E.State.Jobs.empty());
+  EXPECT_EQ(E.State.Counts.JobsLost, 1U);
+  EXPECT_EQ(E.State.Counts.JobsFailed, 0U);
+}
+
+// Guards against a run that is counted again under the crash of the next
+// process: the crash of the one before is no longer to be taken back.
+TEST(CrashEvidenceTest, NextProcessHasNoRecordedCrash) {
+  EndedUpstream E;
+  E.evidence(CrashSign::Refused);
+  EXPECT_TRUE(E.U.CrashRecorded);
+  InstanceEffects Out;
+  recordCrash(E.State, E.U, CrashSign::NewReport, nullptr, E.Now, Out);
+  EXPECT_FALSE(E.U.CrashRecorded);
+}
+
 // Guards against a record of crashes that grows without limit.
 TEST(CrashHistoryTest, SizeAndAgeAreLimited) {
   CrashHistory History;
@@ -469,6 +496,7 @@
   World.run(seconds(6));
   size_t Again = World.submit(First, "a", 1, milliseconds(100), seconds(9));
   World.run(seconds(4));
+  ASSERT_TRUE(World.caller(Again).Answer);
   EXPECT_FALSE(ended(Again, AnswerStatus::Failed));
 }
 
@@ -484,11 +512,12 @@
   }
   World.run(seconds(2));
   EXPECT_EQ(World.crashes(), 2U);
-  EXPECT_FALSE(ended(A, AnswerStatus::Failed));
+  EXPECT_EQ(World.state(Strong).Sender.Counts.CrashesInProgress, 2U);
+  EXPECT_TRUE(ended(A, AnswerStatus::Lost));
   size_t Again = World.submit(First, "a", 1, milliseconds(1000), seconds(9));
   World.run(seconds(4));
-  ASSERT_TRUE(World.caller(Again).Answer);
-  EXPECT_FALSE(ended(Again, AnswerStatus::Failed));
+  EXPECT_TRUE(ended(Again, AnswerStatus::Lost));
+  EXPECT_EQ(runsOf("a", 0), 2U);
 }
 
 // Guards against a suspicion that outlives the proof that the process lives.
