sender, entry: a job with recorded crashes may have run

What callers saw: 503, which says that the job has not run, for a job under which an upstream had crashed more than 8 s before.

Cause: only retained results counted, which are kept for 8 s; crashes are kept for 30 s and came in the same answer.

Evidence: CrashHistoryTest.RejectedJobWithCrashesMayHaveRun. Found by a review.

--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -418,7 +418,8 @@
   EntryJob &J = It->second;
   if (Event.Result) {
     mergeCrashes(State.Crashes, J.Order.Id, Event.Result->Crashes, Now);
-    J.MayHaveRun = J.MayHaveRun || Event.Result->MayHaveRun;
+    J.MayHaveRun = J.MayHaveRun || Event.Result->MayHaveRun ||
+                   !Event.Result->Crashes.empty();
   }
   if (!Event.Result) {
     if (Event.NothingSent) {
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -87,7 +87,8 @@
   Result.Reason = std::move(Reason);
   Result.Moved = Moved;
   Result.Leaving = State.Draining;
-  Result.MayHaveRun = renewStartedResult(State, Order.Id, Now);
+  Result.MayHaveRun = renewStartedResult(State, Order.Id, Now) ||
+                      !crashesOf(State.Crashes, Order.Id).empty();
   logJob(Out, Order.Id,
          (Result.MayHaveRun ? "rejected, started for an earlier submission: "
                             : "rejected, nothing was started: ") +
@@ -355,7 +356,8 @@
   State.PlacementDue = true;
   // The numbers of runs go on from those of earlier submissions.
   uint32_t LastRun = lastRunOf(J);
-  bool RunEarlier = Outcome == JobOutcome::NotRun && LastRun > 0;
+  bool RunEarlier = Outcome == JobOutcome::NotRun &&
+                    (LastRun > 0 || !crashesOf(State.Crashes, Id).empty());
   if (Outcome != JobOutcome::NotRun || RunEarlier)
     retainResult(State, Id,
                  {RunEarlier ? JobOutcome::Lost : Outcome, Now, LastRun,
--- a/tests/cell_crash_test.cpp
+++ b/tests/cell_crash_test.cpp
@@ -1,5 +1,6 @@
 /// \file Tasks that crash the upstreams on which they run, on a fake clock.
 #include "sender/crash_cmd.h"
+#include "sender/job_cmd.h"
 #include "sender/sender_table.h"
 #include "support/cell_world.h"
 
@@ -415,6 +416,24 @@
   EXPECT_FALSE(E.U.CrashRecorded);
 }
 
+// Guards against a rejection that says that the job has not run, though an
+// upstream has crashed under it. Crashes are remembered longer than results.
+TEST(CrashHistoryTest, RejectedJobWithCrashesMayHaveRun) {
+  SenderState State;
+  JobOrder Order;
+  Order.Id = {"a"};
+  Order.Crashes = {{0, {"up-1"}, 1}};
+  InstanceEffects Out;
+  acceptJob(State, Order, {{1}, false}, SteadyTime(std::chrono::hours(1)), Out);
+  const JobResult *Result = nullptr;
+  for (const InstanceEffect &E : Out)
+    if (const auto *Answer = std::get_if<AnswerJob>(&E))
+      Result = &Answer->Result;
+  ASSERT_TRUE(Result);
+  EXPECT_EQ(Result->Outcome, JobOutcome::NotRun);
+  EXPECT_TRUE(Result->MayHaveRun);
+}
+
 // Guards against a record of crashes that grows without limit.
 TEST(CrashHistoryTest, SizeAndAgeAreLimited) {
   CrashHistory History;
