cells: take a refused connection for no proof that a job is not open

What callers would see: 410 for a job that runs at a sender behind a cut that refuses connections, or at a silent one that has released its last cell.

Cause: doubt passed on as knowledge: a refused connection counted as the end of the process, and a former sender without claims as replaced.

Evidence: CancelElsewhere.RefusedConnectionIsNoProof. Found by a review.

--- a/src/cells/peer_func.cpp
+++ b/src/cells/peer_func.cpp
@@ -25,6 +25,12 @@
   return std::max(P.LastAnsweredPing, P.LastMessage);
 }
 
+/// Returns true if \p P has lately lost or released its last cell.
+bool isFormerSender(const Peer &P, SteadyTime Now) {
+  return P.ClaimsReleased != SteadyTime{} &&
+         Now - P.ClaimsReleased < FormerSenderTime;
+}
+
 /// Returns true if \p P has left at least one ping unanswered for
 /// `SuspectAfter`.
 bool isSilent(const CellState &State, const Peer &P, SteadyTime Now) {
@@ -85,8 +91,6 @@
 
 bool isGone(const CellState &State, const Address &Endpoint, const Peer &P,
             Duration Grace, SteadyTime Now) {
-  if (P.ConnectionRefused)
-    return true;
   SteadyTime Heard = lastHeardOf(P);
   // The record of an instance that shuts down ends before its process.
   if (!P.Draining && State.InstanceListRead > Heard &&
@@ -98,7 +102,8 @@
     return true;
   // Starts on its cells are then rejected, and its leases expire or its runs
   // are stopped.
-  bool IsSuperseded = std::all_of(P.Claims.begin(), P.Claims.end(),
+  bool IsSuperseded = (!P.Claims.empty() || !isFormerSender(P, Now)) &&
+                      std::all_of(P.Claims.begin(), P.Claims.end(),
                                   [&](const CellClaim &Claim) {
                                     return isSuperseded(State, Endpoint, Claim);
                                   });
@@ -110,14 +115,12 @@
                                      SteadyTime Now) {
   std::vector<Address> Found;
   for (const auto &[Endpoint, P] : State.Peers) {
-    bool IsFormer = P.ClaimsReleased != SteadyTime{} &&
-                    Now - P.ClaimsReleased < FormerSenderTime;
     bool IsNew = lastHeardOf(P) == SteadyTime{} &&
                  (State.InstanceListRead == SteadyTime{} ||
                   State.ListedInstances.count(Endpoint));
-    if ((!P.Claims.empty() || P.Draining || IsFormer || IsNew) &&
-        !P.ConnectionRefused &&
-        !(isSilent(State, P, Now) && isGone(State, Endpoint, P, Grace, Now)))
+    if ((!P.Claims.empty() || P.Draining || isFormerSender(P, Now) || IsNew) &&
+        !((P.ConnectionRefused || isSilent(State, P, Now)) &&
+          isGone(State, Endpoint, P, Grace, Now)))
       Found.push_back(Endpoint);
   }
   return Found;
--- a/src/cells/peer_func.h
+++ b/src/cells/peer_func.h
@@ -28,8 +28,8 @@
 /// when it last was, such as by a forwarded job.
 bool isSuspected(const Peer &P, SteadyTime Reached, SteadyTime Now);
 
-/// Returns true if \p P, provided that it does not answer, starts no tasks: it
-/// refuses connections; or the store has listed the instances without it since
+/// Returns true if \p P, provided that it does not answer, starts no tasks: the
+/// store has listed the instances without it since
 /// it was heard of; or senders with newer claims have its cells; or it was
 /// shutting down, and reported no runs then or must have ended since. \p Grace
 /// is the time limit of a shutdown.
--- a/src/entry/open_job_cmd.cpp
+++ b/src/entry/open_job_cmd.cpp
@@ -169,11 +169,11 @@
   bool Answered = Event.Reply || Event.NotUnderstood;
   Channel.Failures = Answered ? 0 : Channel.Failures + 1;
   auto P = Cells.Peers.find(Event.Receiver);
-  // A process that has ended runs nothing, and its jobs end with it.
+  // A cut can refuse connections to a process that lives.
   bool Ended =
-      Event.ConnectionRefused ||
-      (Channel.Failures >= FailuresBeforeSilence && P != Cells.Peers.end() &&
-       isGone(Cells, Event.Receiver, P->second, Grace, Now));
+      (Event.ConnectionRefused || Channel.Failures >= FailuresBeforeSilence) &&
+      P != Cells.Peers.end() &&
+      isGone(Cells, Event.Receiver, P->second, Grace, Now);
   if (Answered || Ended) {
     bool Readable =
         Event.Reply &&
