instance: let a late forward join a job that is open

What callers would see: 503 for a job that runs: it was cancelled at another instance, submitted anew, and a further forward of it counted as late.

Evidence: CancelElsewhere.LateForwardOfAnOpenJobJoinsIt. Found by a review.

--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -112,7 +112,9 @@
 void acceptUnlessCancelled(SenderState &Sender, const JobOrder &Order,
                            JobWaiter Waiter, bool MayBeLate, SteadyTime Now,
                            InstanceEffects &Out) {
-  if (isCancelledRemotely(Sender.Cancelled, Order, MayBeLate, Now))
+  // A job that is open here was submitted after the cancellation.
+  if (!Sender.Jobs.count(Order.Id) &&
+      isCancelledRemotely(Sender.Cancelled, Order, MayBeLate, Now))
     rejectCancelledJob(Sender, Order, Waiter, Now, Out);
   else
     acceptJob(Sender, Order, Waiter, Now, Out);
--- a/tests/entry_cancel_test.cpp
+++ b/tests/entry_cancel_test.cpp
@@ -1,6 +1,7 @@
 /// \file Cancelled jobs that no sender has accepted, and jobs that are
 /// cancelled at another instance than the one that took them, on a fake clock.
 #include "instance/instance_reducer.h"
+#include "sender/remote_cancel_cmd.h"
 #include "support/cell_world.h"
 
 #include <gtest/gtest.h>
@@ -376,6 +377,22 @@
   }
 }
 
+// Guards against a job that is answered as not run while it runs: it was
+// submitted anew, and a further forward of it may be late.
+TEST_F(CancelElsewhere, LateForwardOfAnOpenJobJoinsIt) {
+  FleetInstance State = World.state(Sender);
+  SteadyTime Now = World.now();
+  handle(State, Now, forwardOf(World.state(Taker), milliseconds(0)));
+  ASSERT_EQ(State.Sender.Jobs.size(), 1U);
+  recordRemoteCancel(State.Sender.Cancelled, {"a"}, Now);
+  JobArrived Late = forwardOf(World.state(Taker), milliseconds(0));
+  Late.Request = {778};
+  Late.Order.Number += 1;
+  InstanceEffects Out = handle(State, Now + milliseconds(20), Late);
+  EXPECT_EQ(outcome(Out), JobOutcome::Lost);
+  EXPECT_EQ(State.Sender.Jobs.size(), 1U);
+}
+
 // Guards against the start of a cancelled job whose forward waited for seconds,
 // on a link that was cut or at a sender that was behind: its age is too low.
 TEST_F(CancelElsewhere, ForwardThatMayBeLateIsNotStarted) {
