--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -269,6 +269,9 @@
   };
 
   /// Has `run` execute \p Action at \p When, or now if that has passed.
+  /// Transit time of a message.
+  static constexpr Duration Hop = std::chrono::milliseconds(1);
+
   void schedule(SteadyTime When, std::function<void()> Action);
   /// Applies an event to an instance, unless its process has ended. A frozen
   /// process gets it when it resumes.
--- a/tests/support/cell_world_upstreams.cpp
+++ b/tests/support/cell_world_upstreams.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr Duration Hop = std::chrono::milliseconds(1);
 constexpr Duration OrderLimit = OrderTimeout;
 constexpr Duration RenewalLimit = RenewalSlack;
 constexpr Duration StopTime = std::chrono::milliseconds(20);
