standins: choose all ports of an address before any is given back

Cause: a fleet chose its ports one after the other and closed each socket at once, so that the system could give out the same port twice for one address. Each instance has four.

Change: the sockets stay open until all ports of the address are chosen.

--- a/src/standins/cell_fleet.cpp
+++ b/src/standins/cell_fleet.cpp
@@ -1,6 +1,8 @@
 /// \file Test fleet of cells: real instances and stand-ins for the platform.
 #include "standins/cell_fleet.h"
 
+#include "core/scope_guard.h"
+
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -29,32 +31,43 @@
          std::to_string(Pid % 256) + ".";
 }
 
-/// Returns a port of \p Ip that was free at the time of the call; 0 on failure.
-uint16_t freePort(const std::string &Ip) {
-  int Socket = socket(AF_INET, SOCK_STREAM, 0);
+/// Returns the reply, or status 0 with the error message.
+HttpReply replyOf(const HttpOutcome &Outcome) {
+  if (const auto *Reply = std::get_if<HttpReply>(&Outcome))
+    return *Reply;
+  return {0, std::get<HttpFailure>(Outcome).Message};
+}
+
+/// Binds \p Socket to a free port of \p Ip and returns the port; 0 on failure.
+uint16_t bindFreePort(int Socket, const std::string &Ip) {
   sockaddr_in SocketAddress{};
   SocketAddress.sin_family = AF_INET;
   inet_pton(AF_INET, Ip.c_str(), &SocketAddress.sin_addr);
   socklen_t Size = sizeof(SocketAddress);
   if (bind(Socket, reinterpret_cast<sockaddr *>(&SocketAddress), Size) == 0)
     getsockname(Socket, reinterpret_cast<sockaddr *>(&SocketAddress), &Size);
-  close(Socket);
   return ntohs(SocketAddress.sin_port);
 }
 
-Address freeAddress(const std::string &Ip) {
-  return {Ip + ":" + std::to_string(freePort(Ip))};
-}
+} // namespace
 
-/// Returns the reply, or status 0 with the error message.
-HttpReply replyOf(const HttpOutcome &Outcome) {
-  if (const auto *Reply = std::get_if<HttpReply>(&Outcome))
-    return *Reply;
-  return {0, std::get<HttpFailure>(Outcome).Message};
+std::vector<Address> freeAddresses(const std::string &Ip, size_t Count) {
+  std::vector<Address> Found;
+  // All sockets stay open until the last port is chosen: the system may give
+  // out a port again as soon as its socket is closed.
+  std::vector<int> Sockets;
+  ScopeGuard Close([&Sockets] {
+    for (int Socket : Sockets)
+      close(Socket);
+  });
+  for (size_t I = 0; I < Count; ++I) {
+    Sockets.push_back(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    Found.push_back(
+        {Ip + ":" + std::to_string(bindFreePort(Sockets.back(), Ip))});
+  }
+  return Found;
 }
 
-} // namespace
-
 bool reportsDone(const std::string &Body) {
   return Body == R"({"state":"done"})";
 }
@@ -81,13 +94,14 @@
           .string();
   WorkDir = mkdtemp(Template.data());
   IpPrefix = processIpPrefix();
-  Store = freeAddress(IpPrefix + "1");
+  Store = freeAddresses(IpPrefix + "1", 1).front();
   for (size_t I = 0; I < Options.Instances; ++I) {
     std::string Ip = IpPrefix + std::to_string(FirstInstanceHost + I);
-    Fronts.push_back(freeAddress(Ip));
-    ReadyEndpoints.push_back(freeAddress(Ip));
-    Peers.push_back(freeAddress(Ip));
-    Metrics.push_back(freeAddress(Ip));
+    std::vector<Address> Free = freeAddresses(Ip, 4);
+    Fronts.push_back(Free[0]);
+    ReadyEndpoints.push_back(Free[1]);
+    Peers.push_back(Free[2]);
+    Metrics.push_back(Free[3]);
     Processes.emplace_back();
   }
   PeersLinks = Peers;
--- a/src/standins/cell_fleet.h
+++ b/src/standins/cell_fleet.h
@@ -34,6 +34,10 @@
   SteadyTime At{};      ///< Time on the machine's steady clock.
 };
 
+/// Returns \p Count different addresses of \p Ip whose ports were free at the
+/// time of the call; port 0 on failure.
+std::vector<Address> freeAddresses(const std::string &Ip, size_t Count);
+
 /// Returns true if the body of an answer reports that the job is done.
 bool reportsDone(const std::string &Body);
 
--- a/tests/process/cell_process_test.cpp
+++ b/tests/process/cell_process_test.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <cstring>
 #include <fstream>
+#include <set>
 #include <sstream>
 #include <thread>
 
@@ -25,6 +26,15 @@
   return Text;
 }
 
+// Guards against an instance that can't listen, because two of its servers were
+// given the same port.
+TEST(CellFleetTest, PortsOfOneAddressDiffer) {
+  std::set<std::string> Different;
+  for (const Address &Found : freeAddresses("127.0.0.1", 1000))
+    Different.insert(Found.Value);
+  EXPECT_EQ(Different.size(), 1000U);
+}
+
 // Guards against a fault anywhere between a caller's request and its answer:
 // codec, store, cells, orders and reports of ended runs.
 TEST(CellProcessTest, EachInstanceServesJobsWhole) {
