--- a/tests/process/cell_process_test.cpp
+++ b/tests/process/cell_process_test.cpp
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <csignal>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -35,6 +36,38 @@
   EXPECT_EQ(Different.size(), 1000U);
 }
 
+// Returns the number of descriptors that instance \p I has open.
+size_t openDescriptors(CellFleet &F, size_t I) {
+  std::filesystem::directory_iterator Entries(
+      "/proc/" + std::to_string(F.process(I).id()) + "/fd");
+  return static_cast<size_t>(
+      std::distance(begin(Entries), std::filesystem::directory_iterator()));
+}
+
+// Guards against connections between instances that stay open for long after a
+// peak of jobs, and slow the instances down that have little processor time.
+TEST(CellProcessTest, ConnectionsOfALoadPeakAreClosed) {
+  constexpr size_t PeakJobs = 60;
+  // The pings and the calls to the store keep a connection or two each.
+  constexpr size_t LastingConnections = 10;
+  CellFleet F(cellOptions(2, 1, 6));
+  ASSERT_FALSE(failed(F.start()));
+  ASSERT_TRUE(F.waitUntilReady()) << F.allLogs();
+  size_t Before = openDescriptors(F, 1);
+  std::vector<std::thread> Callers;
+  for (size_t C = 0; C < PeakJobs; ++C)
+    Callers.emplace_back(
+        [&F, C] { F.submit(1, jobId(static_cast<int>(700 + C)), 1, 1500); });
+  // The first instance is the sender, so each job has a connection to it.
+  EXPECT_TRUE(Fleet::waitUntil(
+      [&] { return openDescriptors(F, 1) > Before + PeakJobs; },
+      std::chrono::seconds(30)));
+  for (std::thread &T : Callers)
+    T.join();
+  std::this_thread::sleep_for(std::chrono::seconds(4));
+  EXPECT_LE(openDescriptors(F, 1), Before + LastingConnections);
+}
+
 // Guards against a fault anywhere between a caller's request and its answer:
 // codec, store, cells, orders and reports of ended runs.
 TEST(CellProcessTest, EachInstanceServesJobsWhole) {
