sender: log the runs on which a failed job rests

A report said that a job was shown as failed though no task had failed so often. The log named the task and the number of failures only, and the lines of the single runs are dropped under load, so a log could not tell an end that was counted twice, or that is of another process, from a real one. The line of the failed job now lists task, run, upstream and start of the upstream's process for each counted end.

--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -249,6 +249,18 @@
   return Last;
 }
 
+/// Lists the failed runs of \p J, for logs: number, upstream and start of its
+/// process. It shows on what an answer that the job failed rests.
+std::string failedRunsText(const SenderJob &J) {
+  std::string Text;
+  for (size_t Index = 0; Index < J.Tasks.size(); ++Index)
+    for (const FailedRun &Failed : J.Tasks[Index].FailedRuns)
+      Text += (Text.empty() ? " failed_runs=" : ",") + std::to_string(Index) +
+              "#" + std::to_string(Failed.Run) + "@" + Failed.Upstream.Value +
+              "/" + std::to_string(Failed.StartedAt);
+  return Text;
+}
+
 /// Makes a duplicate submission the waiter of an unfinished job, and answers
 /// the earlier waiter.
 void joinJob(SenderState &State, SenderJob &J, const JobOrder &Order,
@@ -383,7 +395,8 @@
              " open=" + std::to_string(J.UnfinishedTasks) +
              " took_ms=" + std::to_string(toMilliseconds(Now - J.Arrived)) +
              " objective_ms=" +
-             std::to_string(toMilliseconds(J.Objective - J.Arrived)));
+             std::to_string(toMilliseconds(J.Objective - J.Arrived)) +
+             (Outcome == JobOutcome::Failed ? failedRunsText(J) : ""));
   JobResult Result;
   Result.Outcome = Outcome;
   Result.Reason = Reason;
@@ -519,10 +532,14 @@
   T.State = SenderTaskState::Waiting;
   ++J.WaitingTasks;
   T.AvoidedUpstreams.insert(Upstream);
-  if (Outcome == RunOutcome::Failed && ++T.Failures >= J.Order.MaxAttempts)
+  if (Outcome != RunOutcome::Failed)
+    return;
+  T.FailedRuns.push_back(
+      {Key.Run, Upstream, State.Upstreams.at(Upstream).StartedAt});
+  if (T.FailedRuns.size() >= J.Order.MaxAttempts)
     finishJob(State, Key.Job, JobOutcome::Failed,
               "task " + std::to_string(Key.Index) + " failed " +
-                  std::to_string(T.Failures) + " times",
+                  std::to_string(T.FailedRuns.size()) + " times",
               Now, Out);
 }
 
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -130,13 +130,20 @@
 /// State of a task of a job.
 enum class SenderTaskState { Waiting, Started, Done };
 
+/// A run of a task that its upstream has reported as failed.
+struct FailedRun {
+  uint32_t Run = 0; ///< Number of the run, from 1.
+  UpstreamId Upstream;
+  int64_t StartedAt = 0; ///< Start of the upstream's process, Unix ms.
+};
+
 /// A task of a job. Members about a start refer to the last one.
 struct SenderTask {
   SenderTaskState State = SenderTaskState::Waiting;
-  uint32_t Run = 0;      ///< Number of the run, from 1; 0 before any.
-  uint32_t Failures = 0; ///< Runs that failed.
-  uint32_t Crashes = 0;  ///< For which it is suspected; see `TaskCrash`.
-  UpstreamId Upstream;   ///< Where it was started.
+  uint32_t Run = 0; ///< Number of the run, from 1; 0 before any.
+  std::vector<FailedRun> FailedRuns;
+  uint32_t Crashes = 0; ///< For which it is suspected; see `TaskCrash`.
+  UpstreamId Upstream;  ///< Where it was started.
   /// Upstreams where a start or a run of it did not succeed.
   std::set<UpstreamId> AvoidedUpstreams;
 };
