--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -51,9 +51,10 @@
   RunKey Key;
   UpstreamId Upstream;
   SteadyTime Started;
-  SteadyTime Ended;  ///< `SteadyTime::max()` while it runs.
-  bool Done = false; ///< It ended with success.
-  std::string Kind;  ///< Of the upstream's process that started it.
+  SteadyTime Ended;    ///< `SteadyTime::max()` while it runs.
+  bool Done = false;   ///< It ended with success.
+  std::string Kind;    ///< Of the upstream's process that started it.
+  bool Failed = false; ///< It ended as failed.
 };
 
 /// A caller's request and its answer.
@@ -175,6 +176,7 @@
   void setConfiguration(FleetConfiguration To) {
     Configuration = std::move(To);
   }
+  const FleetConfiguration &configuration() const { return Configuration; }
 
   SteadyTime now() const { return Now; }
   const FleetInstance &state(const Address &Endpoint) const {
--- a/tests/support/cell_world_upstreams.cpp
+++ b/tests/support/cell_world_upstreams.cpp
@@ -28,6 +28,7 @@
     return;
   Runs[It->second.Record].Ended = Now;
   Runs[It->second.Record].Done = Outcome == RunEnd::Done;
+  Runs[It->second.Record].Failed = Outcome == RunEnd::Failed;
   U.Running.erase(It);
   uint32_t &Last = U.LastEnded[{Key.Job, Key.Step, Key.Index}];
   Last = std::max(Last, Key.Run);
