sender: raise the attempts of a job that is joined

A caller whose submission joined an open job was answered "failed" after the attempts of the first submission, though the configuration in force at its own entry allowed more.

Cause: a joined submission replaced the waiter and the number of the order, not its `max_attempts`. The job now has the higher of the two.

FailedEndTest.JoinedSubmissionRaisesTheAttempts failed before.

--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -271,6 +271,8 @@
   J.Order.Entry = Order.Entry;
   J.Order.Incarnation = Order.Incarnation;
   J.Order.Number = Order.Number;
+  // The later submission may be under a configuration that allows more.
+  J.Order.MaxAttempts = std::max(J.Order.MaxAttempts, Order.MaxAttempts);
   J.Deadline = std::max(J.Deadline, Now + Order.Remaining);
   State.JobsByWaiter[Waiter] = Order.Id;
   logJob(Out, Order.Id, "duplicate submission attached to the unfinished job");
--- a/tests/cell_failed_end_test.cpp
+++ b/tests/cell_failed_end_test.cpp
@@ -255,6 +255,22 @@
   EXPECT_EQ(failures(), 0U);
 }
 
+// Guards against a caller whose submission joins an open job being answered by
+// the lower number of attempts of an older configuration.
+TEST_F(FailedEndTest, JoinedSubmissionRaisesTheAttempts) {
+  submit(2, 3);
+  for (uint32_t Run : {1U, 2U}) {
+    start("up-1", Run);
+    report("up-1", {{Run, key(Run), RunEnd::Failed}});
+  }
+  ASSERT_TRUE(isOpen());
+  submit(3, 1);
+  ASSERT_TRUE(isOpen());
+  start("up-1", 3);
+  report("up-1", {{3, key(3), RunEnd::Failed}});
+  EXPECT_TRUE(isRetainedAsFailed());
+}
+
 namespace {
 
 /// Highest number of runs of one task of \p Job that have ended as failed by
