sender: answer with a retained failure only within its attempts

A caller who submitted a job again after the operator had raised `max_attempts` was answered with the retained failure of the earlier submission, after fewer failed runs than its own submission allowed. An entry that asked for the result of such a submission before that had arrived was told the same.

Cause: the retained result didn't hold the attempts under which the job had failed. It now does, and a submission with more attempts starts the job anew. To a result query, a failure is the answer for the submission that failed only; another one is answered as lost.

FailedEndTest.RetainedFailureOfFewerAttemptsIsNotTheAnswer failed before for the submission; its check of the query was added with the correction. The tests of resubmissions, silent connections and late stops pass.

--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -305,7 +305,11 @@
   if (Existing != State.Jobs.end())
     return joinJob(State, Existing->second, Order, Waiter, Now, Out);
   const RetainedResult *Earlier = retainedResult(State, Order.Id, Now);
-  if (Earlier && Earlier->Outcome != JobOutcome::Lost) {
+  // A later submission may be under a configuration that allows more attempts
+  // than the one that failed.
+  bool FewerAttempts = Earlier && Earlier->Outcome == JobOutcome::Failed &&
+                       Earlier->MaxAttempts < Order.MaxAttempts;
+  if (Earlier && Earlier->Outcome != JobOutcome::Lost && !FewerAttempts) {
     JobResult Result;
     Result.Outcome = Earlier->Outcome;
     Result.Reason = "retained result of an earlier submission";
@@ -375,7 +379,8 @@
   if (Outcome != JobOutcome::NotRun || RunEarlier)
     retainResult(State, Id,
                  {RunEarlier ? JobOutcome::Lost : Outcome, Now, LastRun,
-                  J.Order.Entry, J.Order.Incarnation, J.Order.Number});
+                  J.Order.Entry, J.Order.Incarnation, J.Order.Number,
+                  J.Order.MaxAttempts});
   switch (Outcome) {
   case JobOutcome::Done:
     ++State.Counts.JobsDone;
@@ -455,7 +460,7 @@
     auto Retained = State.RetainedResults.find(Job.Id);
     if (Retained != State.RetainedResults.end() &&
         Now - Retained->second.Ended <= ResultRetention &&
-        (Retained->second.Outcome != JobOutcome::Lost ||
+        (Retained->second.Outcome == JobOutcome::Done ||
          IsOrdered(Retained->second, Job))) {
       if (Now - Retained->second.Ended < AnswerTransitTime)
         continue;
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -195,6 +195,7 @@
   Address Entry;             ///< `JobOrder::Entry` of the job.
   IncarnationId Incarnation; ///< `JobOrder::Incarnation` of the job.
   uint64_t Number = 0;       ///< `JobOrder::Number` of the job.
+  uint32_t MaxAttempts = 1;  ///< `JobOrder::MaxAttempts` of the job.
 };
 
 /// Learned factor, as a natural logarithm.
--- a/tests/cell_failed_end_test.cpp
+++ b/tests/cell_failed_end_test.cpp
@@ -271,6 +271,29 @@
   EXPECT_TRUE(isRetainedAsFailed());
 }
 
+// Guards against a submission under a higher number of attempts being answered
+// with the retained failure of one under a lower number, whether it arrives or
+// its entry asks for the result.
+TEST_F(FailedEndTest, RetainedFailureOfFewerAttemptsIsNotTheAnswer) {
+  for (uint32_t Run : {1U, 2U}) {
+    start("up-1", Run);
+    report("up-1", {{Run, key(Run), RunEnd::Failed}});
+  }
+  ASSERT_TRUE(isRetainedAsFailed());
+  Now += seconds(1);
+  ResultQuery Query;
+  Query.Entry = {"10.0.0.1:7000"};
+  Query.Jobs = {{{"a"}, 1}, {{"a"}, 3}};
+  ResultReply Reply = answerResultQuery(State, Query, Now);
+  ASSERT_EQ(Reply.Jobs.size(), 2U);
+  EXPECT_TRUE(Reply.Jobs[0].Result);
+  EXPECT_FALSE(Reply.Jobs[1].Result);
+  submit(2, 2);
+  EXPECT_FALSE(isOpen());
+  submit(3, 3);
+  EXPECT_TRUE(isOpen());
+}
+
 namespace {
 
 /// Highest number of runs of one task of \p Job that have ended as failed by
