--- a/tests/cell_failed_end_test.cpp
+++ b/tests/cell_failed_end_test.cpp
@@ -87,7 +87,8 @@
   bool isOpen() const { return State.Jobs.count({"a"}) > 0; }
   /// Failures counted for a task of the open job.
   uint32_t failures(uint32_t Index = 0) const {
-    return State.Jobs.at({"a"}).Tasks[Index].Failures;
+    return static_cast<uint32_t>(
+        State.Jobs.at({"a"}).Tasks[Index].FailedRuns.size());
   }
   /// Result for which the sender answers the job's duplicates.
   bool isRetainedAsFailed() const {
@@ -115,6 +116,22 @@
   EXPECT_TRUE(isRetainedAsFailed());
 }
 
+// Guards against a log from which it can't be told on which ends the answer
+// `failed` rests.
+TEST_F(FailedEndTest, FailedJobIsLoggedWithItsRuns) {
+  start("up-1", 1);
+  report("up-1", {{1, key(1), RunEnd::Failed}});
+  start("up-2", 2);
+  report("up-2", {{1, key(2), RunEnd::Failed}});
+  bool Logged = std::any_of(Out.begin(), Out.end(), [](const auto &E) {
+    const auto *Log = std::get_if<LogDecision>(&E);
+    return Log &&
+           Log->Message.find("failed_runs=0#1@up-1/1000,0#2@up-2/1000") !=
+               std::string::npos;
+  });
+  EXPECT_TRUE(Logged);
+}
+
 // Guards against an end that counts twice because it was listed again, its
 // acknowledgement being lost.
 TEST_F(FailedEndTest, EndThatIsListedAgainCountsOnce) {
