sender: answer a job as lost only if a start may have been carried out

A caller got 502 for its first job though nothing was started, a moment after its fleet had started (CellProcessTest.EachInstanceServesJobsWhole).

Cause: two instances that have not heard of each other claim the same cells. The one with the lower token learns of it from a start that the upstream rejects as fenced. It then releases the cell, and releaseCell ended all jobs with a run there as lost, also those whose starts had not been answered yet; these are rejected as well. Log of such a run: i1 and i3 acquired the cells of dc2 within 2 ms; "start not accepted verdict=fenced", "orders rejected for a higher fencing token in cell=dc2/14", "ended outcome=lost reason="the claim to its cell was lost" open=3 took_ms=0".

Now the upstreams of a released cell are kept, without renewals, until their starts have been answered. A job of which a start was accepted, or got no answer, is lost as before. The tasks of the others wait again; if no upstream that is left fits them, the job is returned as not run and its entry tries another sender. SenderJob::MayHaveRun tells the two apart, since Started is set with the order. The same applies to a claim that is superseded by a peer's and to a shutdown, where such jobs stayed until the caller's deadline.

--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -556,6 +556,7 @@
   InstanceEffects Pending;
   InstanceEffects Out;
   std::visit(Router{State, E.Now, E.Wall, Pending}, E.Body);
+  returnStrandedJobs(State.Sender, E.Now, Pending);
   while (deliverLocally(State, E.Now, Pending, Out)) {
   }
   if (mayStartTasks(State, E.Now))
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -103,7 +103,8 @@
          std::any_of(State.Upstreams.begin(), State.Upstreams.end(),
                      [&](const auto &Entry) {
                        const SenderUpstream &U = Entry.second;
-                       return U.Record.Service == Order.Service &&
+                       return U.Phase != UpstreamPhase::Fenced &&
+                              U.Record.Service == Order.Service &&
                               U.Record.Capacity.covers(Order.Step.PerTask);
                      });
 }
@@ -319,9 +320,11 @@
         true, Now, Out);
   // Upstreams reject runs that are not newer than an ended one, so the numbers
   // go on rising over submissions of the same job.
-  if (Earlier)
+  if (Earlier) {
     for (SenderTask &T : J.Tasks)
       T.Run = Earlier->LastRun;
+    J.MayHaveRun = Earlier->LastRun > 0;
+  }
   J.AdmittedLate = Now + Delay > J.Objective - J.ExpectedRunTime;
   if (!J.AdmittedLate)
     recordOfferedWork(State.Offered, J, Now);
@@ -332,8 +335,8 @@
 }
 
 void finishJob(SenderState &State, const JobId &Id, JobOutcome Outcome,
-               const std::string &Reason, SteadyTime Now,
-               InstanceEffects &Out) {
+               const std::string &Reason, SteadyTime Now, InstanceEffects &Out,
+               bool Moved) {
   auto It = State.Jobs.find(Id);
   if (It == State.Jobs.end())
     return;
@@ -357,7 +360,7 @@
   // The numbers of runs go on from those of earlier submissions.
   uint32_t LastRun = lastRunOf(J);
   bool RunEarlier = Outcome == JobOutcome::NotRun &&
-                    (LastRun > 0 || !crashesOf(State.Crashes, Id).empty());
+                    (J.MayHaveRun || !crashesOf(State.Crashes, Id).empty());
   if (Outcome != JobOutcome::NotRun || RunEarlier)
     retainResult(State, Id,
                  {RunEarlier ? JobOutcome::Lost : Outcome, Now, LastRun,
@@ -388,7 +391,8 @@
   Result.Outcome = Outcome;
   Result.Reason = Reason;
   if (Outcome == JobOutcome::NotRun) {
-    Result.Moved = Result.Leaving = State.Draining;
+    Result.Leaving = State.Draining;
+    Result.Moved = Moved || State.Draining;
     Result.MayHaveRun = RunEarlier;
   }
   answer(State, Id, J.Waiter, std::move(Result), Now, Out);
@@ -492,12 +496,30 @@
 
 void returnWaitingJobs(SenderState &State, SteadyTime Now,
                        InstanceEffects &Out) {
-  for (const JobId &Id :
-       jobsWhere(State, [](const SenderJob &J) { return !J.Started; }))
+  for (const JobId &Id : jobsWhere(State, [](const SenderJob &J) {
+         return !J.MayHaveRun && J.WaitingTasks == J.Tasks.size();
+       }))
     finishJob(State, Id, JobOutcome::NotRun, "sender is shutting down", Now,
               Out);
 }
 
+void returnStrandedJobs(SenderState &State, SteadyTime Now,
+                        InstanceEffects &Out) {
+  if (!State.UpstreamsLost || State.UpstreamListPending)
+    return;
+  State.UpstreamsLost = false;
+  // Started tasks are left to the answers and reports of their upstreams.
+  for (const JobId &Id : jobsWhere(State, [&](const SenderJob &J) {
+         return J.WaitingTasks == J.UnfinishedTasks &&
+                !fitsAnyUpstream(State, J.Order);
+       }))
+    finishJob(State, Id,
+              State.Jobs.at(Id).MayHaveRun ? JobOutcome::Lost
+                                           : JobOutcome::NotRun,
+              "this sender has no upstream left for its tasks", Now, Out,
+              /*Moved=*/true);
+}
+
 void applyRunOutcome(SenderState &State, const UpstreamId &Upstream,
                      const RunKey &Key, RunOutcome Outcome, SteadyTime Now,
                      InstanceEffects &Out) {
--- a/src/sender/job_cmd.h
+++ b/src/sender/job_cmd.h
@@ -46,11 +46,17 @@
 /// can't finish while an answer is of use. Called on each tick.
 void expireSenderJobs(SenderState &State, SteadyTime Now, InstanceEffects &Out);
 
-/// Rejects the jobs that have not started, so that their entries hand them to
-/// other senders. Called when this instance begins to shut down.
+/// Rejects the jobs of which nothing has run, so that their entries hand them
+/// to other senders. Called when this instance begins to shut down.
 void returnWaitingJobs(SenderState &State, SteadyTime Now,
                        InstanceEffects &Out);
 
+/// Ends the jobs whose unfinished tasks all wait and fit no upstream that is
+/// left, if upstreams were released or fenced off since the last call. Those
+/// that have not run go to other senders.
+void returnStrandedJobs(SenderState &State, SteadyTime Now,
+                        InstanceEffects &Out);
+
 /// Applies the end of a run to its job: the task is done, waits again, or makes
 /// the job fail. Ignored if \p Key is not the last run of its task.
 void applyRunOutcome(SenderState &State, const UpstreamId &Upstream,
@@ -58,9 +64,11 @@
                      InstanceEffects &Out);
 
 /// Ends a job: stops its runs, retains the result unless nothing was run, and
-/// answers the waiter.
+/// answers the waiter. \p Moved is for `JobResult::Moved` of a job that was not
+/// run.
 void finishJob(SenderState &State, const JobId &Id, JobOutcome Outcome,
-               const std::string &Reason, SteadyTime Now, InstanceEffects &Out);
+               const std::string &Reason, SteadyTime Now, InstanceEffects &Out,
+               bool Moved = false);
 
 /// Sort key of a job in the queue. Jobs that can meet their objective come
 /// first, by latest start; jobs that will be late follow.
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -54,7 +54,9 @@
   Clearing,     ///< Orphaned runs of an earlier sender are being stopped.
   Ready,        ///< Tasks can be started on it.
   Unresponsive, ///< Calls time out, or another process answers.
-  Fenced,       ///< It accepts only a newer sender's orders.
+  /// It accepts only a newer sender's orders, or its cell was released while
+  /// starts on it awaited their answers.
+  Fenced,
 };
 
 /// An upstream in a cell that this sender has claimed.
@@ -159,9 +161,12 @@
   JobOrder Order;
   JobWaiter Waiter;
   std::vector<SenderTask> Tasks;
-  size_t WaitingTasks = 0;        ///< Tasks that are not on an upstream.
-  size_t UnfinishedTasks = 0;     ///< Tasks that have not succeeded.
-  bool Started = false;           ///< At least one task was started.
+  size_t WaitingTasks = 0;    ///< Tasks that are not on an upstream.
+  size_t UnfinishedTasks = 0; ///< Tasks that have not succeeded.
+  bool Started = false;       ///< The start of a task was ordered.
+  /// An upstream has accepted a start, here or for an earlier submission, or
+  /// may have: it gave no answer. Without this, nothing has run.
+  bool MayHaveRun = false;
   bool HasSuspectedTasks = false; ///< `SenderTask::Crashes` of one is set.
   /// It was not expected to meet its objective when it was admitted. It ranks
   /// behind the jobs that can, until it has started.
@@ -258,6 +263,8 @@
   OfferedWork Offered;
   bool Draining = false;    ///< Shutdown has begun; new jobs are rejected.
   bool PlacementDue = true; ///< A start may have become possible.
+  /// Upstreams were released or fenced off, so that jobs may have none left.
+  bool UpstreamsLost = false;
   /// The upstreams of a newly claimed cell are being read from the store. Jobs
   /// are admitted meanwhile.
   bool UpstreamListPending = false;
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -54,12 +54,24 @@
          LeaseExpiryMargin;
 }
 
+/// Records that a task of the job may have run.
+void recordPossibleRun(SenderState &State, const JobId &Id) {
+  auto Job = State.Jobs.find(Id);
+  if (Job != State.Jobs.end())
+    Job->second.MayHaveRun = true;
+}
+
 /// Removes a run from its upstream and applies its outcome to its job.
+/// \p Rejected: the upstream has not accepted the start and will not carry it
+/// out.
 void finishRun(SenderState &State, SenderUpstream &U, const RunKey &Key,
-               RunOutcome Outcome, SteadyTime Now, InstanceEffects &Out) {
+               RunOutcome Outcome, SteadyTime Now, InstanceEffects &Out,
+               bool Rejected = false) {
   auto It = U.Runs.find(Key);
   if (It == U.Runs.end())
     return;
+  if (!Rejected)
+    recordPossibleRun(State, Key.Job);
   U.Free += It->second.Need;
   U.Runs.erase(It);
   State.PlacementDue = true;
@@ -79,6 +91,8 @@
   }
   for (const RunKey &Key : Keys)
     finishRun(State, U, Key, RunOutcome::Aborted, Now, Out);
+  if (U.Phase == UpstreamPhase::Fenced)
+    State.UpstreamsLost = true;
 }
 
 /// Applies a reported end to the run and, for a run that succeeded or failed,
@@ -209,10 +223,62 @@
     recordCrash(State, U, CrashSign::OtherProcess, nullptr, Now, Out);
 }
 
-/// Marks \p U as fenced off and reports its cell.
-void recordFencing(SenderUpstream &U, std::optional<CellId> &FencedCell) {
+/// Marks \p U as fenced off and reports its cell, unless that is known: the
+/// cell may have been claimed again since.
+void recordFencing(SenderState &State, SenderUpstream &U,
+                   std::optional<CellId> &FencedCell) {
+  if (U.Phase == UpstreamPhase::Fenced)
+    return;
   FencedCell = U.Cell;
   U.Phase = UpstreamPhase::Fenced;
+  State.UpstreamsLost = true;
+}
+
+/// Returns true if an order with this answer was not carried out and will not
+/// be.
+bool isRejection(OrderStatus Status) {
+  switch (Status) {
+  case OrderStatus::NoRoom:
+  case OrderStatus::Unhealthy:
+  case OrderStatus::NothingSent:
+  case OrderStatus::Refused:
+  case OrderStatus::OtherProcess:
+  case OrderStatus::TooLate:
+  case OrderStatus::Fenced:
+    return true;
+  default:
+    return false;
+  }
+}
+
+void logStartAnswer(const SenderUpstream &U, const StartAnswered &Event,
+                    InstanceEffects &Out) {
+  Out.push_back(LogDecision{
+      DecisionPart::Upstreams, Event.Key.Job.Value,
+      "run=" + runText(Event.Key) + " upstream=" + U.Record.Id.Value +
+          " start not accepted verdict=" + orderStatusName(Event.Status),
+      /*Frequent=*/true});
+}
+
+/// Applies the answer to a start on an upstream whose cell was released. A run
+/// that may have begun is left to the next sender, which stops it.
+void applyReleasedStart(SenderState &State, SenderUpstream &U,
+                        const StartAnswered &Event, SteadyTime Now,
+                        InstanceEffects &Out) {
+  if (!U.Runs.count(Event.Key))
+    return;
+  bool Rejected = isRejection(Event.Status);
+  if (Event.Status != OrderStatus::Accepted) {
+    ++State.Counts.RunsRejected;
+    logStartAnswer(U, Event, Out);
+  }
+  finishRun(State, U, Event.Key, RunOutcome::Aborted, Now, Out, Rejected);
+  if (U.Runs.empty())
+    State.Upstreams.erase(Event.Upstream);
+  State.UpstreamsLost = true;
+  if (!Rejected)
+    finishJob(State, Event.Key.Job, JobOutcome::Lost,
+              "the claim to its cell was lost", Now, Out);
 }
 
 /// Returns the upstream, or null if it is unknown or has another token.
@@ -372,6 +438,8 @@
   SenderUpstream *U = findUpstream(State, Event.Upstream, Event.Token);
   if (!U)
     return;
+  if (isReleased(State, *U))
+    return applyReleasedStart(State, *U, Event, Now, Out);
   // The report of the process that follows shows which runs have ended.
   if (!Event.OtherStartedAt)
     checkProcess(State, *U, Event.Status, Now, Out);
@@ -388,6 +456,7 @@
   if (Event.Status == OrderStatus::Accepted) {
     Run.Phase = RunPhase::Running;
     Run.Accepted = Now;
+    recordPossibleRun(State, Event.Key.Job);
     U->RenewalLost.reset();
     U->UnansweredCalls = 0;
     if (!U->RenewalPending)
@@ -395,13 +464,10 @@
     return;
   }
   ++State.Counts.RunsRejected;
-  Out.push_back(LogDecision{
-      DecisionPart::Upstreams, Event.Key.Job.Value,
-      "run=" + runText(Event.Key) + " upstream=" + U->Record.Id.Value +
-          " start not accepted verdict=" + orderStatusName(Event.Status),
-      /*Frequent=*/true});
+  logStartAnswer(*U, Event, Out);
   if (Event.Status == OrderStatus::Unknown) {
     Run.Phase = RunPhase::Unconfirmed;
+    recordPossibleRun(State, Event.Key.Job);
     U->UnansweredStarts.emplace_back(Now, Event.Key);
     // If the start arrives after the stop, the upstream rejects it.
     orderStop(*U, Run, Now, Out);
@@ -433,7 +499,7 @@
       updateClockOffset(*U, *Event.ClockMs, Now);
     break;
   case OrderStatus::Fenced:
-    recordFencing(*U, FencedCell);
+    recordFencing(State, *U, FencedCell);
     break;
   default:
     break;
@@ -443,17 +509,18 @@
   if (Event.Status == OrderStatus::NoRoom && !U->RenewalPending &&
       U->Runs.size() == 1)
     sendRenewal(State, *U, false, std::chrono::milliseconds(0), Now, Out);
-  finishRun(State, *U, Event.Key, RunOutcome::Aborted, Now, Out);
+  finishRun(State, *U, Event.Key, RunOutcome::Aborted, Now, Out,
+            isRejection(Event.Status));
 }
 
 void applyStopAnswer(SenderState &State, const StopAnswered &Event,
                      SteadyTime Now, std::optional<CellId> &FencedCell,
                      InstanceEffects &Out) {
   SenderUpstream *U = findUpstream(State, Event.Upstream, Event.Token);
-  if (!U)
+  if (!U || isReleased(State, *U))
     return;
   if (Event.Status == OrderStatus::Fenced) {
-    recordFencing(*U, FencedCell);
+    recordFencing(State, *U, FencedCell);
   }
   checkProcess(State, *U, Event.Status, Now, Out);
   auto It = U->Runs.find(Event.Key);
@@ -482,11 +549,11 @@
                   SteadyTime Now, std::optional<CellId> &FencedCell,
                   InstanceEffects &Out) {
   SenderUpstream *U = findUpstream(State, Event.Upstream, Event.Token);
-  if (!U || Event.Sequence != U->RenewalSequence)
+  if (!U || Event.Sequence != U->RenewalSequence || isReleased(State, *U))
     return;
   U->RenewalPending = false;
   if (Event.Status == OrderStatus::Fenced) {
-    recordFencing(*U, FencedCell);
+    recordFencing(State, *U, FencedCell);
     return;
   }
   // Only a renewal that waited for an end, and followed an answer of the same
--- a/src/sender/upstream_list_cmd.cpp
+++ b/src/sender/upstream_list_cmd.cpp
@@ -82,6 +82,10 @@
     }
     SenderUpstream &U = It->second;
     U.UnlistedSince = {};
+    // It is used under the new claim once the starts under the earlier one have
+    // been answered.
+    if (isReleased(State, U) && !U.Runs.empty())
+      continue;
     // Runs that a draining sender still has on it stay under the earlier token.
     if (Claimed && U.Token != Claim->second.Token && U.Runs.empty()) {
       U.Token = Claim->second.Token;
@@ -136,6 +140,10 @@
   }
 }
 
+bool isReleased(const SenderState &State, const SenderUpstream &U) {
+  return U.Phase == UpstreamPhase::Fenced && !State.Draining;
+}
+
 void releaseCell(SenderState &State, const CellId &Cell, SteadyTime Now,
                  InstanceEffects &Out) {
   std::set<JobId> Lost;
@@ -145,12 +153,21 @@
       ++It;
       continue;
     }
-    for (const auto &[Key, Run] : U.Runs) {
-      Lost.insert(Key.Job);
-      releaseDetachedRun(State, Key.Job);
+    for (auto Run = U.Runs.begin(); Run != U.Runs.end();) {
+      // The answer shows whether the run has begun. The upstream rejects the
+      // start if the next sender's orders have reached it before.
+      if (Run->second.Phase == RunPhase::Starting) {
+        ++Run;
+        continue;
+      }
+      Lost.insert(Run->first.Job);
+      releaseDetachedRun(State, Run->first.Job);
+      Run = U.Runs.erase(Run);
     }
-    It = State.Upstreams.erase(It);
+    U.Phase = UpstreamPhase::Fenced;
+    It = U.Runs.empty() ? State.Upstreams.erase(It) : std::next(It);
   }
+  State.UpstreamsLost = true;
   // The next sender of the cell stops these runs; this one can no longer track
   // them.
   for (const JobId &Id : Lost)
