sender: acknowledge ends only to the process that listed them

What callers saw: a task ran twice though its first run had ended as done (TWICE). Its upstream had restarted under its id while it was idle, so the sender had not noticed.

Cause: the numbers of ends start anew with each process of an upstream. The first renewal after the start still carried the number up to which ends of the former process were applied. The new process forgot its end 1 unreported; the run was absent from both lists, counted as aborted and was started again. That takes a task that ends before the first renewal after its start arrives, or a renewal there that gets no answer.

Change: an acknowledgement names the process that it is for. The HTTP client sends it only on a connection that was open before the last answered renewal was sent, or on which an answer has named the process: an open connection leads to one process for good, and to none after its end. On any other connection it sends last_seen 0 and no further call. The ends are then listed again and skipped by their number, and the answer tells the sender that nothing was acknowledged, so that a later renewal does it; for an idle upstream after 400 ms, not with each tick. Upstreams that state no process get acknowledgements as before.

HttpCheckTest.Body*: three of the four fail if the client never replaces the body; the fourth counts requests.

Cost: the answers on a new connection are parsed a second time until one has named the process, and a renewal with an acknowledgement is encoded twice. No message or setting changes.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -99,11 +99,11 @@
     sendRequest(std::move(Question));
   }
 
-  /// Returns true if the connection is open and known to lead to the process
-  /// that \p Check demands. The end of that process would have closed it.
-  bool leadsTo(const HttpCheck &Check) const {
+  /// Returns true if the connection is open and known to lead to \p Process.
+  /// The end of that process would have closed it.
+  bool leadsTo(const HttpProcess &Process) const {
     return OpenSince &&
-           (*OpenSince <= Check.KnownAt || PassedCheck == Check.Process);
+           (*OpenSince <= Process.KnownAt || KnownProcess == Process.Process);
   }
 
   /// Sends the call whose check was passed.
@@ -133,6 +133,10 @@
     Written.reset();
     Request = evhttp_request_new(handleDone, this);
     OnChunk = std::move(Call.OnChunk);
+    ProcessOf = std::move(Call.ProcessOf);
+    OtherBodySent = Call.OtherBody && !leadsTo(*Call.OtherBody);
+    if (OtherBodySent)
+      Call.Body = std::move(Call.OtherBody->Body);
     if (OnChunk)
       evhttp_request_set_chunked_cb(Request, handleChunk);
     evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
@@ -177,7 +181,7 @@
   static void handleClosed(evhttp_connection *, void *Arg) {
     auto *Self = static_cast<Connection *>(Arg);
     Self->OpenSince.reset();
-    Self->PassedCheck.reset();
+    Self->KnownProcess.reset();
   }
 
   static void handleOutput(evbuffer *Output, const evbuffer_cb_info *Info,
@@ -259,9 +263,11 @@
     if (Reusable && !Self->OpenSince)
       Self->OpenSince = bootTimeNow();
     if (Self->Checked)
-      Self->applyCheck(std::move(Reply), Reusable);
-    else
-      Self->complete(std::move(Reply), Reusable);
+      return Self->applyCheck(std::move(Reply), Reusable);
+    if (Reusable && Self->ProcessOf && !Self->KnownProcess)
+      Self->KnownProcess = Self->ProcessOf(Reply);
+    Reply.OtherBodySent = Self->OtherBodySent;
+    Self->complete(std::move(Reply), Reusable);
   }
 
   void applyCheck(HttpReply Reply, bool Reusable) {
@@ -272,7 +278,7 @@
       complete(Failure, Reusable);
       return;
     }
-    PassedCheck = Check.Process;
+    KnownProcess = Check.Process;
     CallDue = true;
     // evhttp still uses the connection after this callback.
     Owner.Deferred.push_back([&Client = Owner, To = Endpoint, Call = Number] {
@@ -376,9 +382,12 @@
   /// When the first reply arrived on the open connection; unset while it is not
   /// open. evhttp opens a closed connection again with the next request.
   std::optional<SteadyTime> OpenSince;
-  /// `HttpCheck::Process` of the last check that was passed on the connection
-  /// since it was opened.
-  std::optional<int64_t> PassedCheck;
+  /// Process of the last check that was passed, or that a reply has named, on
+  /// the connection since it was opened.
+  std::optional<int64_t> KnownProcess;
+  /// `HttpCall::ProcessOf` of the present call.
+  std::function<std::optional<int64_t>(const HttpReply &)> ProcessOf;
+  bool OtherBodySent = false; ///< The present call has `HttpCall::OtherBody`.
 };
 
 HttpClient::HttpClient(EventLoop &Loop, HttpClientOptions Options)
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -39,17 +39,23 @@
   std::string Body;
   std::string ContentType = "application/json"; ///< Used only when sending.
   HttpHeaders Headers; ///< Without `Content-Type` when sending.
+  /// The call was sent with `HttpCall::OtherBody`. Unused when sending.
+  bool OtherBodySent = false;
 };
 
-/// Restricts a call to connections that lead to one process of the server. An
+/// A process of a server, and which connections are known to lead to it. An
 /// open connection never leads to another process than at first, so it is
 /// enough to know the process once.
-struct HttpCheck {
+struct HttpProcess {
   /// Identifies the process. Connections on which a check with the same value
-  /// was passed before need no other one.
+  /// was passed, or `HttpCall::ProcessOf` has returned it, lead to it.
   int64_t Process = 0;
-  /// Connections that have been open since then, or longer, need no check.
+  /// Connections that have been open since then, or longer, lead to it.
   SteadyTime KnownAt{};
+};
+
+/// Restricts a call to connections that lead to one process of the server.
+struct HttpCheck : HttpProcess {
   /// POST request that is sent before the call on all other connections.
   std::string Path;
   std::string Body;
@@ -58,6 +64,11 @@
   std::function<bool(const HttpReply &)> Accepts;
 };
 
+/// The body of a call on connections that are not known to lead to the process.
+struct HttpOtherBody : HttpProcess {
+  std::string Body;
+};
+
 /// A request to send.
 struct HttpCall {
   Address Target; ///< Server to connect to.
@@ -76,6 +87,11 @@
   /// Which process of the server may receive the call; any if it is unset. The
   /// time-out includes that of the check.
   std::optional<HttpCheck> Check;
+  /// Replaces `Body` if it is meant for one process of the server only.
+  std::optional<HttpOtherBody> OtherBody;
+  /// Returns the process that has sent the reply, if the reply states it. Used
+  /// only while the process that a connection leads to is not known.
+  std::function<std::optional<int64_t>(const HttpReply &)> ProcessOf;
 };
 
 /// Why a call has no reply.
--- a/src/orders/order_type.h
+++ b/src/orders/order_type.h
@@ -154,10 +154,11 @@
 
 // Effects.
 
-/// Names the only process of an upstream that may receive an order. The order
-/// goes over a connection that was open by `KnownAt`, which leads to that
-/// process or to none, or over one on which the process has just reported its
-/// start. If another process reports, the order is not sent.
+/// Names the only process of an upstream that may receive an order or an
+/// acknowledgement. The order goes over a connection that was open by
+/// `KnownAt`, which leads to that process or to none, or over one on which the
+/// process has just reported its start. If another process reports, the order
+/// is not sent.
 struct ProcessCondition {
   int64_t StartedAt = 0; ///< Start of the process, Unix ms.
   SteadyTime KnownAt{};  ///< When the process was last known to be there.
@@ -190,6 +191,10 @@
   Address Endpoint;
   FencingToken Token;
   uint64_t AcknowledgeUpTo = 0; ///< Number up to which ends were applied.
+  /// The process whose ends are acknowledged; any if it is unset. Over other
+  /// connections nothing is acknowledged: the numbers of ends start anew with
+  /// each process, and the next one would forget ends that nobody has read.
+  std::optional<ProcessCondition> AcknowledgeOnlyTo;
   /// As in `StartRun`; the lease is not renewed if it is unset.
   std::optional<int64_t> LeaseDeadlineMs;
   /// The upstream waits for an end this long before it answers.
@@ -226,6 +231,9 @@
   uint64_t Sequence = 0;
   OrderStatus Status = OrderStatus::Unknown;
   std::optional<UpstreamReport> Report; ///< Present when accepted.
+  /// Number up to which the renewal has acknowledged ends; 0 if it was sent
+  /// without an acknowledgement.
+  uint64_t AcknowledgedUpTo = 0;
   /// Time for which the renewal waited at the upstream until that closed the
   /// connection without an answer; unset otherwise.
   std::optional<Duration> LostAfter;
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -235,6 +235,9 @@
   Effect.Endpoint = U.Record.Endpoint;
   Effect.Token = U.Token;
   Effect.AcknowledgeUpTo = U.AcknowledgeUpTo;
+  // An upstream that doesn't state its process can't be told from the next one.
+  if (U.ProcessKnownAt != SteadyTime{})
+    Effect.AcknowledgeOnlyTo = ProcessCondition{U.StartedAt, U.ProcessKnownAt};
   Effect.Wait = Wait;
   Effect.Sequence = ++U.RenewalSequence;
   U.RenewalWaits = Wait.count() > 0;
@@ -532,7 +535,14 @@
   }
   updateClockOffset(*U, Report.ClockMs, Now);
   U->UnansweredCalls = 0;
-  U->AcknowledgedUpTo = std::max(U->AcknowledgedUpTo, U->AcknowledgeUpTo);
+  // The acknowledgement may have been left out, or named ends of the process
+  // before.
+  U->AcknowledgedUpTo =
+      std::max(U->AcknowledgedUpTo,
+               std::min(Event.AcknowledgedUpTo, U->AcknowledgeUpTo));
+  // Limits further renewals of an idle upstream that only acknowledge ends.
+  if (U->AcknowledgedUpTo < U->AcknowledgeUpTo)
+    U->FirstUnacknowledged = Now;
   for (const EndReport &End : Report.Ended)
     if (End.Number > U->AcknowledgeUpTo)
       applyEndReport(State, *U, End, Now, Out);
--- a/tests/http_check_test.cpp
+++ b/tests/http_check_test.cpp
@@ -30,6 +30,7 @@
     Server = std::make_unique<HttpServer>(Loop, HttpServerLimits{});
     Server->RequestReceived.connect([this, Number](const HttpRequest &R) {
       Received.push_back(std::to_string(Number) + R.Path);
+      Bodies.push_back(std::to_string(Number) + R.Body);
       if (Answers)
         Server->reply(R.Id, {200, std::to_string(Number)});
     });
@@ -62,6 +63,26 @@
     Call.Timeout = std::chrono::milliseconds(300);
     return Call;
   }
+  /// Returns a call with a body that only process \p Process may receive, and
+  /// another one for all connections that are not known to lead to it.
+  HttpCall callWithBodyFor(int64_t Process, SteadyTime KnownAt = {}) const {
+    HttpCall Call = anyCall();
+    Call.Body = "own";
+    HttpOtherBody Other;
+    Other.Process = Process;
+    Other.KnownAt = KnownAt;
+    Other.Body = "other";
+    Call.OtherBody = std::move(Other);
+    return Call;
+  }
+  /// As `callWithBodyFor`; the replies state the process.
+  HttpCall callThatLearns(int64_t Process) const {
+    HttpCall Call = callWithBodyFor(Process);
+    Call.ProcessOf = [](const HttpReply &Reply) {
+      return std::optional<int64_t>(std::stoll(Reply.Body));
+    };
+    return Call;
+  }
   HttpOutcome send(HttpCall Call) {
     std::optional<HttpOutcome> Out;
     Client.send(std::move(Call), [&](const HttpOutcome &Outcome) {
@@ -71,6 +92,15 @@
     Loop.run();
     return *Out;
   }
+  /// Sends a call that has to be answered; returns true if it was sent with its
+  /// other body. Waits until its connection is idle.
+  bool sendsOtherBody(HttpCall Call) {
+    HttpOutcome Out = send(std::move(Call));
+    settle();
+    EXPECT_TRUE(std::holds_alternative<HttpReply>(Out));
+    return std::holds_alternative<HttpReply>(Out) &&
+           std::get<HttpReply>(Out).OtherBodySent;
+  }
   /// Lets events be handled that are under way.
   void settle() {
     Timer End(Loop, [this] { Loop.stop(); });
@@ -85,6 +115,8 @@
   bool Answers = true;
   /// Process and path of each request.
   std::vector<std::string> Received;
+  /// Process and body of each request.
+  std::vector<std::string> Bodies;
 };
 
 using Requests = std::vector<std::string>;
@@ -196,4 +228,46 @@
   EXPECT_TRUE(std::get<HttpFailure>(Out).ConnectionRefused);
 }
 
+// Guards against a body that reaches the process which has followed the one
+// that it is meant for, on a connection that is new or was opened again.
+TEST_F(HttpCheckTest, BodyForAFormerProcessIsReplaced) {
+  EXPECT_TRUE(sendsOtherBody(callThatLearns(1)));
+  EXPECT_FALSE(sendsOtherBody(callThatLearns(1)));
+  startProcess(2);
+  settle();
+  EXPECT_TRUE(sendsOtherBody(callThatLearns(1)));
+  EXPECT_TRUE(sendsOtherBody(callThatLearns(1)));
+  EXPECT_FALSE(sendsOtherBody(callThatLearns(2)));
+  EXPECT_EQ(Bodies, (Requests{"1other", "1own", "2other", "2other", "2own"}));
+}
+
+// Guards against a body that reaches another process because the client has not
+// noticed yet that the connection to the former one is closed.
+TEST_F(HttpCheckTest, BodyOnAConnectionThatJustClosedReachesNobody) {
+  EXPECT_TRUE(sendsOtherBody(callThatLearns(1)));
+  startProcess(2);
+  send(callThatLearns(1));
+  settle();
+  for (const std::string &Body : Bodies)
+    EXPECT_NE(Body, "2own");
+}
+
+// Guards against a body that is withheld from a process that is known to have
+// the connection, or sent on one that was opened after the process was known.
+TEST_F(HttpCheckTest, BodyGoesOverConnectionsThatWereOpenInTime) {
+  SteadyTime Before = bootTimeNow();
+  EXPECT_TRUE(sendsOtherBody(callWithBodyFor(1, Before)));
+  EXPECT_TRUE(sendsOtherBody(callWithBodyFor(1, Before)));
+  EXPECT_FALSE(sendsOtherBody(callWithBodyFor(1, bootTimeNow())));
+  EXPECT_EQ(Bodies, (Requests{"1other", "1other", "1own"}));
+}
+
+// Guards against a further request, which would be priced, for learning which
+// process has a new connection.
+TEST_F(HttpCheckTest, BodyForAProcessTakesNoFurtherRequest) {
+  sendsOtherBody(callThatLearns(1));
+  sendsOtherBody(callThatLearns(1));
+  EXPECT_EQ(Received, (Requests{"1/call", "1/call"}));
+}
+
 } // namespace snipeshunt
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -27,10 +27,13 @@
   /// Orders are refused as if no process ran, and answers on open connections
   /// are lost, though the process lives.
   bool Refuses = false;
-  bool Stalls = false;     ///< Runs make no progress.
-  bool Mute = false;       ///< Renewals are carried out and get no answer.
-  bool FailsAll = false;   ///< Runs end as failed at once.
-  int LostRenewals = 0;    ///< Number of renewals that get no answer.
+  bool Stalls = false;   ///< Runs make no progress.
+  bool Mute = false;     ///< Renewals are carried out and get no answer.
+  bool FailsAll = false; ///< Runs end as failed at once.
+  int LostRenewals = 0;  ///< Number of renewals that get no answer.
+  /// Number of renewals that go over a connection that is not known to lead to
+  /// the upstream's process.
+  int NewConnections = 0;
   bool LosesStops = false; ///< Stops get no answer and are not carried out.
   /// Starts get no answer and are carried out after this time.
   std::optional<Duration> StartDelay;
@@ -206,6 +209,10 @@
   size_t upstreamReads(const Address &Endpoint) const {
     return Instances.at(Endpoint).UpstreamReads;
   }
+  /// Returns the number of renewals that were sent to upstreams.
+  size_t renewalsSent() const { return RenewalsSent; }
+  /// Returns the numbers of ends that an upstream's process still lists.
+  std::vector<uint64_t> listedEnds(const UpstreamId &Id) const;
   /// Returns the number of stops that were sent to upstreams.
   size_t stopsSent() const { return StopsSent; }
   /// Returns true if the machine is without power: connections to it stay open.
@@ -332,6 +339,7 @@
   size_t OpenJobQueries = 0;
   std::set<Address> EarlierVersions; ///< See `setEarlierVersion`.
   size_t StopsSent = 0;
+  size_t RenewalsSent = 0;
   std::vector<RunRecord> Runs;
   std::set<Address> CutGroup; ///< Cut off from all other addresses.
   /// Messages from the first address to the second one are lost.
--- a/tests/support/cell_world_upstreams.cpp
+++ b/tests/support/cell_world_upstreams.cpp
@@ -226,7 +226,9 @@
   Address From = I.Record.Endpoint;
   UpstreamId Id = E.Upstream;
   auto Answered = std::make_shared<bool>(false);
-  auto Answer = [this, From, Answered,
+  auto Acknowledged = std::make_shared<uint64_t>(0);
+  ++RenewalsSent;
+  auto Answer = [this, From, Answered, Acknowledged,
                  E](OrderStatus Status, std::optional<UpstreamReport> R,
                     std::optional<Duration> LostAfter = std::nullopt) {
     if (*Answered)
@@ -234,6 +236,7 @@
     *Answered = true;
     RenewalAnswered Event;
     Event.LostAfter = LostAfter;
+    Event.AcknowledgedUpTo = *Acknowledged;
     Event.Upstream = E.Upstream;
     Event.Token = E.Token;
     Event.Sequence = E.Sequence;
@@ -246,7 +249,7 @@
   if (!canReach(From, Upstreams[Id]) ||
       occurs(Upstreams[Id].Faults.LostRenewalShare))
     return;
-  schedule(Now + Hop, [this, From, Id, E, Answer, Written = Now] {
+  schedule(Now + Hop, [this, From, Id, E, Answer, Acknowledged, Written = Now] {
     Upstream &U = Upstreams[Id];
     if (U.Faults.Down || U.Faults.Refuses) {
       schedule(Now + Hop,
@@ -265,9 +268,18 @@
     if (E.LeaseDeadlineMs)
       U.LeaseEndMs = std::max(
           U.LeaseEndMs, std::min(*E.LeaseDeadlineMs, clockOf(U) + MaxLeaseMs));
+    // The client leaves the acknowledgement out on a connection that is not
+    // known to lead to the process that it is for.
+    bool NewConnection = U.Faults.NewConnections > 0;
+    if (NewConnection)
+      --U.Faults.NewConnections;
+    if (!E.AcknowledgeOnlyTo ||
+        (!NewConnection &&
+         E.AcknowledgeOnlyTo->StartedAt == U.Record.StartedAt))
+      *Acknowledged = E.AcknowledgeUpTo;
     U.Ends.erase(std::remove_if(U.Ends.begin(), U.Ends.end(),
                                 [&](const EndReport &End) {
-                                  return End.Number <= E.AcknowledgeUpTo;
+                                  return End.Number <= *Acknowledged;
                                 }),
                  U.Ends.end());
     if (U.Faults.LostRenewals > 0) {
@@ -297,6 +309,13 @@
   });
 }
 
+std::vector<uint64_t> CellWorld::listedEnds(const UpstreamId &Id) const {
+  std::vector<uint64_t> Numbers;
+  for (const EndReport &End : Upstreams.at(Id).Ends)
+    Numbers.push_back(End.Number);
+  return Numbers;
+}
+
 void CellWorld::resetConnections(const UpstreamId &Id) {
   std::vector<std::function<void()>> Open =
       std::move(Upstreams[Id].OpenRenewals);
