sender: end jobs of released upstreams as lost when their start stays unanswered

A start on a released upstream whose answer did not come before its lease expired, as after a pause of the sender, was aborted and its task started again, though its run may have ended as done at the next sender. A shutdown between the release and the answer made an accepted start an ordinary run that got no renewals, and its job hung until the lease expired. An upstream that lost runs in the release and was claimed again kept too little free capacity.

Change: the release is a flag of the upstream and not derived from its phase. A released upstream is erased with its last start, answered or expired.

Evidence: ReleasedUpstream.RunWhoseLeaseExpiresUnansweredIsNotStartedAgain and .AcceptedStartEndsTheJobInAShutdownToo fail with the former conditions.

--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -87,7 +87,8 @@
   /// Which process of the server may receive the call; any if it is unset. The
   /// time-out includes that of the check.
   std::optional<HttpCheck> Check;
-  /// Replaces `Body` if it is meant for one process of the server only.
+  /// Sent in place of `Body` on connections that are not known to lead to
+  /// `OtherBody->Process`.
   std::optional<HttpOtherBody> OtherBody;
   /// Returns the process that has sent the reply, if the reply states it. Used
   /// only while the process that a connection leads to is not known.
--- a/src/orders/order_type.h
+++ b/src/orders/order_type.h
@@ -157,8 +157,8 @@
 /// Names the only process of an upstream that may receive an order or an
 /// acknowledgement. The order goes over a connection that was open by
 /// `KnownAt`, which leads to that process or to none, or over one on which the
-/// process has just reported its start. If another process reports, the order
-/// is not sent.
+/// process has just reported its start. If another process reports, an order is
+/// not sent; an acknowledgement is left out of its renewal.
 struct ProcessCondition {
   int64_t StartedAt = 0; ///< Start of the process, Unix ms.
   SteadyTime KnownAt{};  ///< When the process was last known to be there.
--- a/src/runtime/cell_daemon.cpp
+++ b/src/runtime/cell_daemon.cpp
@@ -24,8 +24,7 @@
 // Idle connections are closed before the other side closes them, for peers
 // after `PeerTimeout`: a request on a connection that the other side is closing
 // has an unknown outcome. A peak of jobs opens up to `MaxJobConnections` to
-// each sender, and kept ones cost both sides time and memory when they have
-// little.
+// each sender; kept for 10 s, they slowed senders that have a part of a core.
 constexpr Duration IdleTimeout = std::chrono::seconds(2);
 constexpr std::chrono::seconds PeerTimeout{15};
 constexpr size_t MaxReply = 4 << 20;
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -306,14 +306,15 @@
   if (Existing != State.Jobs.end())
     return joinJob(State, Existing->second, Order, Waiter, Now, Out);
   const RetainedResult *Earlier = retainedResult(State, Order.Id, Now);
-  // A later submission may be under a configuration that allows more attempts
-  // than the one that failed.
-  bool FewerAttempts = Earlier && Earlier->Outcome == JobOutcome::Failed &&
-                       Earlier->MaxAttempts < Order.MaxAttempts;
-  if (Earlier && Earlier->Outcome != JobOutcome::Lost && !FewerAttempts) {
+  if (Earlier && Earlier->Outcome != JobOutcome::Lost) {
     JobResult Result;
     Result.Outcome = Earlier->Outcome;
     Result.Reason = "retained result of an earlier submission";
+    // Under a configuration that allows more attempts, these have not failed
+    // the job, and a new start would allow as many again.
+    if (Earlier->Outcome == JobOutcome::Failed &&
+        Earlier->MaxAttempts < Order.MaxAttempts)
+      Result.Outcome = JobOutcome::Lost;
     logJob(Out, Order.Id,
            "duplicate submission answered with the retained result");
     return answer(State, Order.Id, Waiter, std::move(Result), Now, Out);
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -54,9 +54,7 @@
   Clearing,     ///< Orphaned runs of an earlier sender are being stopped.
   Ready,        ///< Tasks can be started on it.
   Unresponsive, ///< Calls time out, or another process answers.
-  /// It accepts only a newer sender's orders, or its cell was released while
-  /// starts on it awaited their answers.
-  Fenced,
+  Fenced,       ///< It accepts only a newer sender's orders.
 };
 
 /// An upstream in a cell that this sender has claimed.
@@ -115,6 +113,9 @@
   /// suspected if it turns out to have crashed.
   std::vector<RunKey> LapsedRuns;
   bool CrashRecorded = false; ///< A crash of its present process is recorded.
+  /// Its cell was released. It is kept until its starts have been answered,
+  /// which shows whether their jobs have run, and gets no orders but stops.
+  bool Released = false;
 };
 
 /// Returns true if \p U has a run beside which nothing is started.
@@ -171,8 +172,8 @@
   size_t WaitingTasks = 0;    ///< Tasks that are not on an upstream.
   size_t UnfinishedTasks = 0; ///< Tasks that have not succeeded.
   bool Started = false;       ///< The start of a task was ordered.
-  /// An upstream has accepted a start, here or for an earlier submission, or
-  /// may have: it gave no answer. Without this, nothing has run.
+  /// An upstream has accepted a start of a task, or has not answered one, in
+  /// this or an earlier submission. Otherwise nothing has run.
   bool MayHaveRun = false;
   bool HasSuspectedTasks = false; ///< `SenderTask::Crashes` of one is set.
   /// It was not expected to meet its objective when it was admitted. It ranks
--- a/src/sender/sender_type.h
+++ b/src/sender/sender_type.h
@@ -108,8 +108,8 @@
   bool Leaving = false;   ///< This sender is shutting down.
   SenderLoad Load;        ///< Of the sender, at the time of the answer.
   std::vector<TaskCrash> Crashes; ///< Known of the job's tasks.
-  /// With `JobOutcome::NotRun`: the sender has started tasks for an earlier
-  /// submission of the job.
+  /// With `JobOutcome::NotRun`: an upstream of the sender may have run tasks of
+  /// the job, for this or an earlier submission.
   bool MayHaveRun = false;
 };
 
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -16,6 +16,8 @@
 // for the first repetition.
 constexpr Duration StopRetryInterval = std::chrono::milliseconds(200);
 
+constexpr const char *ClaimLostReason = "the claim to its cell was lost";
+
 int64_t steadyMs(SteadyTime T) { return toMilliseconds(T.time_since_epoch()); }
 
 /// Highest drift of an upstream's clock since \p Since, in milliseconds.
@@ -223,8 +225,8 @@
     recordCrash(State, U, CrashSign::OtherProcess, nullptr, Now, Out);
 }
 
-/// Marks \p U as fenced off and reports its cell, unless that is known: the
-/// cell may have been claimed again since.
+/// Marks \p U as fenced off and reports its cell, once: a second report could
+/// release a claim that was made since.
 void recordFencing(SenderState &State, SenderUpstream &U,
                    std::optional<CellId> &FencedCell) {
   if (U.Phase == UpstreamPhase::Fenced)
@@ -277,8 +279,8 @@
     State.Upstreams.erase(Event.Upstream);
   State.UpstreamsLost = true;
   if (!Rejected)
-    finishJob(State, Event.Key.Job, JobOutcome::Lost,
-              "the claim to its cell was lost", Now, Out);
+    finishJob(State, Event.Key.Job, JobOutcome::Lost, ClaimLostReason, Now,
+              Out);
 }
 
 /// Returns the upstream, or null if it is unknown or has another token.
@@ -420,11 +422,26 @@
 }
 
 void expireRuns(SenderState &State, SteadyTime Now, InstanceEffects &Out) {
-  for (auto &[Id, U] : State.Upstreams) {
+  std::set<JobId> Lost;
+  for (auto It = State.Upstreams.begin(); It != State.Upstreams.end();) {
+    SenderUpstream &U = It->second;
+    bool Expired = !U.Runs.empty() && Now > U.LeaseExpiry;
+    if (U.Released && Expired) {
+      // A run that was accepted may have ended as done since, which only the
+      // next sender has read.
+      for (const auto &[Key, Run] : U.Runs) {
+        Lost.insert(Key.Job);
+        releaseDetachedRun(State, Key.Job);
+      }
+      State.UpstreamsLost = true;
+      It = State.Upstreams.erase(It);
+      continue;
+    }
+    ++It;
     while (!U.UnansweredStarts.empty() &&
            Now - U.UnansweredStarts.front().first > LateOrderTime)
       U.UnansweredStarts.pop_front();
-    if (U.Runs.empty() || Now <= U.LeaseExpiry)
+    if (!Expired)
       continue;
     logUpstream(Out, U,
                 "leases have expired, runs=" + std::to_string(U.Runs.size()));
@@ -433,6 +450,8 @@
         U.UnansweredStarts.emplace_back(Now, Key);
     abortAllRuns(State, U, Now, Out);
   }
+  for (const JobId &Id : Lost)
+    finishJob(State, Id, JobOutcome::Lost, ClaimLostReason, Now, Out);
 }
 
 void applyStartAnswer(SenderState &State, const StartAnswered &Event,
@@ -441,7 +460,7 @@
   SenderUpstream *U = findUpstream(State, Event.Upstream, Event.Token);
   if (!U)
     return;
-  if (isReleased(State, *U))
+  if (U->Released)
     return applyReleasedStart(State, *U, Event, Now, Out);
   // The report of the process that follows shows which runs have ended.
   if (!Event.OtherStartedAt)
@@ -520,7 +539,7 @@
                      SteadyTime Now, std::optional<CellId> &FencedCell,
                      InstanceEffects &Out) {
   SenderUpstream *U = findUpstream(State, Event.Upstream, Event.Token);
-  if (!U || isReleased(State, *U))
+  if (!U || U->Released)
     return;
   if (Event.Status == OrderStatus::Fenced) {
     recordFencing(State, *U, FencedCell);
@@ -552,7 +571,7 @@
                   SteadyTime Now, std::optional<CellId> &FencedCell,
                   InstanceEffects &Out) {
   SenderUpstream *U = findUpstream(State, Event.Upstream, Event.Token);
-  if (!U || Event.Sequence != U->RenewalSequence || isReleased(State, *U))
+  if (!U || Event.Sequence != U->RenewalSequence || U->Released)
     return;
   U->RenewalPending = false;
   if (Event.Status == OrderStatus::Fenced) {
--- a/src/sender/upstream_cmd.h
+++ b/src/sender/upstream_cmd.h
@@ -22,16 +22,11 @@
 
 /// Removes the upstreams of a cell whose claim was lost; jobs with runs on them
 /// end as lost. Upstreams with starts that await their answers are kept for
-/// these, see `isReleased`. A draining sender keeps the upstreams that still
-/// run its tasks; see `usesUpstreams`.
+/// these, see `SenderUpstream::Released`. A draining sender keeps the upstreams
+/// that still run its tasks; see `usesUpstreams`.
 void releaseCell(SenderState &State, const CellId &Cell, SteadyTime Now,
                  InstanceEffects &Out);
 
-/// Returns true if the cell of \p U was released. \p U is kept until its starts
-/// have been answered: a job of which none was accepted has not run. It gets no
-/// orders but the stops of jobs that end meanwhile.
-bool isReleased(const SenderState &State, const SenderUpstream &U);
-
 /// Sends the renewals and stops that are due. \p HeldByPredecessor returns true
 /// if a predecessor still uses an upstream. Called after each event.
 void renewUpstreams(
--- a/src/sender/upstream_list_cmd.cpp
+++ b/src/sender/upstream_list_cmd.cpp
@@ -84,7 +84,7 @@
     U.UnlistedSince = {};
     // It is used under the new claim once the starts under the earlier one have
     // been answered.
-    if (isReleased(State, U) && !U.Runs.empty())
+    if (U.Released)
       continue;
     // Runs that a draining sender still has on it stay under the earlier token.
     if (Claimed && U.Token != Claim->second.Token && U.Runs.empty()) {
@@ -140,10 +140,6 @@
   }
 }
 
-bool isReleased(const SenderState &State, const SenderUpstream &U) {
-  return U.Phase == UpstreamPhase::Fenced && !State.Draining;
-}
-
 void releaseCell(SenderState &State, const CellId &Cell, SteadyTime Now,
                  InstanceEffects &Out) {
   std::set<JobId> Lost;
@@ -165,6 +161,7 @@
       Run = U.Runs.erase(Run);
     }
     U.Phase = UpstreamPhase::Fenced;
+    U.Released = true;
     It = U.Runs.empty() ? State.Upstreams.erase(It) : std::next(It);
   }
   State.UpstreamsLost = true;
--- a/tests/cell_failed_end_test.cpp
+++ b/tests/cell_failed_end_test.cpp
@@ -308,9 +308,11 @@
   EXPECT_TRUE(Reply.Jobs[0].Result);
   EXPECT_FALSE(Reply.Jobs[1].Result);
   submit(2, 2);
-  EXPECT_FALSE(isOpen());
+  EXPECT_EQ(std::get<AnswerJob>(Out.back()).Result.Outcome, JobOutcome::Failed);
   submit(3, 3);
-  EXPECT_TRUE(isOpen());
+  EXPECT_EQ(std::get<AnswerJob>(Out.back()).Result.Outcome, JobOutcome::Lost);
+  // A new start would allow as many failures again.
+  EXPECT_FALSE(isOpen());
 }
 
 namespace {
--- a/tests/cell_handover_answer_test.cpp
+++ b/tests/cell_handover_answer_test.cpp
@@ -1,6 +1,8 @@
 /// \file Answers of jobs whose sender loses its cells before any of their tasks
 /// runs, on a fake clock.
 #include "cells/cell_table.h"
+#include "sender/job_cmd.h"
+#include "sender/upstream_cmd.h"
 #include "support/cell_world.h"
 
 #include <gtest/gtest.h>
@@ -157,3 +159,69 @@
   EXPECT_EQ(answerOf(Job), AnswerStatus::NotRun);
   EXPECT_TRUE(World.runs().empty());
 }
+
+namespace {
+
+/// A sender that releases a cell while a start on its only upstream awaits its
+/// answer.
+class ReleasedUpstream : public ::testing::Test {
+protected:
+  void SetUp() override {
+    SenderUpstream &U = State.Upstreams[{"up"}];
+    U.Record.Id = {"up"};
+    U.Record.Capacity = U.Free = {64000, 262144, 0};
+    U.Cell = Cell;
+    U.Token = {5};
+    U.Phase = UpstreamPhase::Ready;
+    U.ClockOffset = 0;
+    JobOrder Order;
+    Order.Id = {"a"};
+    Order.Slack = Order.Remaining = seconds(60);
+    Order.Step.PerTask = {1000, 64, 0};
+    Order.Step.Estimate = milliseconds(100);
+    acceptJob(State, Order, {{1}, false}, Now, Out);
+    SenderJob &J = State.Jobs.at({"a"});
+    J.Tasks[0].State = SenderTaskState::Started;
+    J.Tasks[0].Run = 1;
+    J.Tasks[0].Upstream = {"up"};
+    --J.WaitingTasks;
+    J.Started = true;
+    orderStart(U, J, Key, milliseconds(100), State.Bounds, Now, Out);
+    releaseCell(State, Cell, Now, Out);
+    ASSERT_EQ(State.Jobs.size(), 1U);
+    Out.clear();
+  }
+
+  /// Returns true if the job was answered as lost and nothing is left of it.
+  bool isLost() const {
+    const auto *Answer =
+        Out.empty() ? nullptr : std::get_if<AnswerJob>(&Out.back());
+    return Answer && Answer->Result.Outcome == JobOutcome::Lost &&
+           State.Jobs.empty() && State.Upstreams.empty();
+  }
+
+  CellId Cell{{"centre-a"}, 1};
+  RunKey Key{{"a"}, 0, 0, 1};
+  SteadyTime Now{std::chrono::hours(1)};
+  SenderState State;
+  InstanceEffects Out;
+};
+
+} // namespace
+
+// Guards against a task that is started again after a pause of the sender in
+// which its run may have ended as done at the next sender.
+TEST_F(ReleasedUpstream, RunWhoseLeaseExpiresUnansweredIsNotStartedAgain) {
+  expireRuns(State, Now + seconds(3), Out);
+  EXPECT_TRUE(isLost());
+}
+
+// Guards against a job that hangs until its lease expires because the sender
+// began to shut down between the release and the answer.
+TEST_F(ReleasedUpstream, AcceptedStartEndsTheJobInAShutdownToo) {
+  State.Draining = true;
+  std::optional<CellId> FencedCell;
+  applyStartAnswer(State, {{"up"}, {5}, Key, OrderStatus::Accepted, {}, {}},
+                   Now, FencedCell, Out);
+  EXPECT_TRUE(isLost());
+}
