--- a/tests/cell_failed_end_test.cpp
+++ b/tests/cell_failed_end_test.cpp
@@ -444,6 +444,7 @@
   auto Below = [&Random](uint64_t Limit) { return Random() % Limit; };
   CellWorld World;
   std::vector<UpstreamId> Upstreams;
+  Upstreams.reserve(8);
   for (int I = 0; I < 8; ++I)
     Upstreams.push_back(World.addUpstream({"up-" + std::to_string(I)}));
   std::vector<Address> Entries{World.addInstance("a", "centre-a", 0.6),
