review: case 8, tasks are started by an entry that names no runner

Broken: ROUTE. An entry of another writer with missing fields is taken for a runner's record, here under the id of a runner of another service. Shown by review/8/run.sh.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -25,6 +25,9 @@
   build "case-$(basename "$case")" "$case/case.cc" \
     src/standins/cell_fleet.cpp src/soak/link_proxy.cpp &
 done
+mkdir -p "$out/8"
+ln -sf ../../snipeshuntd "$out/8/snipeshuntd"
+build 8/standin-cells review/8/platform.cc $runner $store &
 status=0
 for job in $(jobs -p); do wait "$job" || status=1; done
 exit $status
