--- a/review/support-2/case.hpp
+++ b/review/support-2/case.hpp
@@ -10,6 +10,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <functional>
 #include <thread>
 
 namespace review {
@@ -96,11 +97,16 @@
 
 /// Starts the fleet that \p Make returns and waits until it is ready. A port
 /// that was free may be taken meanwhile, so there are three attempts.
+/// \p AfterStart is called with the fleet before it is ready.
 template <typename MakeFleet>
-std::unique_ptr<CellFleet> startFleet(Record &Log, MakeFleet Make) {
+std::unique_ptr<CellFleet>
+startFleet(Record &Log, MakeFleet Make,
+           const std::function<void(CellFleet &)> &AfterStart = nullptr) {
   for (int Try = 0; Try < 3; ++Try) {
     std::unique_ptr<CellFleet> F = Make();
     bool Started = F && !failed(F->start());
+    if (Started && AfterStart)
+      AfterStart(*F);
     for (int Wait = 0; Started && Wait < 40; ++Wait) {
       bool Ready = true;
       for (size_t I = 0; I < F->instances(); ++I)
