http: return connections of ended calls while other replies arrive

Cause: the client returns a connection to its pool from a timer, because evhttp still uses it in the callback of its reply. Each reply started that timer anew. The event loop handles sockets before timers, so a timer that was due was taken off before it ran as long as each turn of the loop brought a reply. Under load nothing was returned or closed: nearly each call opened a connection, queued calls waited, and upstreams reset connections over their limit. Without load, too, a call that was sent from the handler of a reply opened a second connection, because the first was not idle yet.

A renewal on a new connection carries no acknowledgement, so the upstream lists its ends again at once; the next renewal came from the handler of that reply and opened a connection again.

Change: a pending timer is left as it is (Timer::startOnceIfStopped), in the server too. A call waits for a connection that is about to be returned instead of opening another one.

--- a/src/http/event_loop.cpp
+++ b/src/http/event_loop.cpp
@@ -105,6 +105,11 @@
 
 void Timer::startOnce(Duration Delay) { start(Delay, /*Periodic=*/false); }
 
+void Timer::startOnceIfStopped(Duration Delay) {
+  if (!Event || event_pending(Event.get(), EV_TIMEOUT, nullptr) == 0)
+    startOnce(Delay);
+}
+
 void Timer::startPeriodic(Duration Period) { start(Period, /*Periodic=*/true); }
 
 void Timer::stop() { Event.reset(); }
--- a/src/http/event_loop.h
+++ b/src/http/event_loop.h
@@ -50,6 +50,10 @@
   ~Timer();
 
   void startOnce(Duration Delay);
+  /// As `startOnce`, but does nothing if the timer is running. Used for work
+  /// that many events ask for: the loop handles sockets before timers, so that
+  /// a restart by each event would postpone a due timer without end.
+  void startOnceIfStopped(Duration Delay);
   void startPeriodic(Duration Period);
   /// Cancels the timer.
   void stop();
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -285,7 +285,7 @@
       if (Connection *C = Client.findBusy(To, Call))
         C->sendChecked();
     });
-    Owner.DeferredTimer.startOnce(Duration::zero());
+    Owner.DeferredTimer.startOnceIfStopped(Duration::zero());
   }
 
   int socket() const {
@@ -459,6 +459,9 @@
 void HttpClient::dispatch(const Address &Endpoint) {
   Target &T = Targets[Endpoint];
   while (!T.Queue.empty() && T.Busy.size() < Options.MaxConnectionsPerTarget) {
+    // `runDeferred` goes on as soon as these can be used.
+    if (T.Idle.empty() && T.Queue.size() <= T.Returning)
+      return;
     QueuedCall Next = std::move(T.Queue.front());
     T.Queue.pop_front();
     std::unique_ptr<Connection> C = takeIdle(T, Next.Call);
@@ -493,9 +496,10 @@
     closeIdleSince(Endpoint, *Failure->UnansweredSince);
   // evhttp still uses the connection after its callback, so the connection can
   // be neither freed nor given a new request before that has returned.
+  T.Returning += Reusable ? 1 : 0;
   (Reusable ? PendingIdle : PendingDeletion).push_back(std::move(Owned));
   Deferred.push_back([this, Endpoint] { dispatch(Endpoint); });
-  DeferredTimer.startOnce(Duration::zero());
+  DeferredTimer.startOnceIfStopped(Duration::zero());
   if (Done)
     report(Done, Outcome);
 }
@@ -514,14 +518,16 @@
 void HttpClient::failLater(Callback Done, HttpFailure Failure) {
   Deferred.push_back([this, Done = std::move(Done),
                       Failure = std::move(Failure)] { report(Done, Failure); });
-  DeferredTimer.startOnce(Duration::zero());
+  DeferredTimer.startOnceIfStopped(Duration::zero());
 }
 
 void HttpClient::runDeferred() {
   PendingDeletion.clear();
   for (std::unique_ptr<Connection> &C : PendingIdle) {
     C->IdleSince = bootTimeNow();
-    Targets[C->endpoint()].Idle.push_back(std::move(C));
+    Target &T = Targets[C->endpoint()];
+    --T.Returning;
+    T.Idle.push_back(std::move(C));
   }
   PendingIdle.clear();
   std::vector<std::function<void()>> Now = std::move(Deferred);
@@ -553,7 +559,8 @@
     Target &T = It->second;
     while (!T.Idle.empty() && T.Idle.front()->IdleSince < Limit)
       T.Idle.pop_front();
-    bool Unused = T.Idle.empty() && T.Busy.empty() && T.Queue.empty();
+    bool Unused =
+        T.Idle.empty() && T.Busy.empty() && T.Queue.empty() && T.Returning == 0;
     It = Unused ? Targets.erase(It) : std::next(It);
   }
 }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -83,6 +83,9 @@
     std::list<std::unique_ptr<Connection>> Busy;  ///< Connections with a call.
     std::deque<std::unique_ptr<Connection>> Idle; ///< Idle for longest first.
     std::deque<QueuedCall> Queue;
+    /// Connections in `PendingIdle`. Calls wait for them, since opening another
+    /// connection takes longer.
+    size_t Returning = 0;
   };
 
   /// Takes the best of the idle connections for \p Call, null if there is none.
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -283,7 +283,7 @@
   bufferevent_disable(evhttp_connection_get_bufferevent(Connection), EV_READ);
   evhttp_connection_set_closecb(Connection, RemoveClosed, this);
   Dropped.push_back(Connection);
-  DropTimer.startOnce(Duration::zero());
+  DropTimer.startOnceIfStopped(Duration::zero());
 }
 
 void HttpServer::closeDropped() {
