cells: share cells by the processors of instances, and hand over too many

Cause: the first instance that read a list of upstreams claimed all cells of its data centre, since few upstreams had registered yet and the others had no list. It kept them when there were 117 of them, so that one instance in each data centre sent all tasks and the others none. Where several were to be senders, cells were divided evenly, so that instances of 0.12 of a core got as many as those of 0.5.

Change: where instances differ, the fewest strong ones whose processors suffice (120 upstreams a core) share the cells in proportion to their weights; instances that are alike are divided as before. An instance that has more upstreams than its processor suffices for hands cells to those with fewer than their share: it starts nothing more in one cell at a time, and releases it once nothing runs there. An instance without a list reads one as soon as a peer reports that it has one.

Considered: more senders than needed.

--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -5,6 +5,7 @@
 #include "cells/cell_type.h"
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace snipeshunt {
@@ -107,6 +108,10 @@
   std::map<Address, Peer> Peers; ///< By endpoint.
   uint64_t NextJob = 1; ///< `JobOrder::Number` of the next forwarded job.
   std::map<CellId, OwnClaim> Claims; ///< Cells that this instance sends to.
+  /// A claimed cell that goes to another instance once nothing runs there.
+  std::optional<CellId> LeavingCell;
+  SteadyTime LeavingSince{}; ///< When `LeavingCell` was chosen.
+  SteadyTime NextBalance{};  ///< `surplusCells` returns none before.
   /// Highest token seen for each cell, of any instance.
   std::map<CellId, FencingToken> HighestToken;
   /// Cells that this instance may not claim before a time.
@@ -116,6 +121,7 @@
   /// Senders that the upstreams of the own data centre are spread over while
   /// enough instances are there.
   uint32_t WantedSenders = 1;
+  size_t OwnUpstreams = 0; ///< Upstreams of the own data centre.
   /// No ping is due before. Changed by `pingBy` and `sendPings` only.
   SteadyTime NextPingScan{};
   /// A message has changed what `updateClaims` decides by.
--- a/src/cells/cell_table.h
+++ b/src/cells/cell_table.h
@@ -71,6 +71,21 @@
 /// Upstreams for one sender. A sender spends about 0.1 ms on a task, so that 40
 /// upstreams with 300 starts a second take 3 % of a core.
 constexpr size_t UpstreamsPerSender = 40;
+/// Upstreams for the processors of one core, where instances differ. At ten
+/// starts a second on each upstream and 0.2 ms of processor time for a start
+/// with its renewals, senders then use a quarter of their processors, which
+/// leaves room for bursts of three times the load.
+constexpr double UpstreamsPerCore = 120;
+/// Interval of the checks whether cells are to be handed to other instances.
+constexpr Duration BalancePeriod = std::chrono::milliseconds(250);
+/// Longest time for which nothing is started in a cell that is to be handed
+/// over. Most tasks run for less than a second.
+constexpr Duration MaxLeavingTime = std::chrono::seconds(3);
+/// Pause after a cell was not handed over within `MaxLeavingTime`.
+constexpr Duration BalanceRetryPause = std::chrono::seconds(5);
+/// Wait for an instance that is to have a cell and has no list of upstreams
+/// yet. It reads the list once it has been told that there is one.
+constexpr Duration UpstreamListWait = std::chrono::milliseconds(750);
 /// Instances of a data centre that are ready to become senders: this many for
 /// each sender, and at least the minimum. They read the list of upstreams.
 constexpr size_t StandbysPerSender = 2;
--- a/src/cells/claim_cmd.cpp
+++ b/src/cells/claim_cmd.cpp
@@ -4,6 +4,7 @@
 #include "cells/cell_cmd.h"
 #include "cells/cell_table.h"
 #include "cells/peer_func.h"
+#include "cells/share_func.h"
 
 #include <xxhash.h>
 
@@ -16,6 +17,9 @@
 // Low bits of a token that hold a hash of the claimant's endpoint, so that
 // claims of two instances in the same millisecond differ.
 constexpr int TokenHashBits = 10;
+// Instances that are alike hand cells over only beyond this multiple of
+// `UpstreamsPerSender`, so that a few upstreams more or less move none.
+constexpr double MaxEqualShareFactor = 1.4;
 
 /// Returns a token above all that were seen for \p Cell.
 FencingToken newToken(const CellState &State, const CellId &Cell,
@@ -72,50 +76,91 @@
 
 /// An instance of the own data centre that can be a sender.
 struct Candidate {
-  bool HasShare; ///< It has its share of the cells already.
-  double Weight; ///< See `InstanceRecord`.
   const Address *Endpoint;
+  double Weight;  ///< See `InstanceRecord`.
+  bool HasList;   ///< It has a list of upstreams, without which it can't claim.
+  size_t Claimed; ///< Cells that it has.
 };
 
-/// Returns the instances of the own data centre that can be senders: those
-/// without their share of the cells first, by falling weight and then by
-/// endpoint.
+/// Returns the instances of the own data centre that can be senders, by falling
+/// weight; of equal ones, those that have cells come first.
 std::vector<Candidate> rankCandidates(const CellState &State, SteadyTime Now) {
-  size_t Share =
-      (CellsPerCentre + State.WantedSenders - 1) / State.WantedSenders;
   std::vector<Candidate> Ranked;
-  if (!State.Draining && State.HasUpstreamList)
-    Ranked.push_back({State.Claims.size() >= Share, State.Self.Weight,
-                      &State.Self.Endpoint});
+  if (!State.Draining)
+    Ranked.push_back({&State.Self.Endpoint, State.Self.Weight,
+                      State.HasUpstreamList, State.Claims.size()});
   for (const auto &[Endpoint, P] : State.Peers)
-    if (isInOwnCentre(State, P) && P.HasUpstreamList &&
-        isWorking(State, P, Now))
-      Ranked.push_back({P.Claims.size() >= Share, P.Record.Weight, &Endpoint});
+    if (isInOwnCentre(State, P) && isWorking(State, P, Now))
+      Ranked.push_back(
+          {&Endpoint, P.Record.Weight, P.HasUpstreamList, P.Claims.size()});
   std::sort(Ranked.begin(), Ranked.end(),
             [](const Candidate &L, const Candidate &R) {
-              return std::tie(L.HasShare, R.Weight, *L.Endpoint) <
-                     std::tie(R.HasShare, L.Weight, *R.Endpoint);
+              bool LeftServes = L.Claimed > 0;
+              bool RightServes = R.Claimed > 0;
+              return std::tie(R.Weight, RightServes, *L.Endpoint) <
+                     std::tie(L.Weight, LeftServes, *R.Endpoint);
             });
   return Ranked;
 }
 
+/// Returns true if this instance has more upstreams than its processor suffices
+/// for.
+bool hasTooManyUpstreams(const CellState &State,
+                         const std::vector<Candidate> &Ranked) {
+  bool Differ = Ranked.front().Weight != Ranked.back().Weight;
+  double Limit = Differ ? State.Self.Weight * UpstreamsPerCore
+                        : MaxEqualShareFactor * UpstreamsPerSender;
+  return static_cast<double>(State.Claims.size() * State.OwnUpstreams) >
+         Limit * CellsPerCentre;
+}
+
+std::vector<uint32_t> sharesOf(const CellState &State,
+                               const std::vector<Candidate> &Ranked) {
+  std::vector<double> Weights(Ranked.size());
+  std::transform(Ranked.begin(), Ranked.end(), Weights.begin(),
+                 [](const Candidate &C) { return C.Weight; });
+  return cellShares(Weights, State.OwnUpstreams);
+}
+
+/// Returns the rank of the candidate that is to claim each of \p Unserved
+/// cells: those with fewer cells than their share first, then the others in
+/// turn.
+std::vector<size_t> assignCells(const CellState &State,
+                                const std::vector<Candidate> &Ranked,
+                                size_t Unserved) {
+  std::vector<uint32_t> Shares = sharesOf(State, Ranked);
+  std::vector<size_t> Assigned;
+  for (size_t I = 0; I < Ranked.size(); ++I)
+    for (size_t N = Ranked[I].Claimed; N < Shares[I]; ++N)
+      Assigned.push_back(I);
+  size_t Senders = static_cast<size_t>(std::count_if(
+      Shares.begin(), Shares.end(), [](uint32_t Share) { return Share > 0; }));
+  for (size_t I = 0; Assigned.size() < Unserved; ++I)
+    Assigned.push_back(I % Senders);
+  return Assigned;
+}
+
 /// Returns true if this instance may claim a cell that has been unserved since
-/// \p Since. The unserved cells are spread over \p Turns of the first
-/// candidates by their index; each later candidate waits `CandidateDelay`
-/// longer.
-bool isClaimTurn(const CellState &State, const CellId &Cell,
-                 const std::vector<Candidate> &Ranked, size_t Turns,
-                 SteadyTime Since, SteadyTime Now) {
-  auto Own =
-      std::find_if(Ranked.begin(), Ranked.end(), [&](const Candidate &C) {
-        return *C.Endpoint == State.Self.Endpoint;
-      });
-  if (Own == Ranked.end())
-    return false;
-  auto Rank = static_cast<size_t>(Own - Ranked.begin());
-  size_t Position =
-      Rank < Turns ? (Rank + Turns - Cell.Index % Turns) % Turns : Rank;
-  return Now - Since >= CandidateDelay * Position;
+/// \p Since and that the candidate of rank \p Assigned is to have. Each other
+/// candidate waits `CandidateDelay` longer than the one before.
+bool isClaimTurn(const CellState &State, const std::vector<Candidate> &Ranked,
+                 size_t Assigned, SteadyTime Since, SteadyTime Now) {
+  size_t Position = 0;
+  for (size_t I = 0; I < Ranked.size(); ++I) {
+    const Candidate &C = Ranked[I];
+    bool Own = *C.Endpoint == State.Self.Endpoint;
+    if (Own && !C.HasList)
+      return false;
+    if (Own && I == Assigned)
+      return true;
+    if (Own)
+      break;
+    Position += I != Assigned && C.HasList ? 1 : 0;
+  }
+  Duration Delay = CandidateDelay * (Position + 1);
+  if (!Ranked[Assigned].HasList)
+    Delay += UpstreamListWait;
+  return Now - Since >= Delay;
 }
 
 /// Returns true if the silence of a cell's former sender can't be explained by
@@ -191,16 +236,16 @@
   if (Unserved.empty())
     return Changes;
   std::vector<Candidate> Ranked = rankCandidates(State, Now);
-  // As many candidates as the unserved cells make shares for.
-  size_t Turns = (Unserved.size() * State.WantedSenders + CellsPerCentre - 1) /
-                 CellsPerCentre;
-  Turns = std::min(Turns, Ranked.size());
-  for (const CellId &Cell : Unserved) {
+  if (Ranked.empty())
+    return Changes;
+  std::vector<size_t> Assigned = assignCells(State, Ranked, Unserved.size());
+  for (size_t I = 0; I < Unserved.size(); ++I) {
+    const CellId &Cell = Unserved[I];
     SteadyTime Since = State.UnservedSince.try_emplace(Cell, Now).first->second;
     auto After = State.ClaimAfter.find(Cell);
     if (After != State.ClaimAfter.end() && Now < After->second)
       continue;
-    if (!isClaimTurn(State, Cell, Ranked, Turns, Since, Now) ||
+    if (!isClaimTurn(State, Ranked, Assigned[I], Since, Now) ||
         !isSenderLossConfirmed(State, Cell, Now))
       continue;
     State.UnservedSince.erase(Cell);
@@ -222,6 +267,48 @@
   return Changes;
 }
 
+std::vector<CellId> surplusCells(CellState &State, SteadyTime Now) {
+  if (Now < State.NextBalance || State.Claims.size() <= 1)
+    return {};
+  State.NextBalance = Now + BalancePeriod;
+  bool AllReachable = std::all_of(
+      State.Peers.begin(), State.Peers.end(), [&](const auto &Item) {
+        const Peer &P = Item.second;
+        return !isInOwnCentre(State, P) || P.Claims.empty() ||
+               (!P.Draining && isReachable(P, Now));
+      });
+  if (State.Draining || !AllReachable || isLagging(State, Now) ||
+      !unservedCells(State, Now).empty())
+    return {};
+  std::vector<Candidate> Ranked = rankCandidates(State, Now);
+  if (!hasTooManyUpstreams(State, Ranked))
+    return {};
+  std::vector<uint32_t> Shares = sharesOf(State, Ranked);
+  size_t Surplus = 0;
+  size_t Missing = 0;
+  for (size_t I = 0; I < Ranked.size(); ++I) {
+    const Candidate &C = Ranked[I];
+    if (*C.Endpoint == State.Self.Endpoint)
+      Surplus = C.Claimed > Shares[I] ? C.Claimed - Shares[I] : 0;
+    else if (C.HasList && C.Claimed < Shares[I])
+      Missing += Shares[I] - C.Claimed;
+  }
+  std::vector<CellId> Cells;
+  for (auto It = State.Claims.rbegin();
+       It != State.Claims.rend() && Cells.size() < std::min(Surplus, Missing);
+       ++It)
+    Cells.push_back(It->first);
+  return Cells;
+}
+
+void handOverCell(CellState &State, const CellId &Cell, SteadyTime Now,
+                  InstanceEffects &Out) {
+  log(Out, "cell=" + cellText(Cell) +
+               " released to an instance that has fewer cells than its share");
+  releaseClaim(State, Cell, Now);
+  schedulePingsNow(State, Now);
+}
+
 void releaseClaim(CellState &State, const CellId &Cell, SteadyTime Now) {
   State.Claims.erase(Cell);
   State.ClaimAfter[Cell] = Now + ReclaimPause;
--- a/src/directory/directory_base.h
+++ b/src/directory/directory_base.h
@@ -62,6 +62,7 @@
   /// Since when peers are known to have a newer configuration; unset if none.
   std::optional<SteadyTime> ConfigurationBehindSince;
   std::vector<UpstreamRecord> Upstreams; ///< Of all data centres.
+  SteadyTime NextEarlyRead{};            ///< See `readUpstreamsEarly`.
   SteadyTime NextSnapshotRequest{};      ///< Earliest time to ask a peer again.
 };
 
--- a/src/directory/directory_cmd.cpp
+++ b/src/directory/directory_cmd.cpp
@@ -324,6 +324,17 @@
     State.ConfigurationBehindSince = Now;
 }
 
+void readUpstreamsEarly(DirectoryState &State, SteadyTime Now) {
+  CollectionReader &Reader = readerOf(State, StoreCollection::Upstreams);
+  if (!State.Upstreams.empty() || !wantsUpstreams(State) ||
+      Reader.Phase != CollectionReaderPhase::Idle || Reader.Failures > 0 ||
+      Now < State.NextEarlyRead)
+    return;
+  State.NextEarlyRead = Now + EarlyUpstreamReadPause;
+  Reader.NeedsCurrentRead = true;
+  Reader.NextCall = Now;
+}
+
 void rereadNow(DirectoryState &State, StoreCollection Collection,
                SteadyTime Now) {
   CollectionReader &Reader = readerOf(State, Collection);
--- a/src/directory/directory_cmd.h
+++ b/src/directory/directory_cmd.h
@@ -57,6 +57,11 @@
 void recordPeerConfiguration(DirectoryState &State, uint64_t Version,
                              SteadyTime Now);
 
+/// Reads the upstreams before their next read is due, if none is known. Called
+/// when a peer has a list: the first read of a standby may have come before the
+/// upstreams registered, and the next one is seconds away.
+void readUpstreamsEarly(DirectoryState &State, SteadyTime Now);
+
 /// Schedules a read of a collection at once. The answer to a pending call is
 /// ignored; a pending read of the configuration is left to finish instead.
 void rereadNow(DirectoryState &State, StoreCollection Collection,
--- a/src/directory/directory_table.h
+++ b/src/directory/directory_table.h
@@ -24,6 +24,9 @@
 /// moment later.
 constexpr uint32_t EarlyReads = 2;
 constexpr Duration EarlyReadPeriod = std::chrono::milliseconds(250);
+/// Shortest time between two reads of the upstreams that are made because a
+/// peer has a list and this instance has none.
+constexpr Duration EarlyUpstreamReadPause = std::chrono::milliseconds(500);
 /// Time for which a watch of the configuration goes on although a peer has a
 /// newer one. Instances receive a version at different moments, and a read for
 /// each version of a quick succession would double the calls to the store.
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -77,6 +77,7 @@
   auto Count = static_cast<size_t>(std::count_if(
       State.Directory.Upstreams.begin(), State.Directory.Upstreams.end(),
       [&](const UpstreamRecord &E) { return E.Centre == Own; }));
+  State.Cells.OwnUpstreams = Count;
   size_t Wanted = (Count + UpstreamsPerSender - 1) / UpstreamsPerSender;
   State.Cells.WantedSenders =
       static_cast<uint32_t>(std::clamp<size_t>(Wanted, 1, CellsPerCentre));
@@ -138,6 +139,7 @@
     advanceDirectory(State.Directory, Now, Out);
     requestSnapshot();
     updateOwnCells();
+    balanceCells();
     expireRuns(State.Sender, Now, Out);
     cancelAbandonedJobs(
         State.Sender,
@@ -273,6 +275,8 @@
 
   void operator()(const PingArrived &E) {
     applyPing(State.Cells, E, ownReport(State, Now), Now, Out);
+    if (E.Message.HasUpstreamList)
+      readUpstreamsEarly(State.Directory, Now);
     stopCancelledJobs(E.Message.From.Endpoint, E.Message.CancelledJobs);
     if (State.Cells.ClaimsDue)
       updateOwnCells();
@@ -282,6 +286,8 @@
       State.Sender.PlacementDue = true;
     if (E.Reply)
       stopCancelledJobs(E.Endpoint, E.Reply->CancelledJobs);
+    if (E.Reply && E.Reply->HasUpstreamList)
+      readUpstreamsEarly(State.Directory, Now);
     if (E.Reply)
       recordPeerConfiguration(State.Directory, E.Reply->ConfigurationVersion,
                               Now);
@@ -404,6 +410,41 @@
     advanceDirectory(State.Directory, Now, Out);
   }
 
+  /// Hands cells to instances that have fewer than their share: those where
+  /// nothing runs at once, of the others one at a time.
+  void balanceCells() {
+    std::optional<CellId> &Leaving = State.Cells.LeavingCell;
+    if (Leaving && !State.Cells.Claims.count(*Leaving))
+      Leaving.reset();
+    if (Leaving && closeCell(State.Sender, *Leaving)) {
+      giveCell(*Leaving);
+      Leaving.reset();
+      return;
+    }
+    if (Leaving && Now - State.Cells.LeavingSince >= MaxLeavingTime) {
+      reopenCell(State.Sender, *Leaving);
+      Leaving.reset();
+      State.Cells.NextBalance = Now + BalanceRetryPause;
+    }
+    if (Leaving)
+      return;
+    for (const CellId &Cell : surplusCells(State.Cells, Now)) {
+      if (closeCell(State.Sender, Cell)) {
+        giveCell(Cell);
+      } else if (!Leaving) {
+        Leaving = Cell;
+        State.Cells.LeavingSince = Now;
+      } else {
+        reopenCell(State.Sender, Cell);
+      }
+    }
+  }
+
+  void giveCell(const CellId &Cell) {
+    handOverCell(State.Cells, Cell, Now, Out);
+    releaseCell(State.Sender, Cell, Now, Out);
+  }
+
   /// Asks the entry instance \p P whether it still awaits a job that arrives,
   /// if the job is not to be started without that.
   void confirmJob(Peer &P) {
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -116,6 +116,8 @@
   /// Its cell was released. It is kept until its starts have been answered,
   /// which shows whether their jobs have run, and gets no orders but stops.
   bool Released = false;
+  /// Its cell goes to another sender once nothing runs there.
+  bool Leaving = false;
 };
 
 /// Returns true if \p U has a run beside which nothing is started.
@@ -126,7 +128,7 @@
 
 /// Returns true if tasks may be started on \p U, regardless of free capacity.
 inline bool acceptsStarts(const SenderUpstream &U, SteadyTime Now) {
-  return U.Phase == UpstreamPhase::Ready && !U.Record.Draining &&
+  return U.Phase == UpstreamPhase::Ready && !U.Record.Draining && !U.Leaving &&
          Now >= U.BlockedUntil && !hasExclusiveRun(U);
 }
 
--- a/src/sender/upstream_cmd.h
+++ b/src/sender/upstream_cmd.h
@@ -27,6 +27,11 @@
 void releaseCell(SenderState &State, const CellId &Cell, SteadyTime Now,
                  InstanceEffects &Out);
 
+/// Stops starts on the upstreams of a cell that goes to another sender, or
+/// allows them again. Returns true if nothing runs or is being started there.
+bool closeCell(SenderState &State, const CellId &Cell);
+void reopenCell(SenderState &State, const CellId &Cell);
+
 /// Sends the renewals and stops that are due. \p HeldByPredecessor returns true
 /// if a predecessor still uses an upstream. Called after each event.
 void renewUpstreams(
--- a/src/sender/upstream_list_cmd.cpp
+++ b/src/sender/upstream_list_cmd.cpp
@@ -172,6 +172,26 @@
               Now, Out);
 }
 
+bool closeCell(SenderState &State, const CellId &Cell) {
+  bool IsIdle = true;
+  for (auto &[Id, U] : State.Upstreams) {
+    if (!(U.Cell == Cell))
+      continue;
+    U.Leaving = true;
+    // Orphaned runs are stopped, and ends acknowledged, before the next sender
+    // reads the lists.
+    IsIdle = IsIdle && U.Runs.empty() && U.OrphanedRuns.empty();
+  }
+  return IsIdle;
+}
+
+void reopenCell(SenderState &State, const CellId &Cell) {
+  for (auto &[Id, U] : State.Upstreams)
+    if (U.Cell == Cell)
+      U.Leaving = false;
+  State.PlacementDue = true;
+}
+
 bool usesUpstreams(const SenderState &State) {
   bool HasJobs = !State.Jobs.empty();
   return std::any_of(State.Upstreams.begin(), State.Upstreams.end(),
--- a/tests/http_load_test.cpp
+++ b/tests/http_load_test.cpp
@@ -4,12 +4,12 @@
 #include "support/counting_server.h"
 
 #include <event2/event.h>
-#include <gtest/gtest.h>
 
-#include <unistd.h>
+#include <gtest/gtest.h>
 
 #include <functional>
 #include <memory>
+#include <unistd.h>
 #include <vector>
 
 namespace snipeshunt {
