sender: sum the drift of an upstream's clock over the whole span

With answers less than 50 ms apart nothing was subtracted, so the estimate of a slow clock grew by 20 ms a second and leases ended later than the sender counts with.

Change: a sample is kept with its own time until a better one replaces it. The drift is rounded up. leaseExpiry uses the time that passes while a slow clock advances by the lease (1/0.98, not 1.02).

Measured: CellLeaseClock.SlowClockAndDelayedRenewalsDoNotOutlastTheExpiry fails on the code before (long/0/0 on up-a and up-b at once) and passes.

--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -7,6 +7,7 @@
 #include "sender/sender_table.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace snipeshunt {
 
@@ -20,20 +21,23 @@
 
 int64_t steadyMs(SteadyTime T) { return toMilliseconds(T.time_since_epoch()); }
 
-/// Highest drift of an upstream's clock since \p Since, in milliseconds.
+/// Highest drift of an upstream's clock since \p Since, in milliseconds,
+/// rounded up.
 int64_t maxDriftSince(SteadyTime Since, SteadyTime Now) {
-  return static_cast<int64_t>(static_cast<double>(toMilliseconds(Now - Since)) *
-                              MaxClockDrift);
+  return static_cast<int64_t>(std::ceil(
+      static_cast<double>(toMilliseconds(Now - Since)) * MaxClockDrift));
 }
 
 /// Updates the clock offset with a clock reading that was just received.
 void updateClockOffset(SenderUpstream &U, int64_t ClockMs, SteadyTime Now) {
   int64_t Offset = ClockMs - steadyMs(Now);
   // Transit makes a sample too low, so the highest is the most accurate. An
-  // older sample may since be too high by the drift of a slow clock.
-  if (U.ClockOffset)
-    Offset = std::max(Offset, *U.ClockOffset -
-                                  maxDriftSince(U.ClockOffsetUpdated, Now));
+  // older sample may since be too high by the drift of a slow clock. It is kept
+  // with its own time, so that the drift counts over the whole span: rounded at
+  // each answer, it would be lost.
+  if (U.ClockOffset &&
+      Offset < *U.ClockOffset - maxDriftSince(U.ClockOffsetUpdated, Now))
+    return;
   U.ClockOffset = Offset;
   U.ClockOffsetUpdated = Now;
 }
@@ -52,7 +56,8 @@
 SteadyTime leaseExpiry(const FleetBounds &Bounds, SteadyTime Sent) {
   Duration Lease = Bounds.MaxLease;
   return Sent + Lease +
-         std::chrono::duration_cast<Duration>(Lease * MaxClockDrift) +
+         std::chrono::duration_cast<Duration>(Lease * MaxClockDrift /
+                                              (1 - MaxClockDrift)) +
          LeaseExpiryMargin;
 }
 
--- a/tests/cell_lease_test.cpp
+++ b/tests/cell_lease_test.cpp
@@ -89,3 +89,31 @@
   ASSERT_TRUE(World.caller(Next).Answer);
   EXPECT_EQ(World.caller(Next).Answer->Status, AnswerStatus::Done);
 }
+
+// Guards against two runs of a task at once (TWICE, review case 6): frequent
+// answers of an upstream whose clock is slow make the estimate of that clock
+// too high, so that a renewal that a link has delayed grants a lease that ends
+// after the sender takes the run for ended.
+TEST(CellLeaseClock, SlowClockAndDelayedRenewalsDoNotOutlastTheExpiry) {
+  CellWorld World;
+  UpstreamId Slow =
+      World.addUpstream({"up-a", "centre-a", 64000, 1, /*ClockRate=*/0.98});
+  World.addUpstream({"up-b", "centre-a", 64000, 1, /*ClockRate=*/0.98});
+  Address Sender = World.addInstance("sender", "centre-a", 0.6);
+  World.run(seconds(2));
+  for (int I = 0; I < 750; ++I) {
+    World.submit(Sender, "short-" + std::to_string(I), 1, milliseconds(20));
+    World.run(milliseconds(20));
+  }
+  size_t Long = World.submit(Sender, "long", 1, seconds(4), seconds(10));
+  World.run(milliseconds(50));
+  ASSERT_EQ(World.runs().back().Key.Job, JobId{"long"});
+  ASSERT_EQ(World.runs().back().Upstream, Slow);
+  World.faults(Slow).RenewalDelay = milliseconds(250);
+  World.faults(Slow).StartDelay = milliseconds(250);
+  World.run(seconds(9));
+  std::vector<std::string> Found = World.overlappingRuns();
+  EXPECT_TRUE(Found.empty()) << Found.front();
+  ASSERT_TRUE(World.caller(Long).Answer);
+  EXPECT_EQ(World.caller(Long).Answer->Status, AnswerStatus::Done);
+}
--- a/tests/support/cell_world.cpp
+++ b/tests/support/cell_world.cpp
@@ -90,6 +90,7 @@
   U.Record.Kind = Setup.Speed > 1 ? "fast" : "plain";
   U.Record.StartedAt = 1000;
   U.Speed = Setup.Speed;
+  U.ClockRate = Setup.ClockRate;
   U.ClockStart = Now - std::chrono::seconds(5);
   return Id;
 }
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -31,6 +31,9 @@
   bool Mute = false;     ///< Renewals are carried out and get no answer.
   bool FailsAll = false; ///< Runs end as failed at once.
   int LostRenewals = 0;  ///< Number of renewals that get no answer.
+  /// Transit time of renewals and their answers, in each direction, in addition
+  /// to the usual one.
+  Duration RenewalDelay{0};
   /// Number of renewals that go over a connection that is not known to lead to
   /// the upstream's process.
   int NewConnections = 0;
@@ -76,6 +79,7 @@
     std::string Centre = "centre-a";
     int64_t CpuMillis = 64000; ///< Capacity in thousandths of a core.
     double Speed = 1;          ///< Task times are divided by it.
+    double ClockRate = 1;      ///< Of its clock, relative to the others.
   };
 
   CellWorld();
@@ -259,6 +263,7 @@
   struct Upstream {
     UpstreamRecord Record;
     double Speed = 1;
+    double ClockRate = 1;
     UpstreamFaults Faults;
     bool Draining = false;
     bool Listed = true;      ///< The store has its record.
--- a/tests/support/cell_world_upstreams.cpp
+++ b/tests/support/cell_world_upstreams.cpp
@@ -19,7 +19,8 @@
 } // namespace
 
 int64_t CellWorld::clockOf(const Upstream &U) const {
-  return toMilliseconds(Now - U.ClockStart);
+  return toMilliseconds(
+      std::chrono::duration_cast<Duration>((Now - U.ClockStart) * U.ClockRate));
 }
 
 void CellWorld::endRun(Upstream &U, const RunKey &Key, RunEnd Outcome) {
@@ -250,7 +251,9 @@
   if (!canReach(From, Upstreams[Id]) ||
       occurs(Upstreams[Id].Faults.LostRenewalShare))
     return;
-  schedule(Now + Hop, [this, From, Id, E, Answer, Acknowledged, Written = Now] {
+  Duration Transit = Hop + Upstreams[Id].Faults.RenewalDelay;
+  schedule(Now + Transit, [this, From, Id, E, Answer, Acknowledged,
+                           Written = Now] {
     Upstream &U = Upstreams[Id];
     if (U.Faults.Down || U.Faults.Refuses) {
       schedule(Now + Hop,
@@ -299,7 +302,8 @@
       if (Target.Faults.Mute)
         return;
       UpstreamReport R = report(Target, E);
-      schedule(Now + Hop, [Answer, R] { Answer(OrderStatus::Accepted, R); });
+      schedule(Now + Hop + Target.Faults.RenewalDelay,
+               [Answer, R] { Answer(OrderStatus::Accepted, R); });
     };
     if (E.Wait.count() == 0 || !U.Ends.empty()) {
       Reply();
