sender: end leases before a caller may submit again elsewhere

A ping that may have waited in a socket counts from the tick before (CellState::ReadBound).

CellLateStops.StopsOfAMuteUpstreamAreRepeatedAtIntervals expected five stops of a run that now ends with its lease after two. It makes the same check on a stalled run, whose lease goes on, and the former order of events has a test of its own, StopsForASilentEntryEndWithTheLease.

--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -30,6 +30,8 @@
   /// Arrival of its last ping, without that shift. Only pings tell which of its
   /// jobs it awaits.
   SteadyTime LastPingRaw{};
+  /// `CellState::ReadBound` when its last ping was handled.
+  SteadyTime LastPingBound{};
   /// Set when a message arrives first, after a silence of `EntryTimeout` or
   /// from another process than the messages before: it and those that follow
   /// may have been delayed by a link that was cut. Zero again once a ping sent
@@ -101,6 +103,9 @@
   SteadyTime LastTick{};     ///< Last call of `compensateForPause`.
   /// Last tick that came late by `PauseThreshold` or more.
   SteadyTime LateTick{};
+  /// Messages that are handled now have arrived at this time or later: the tick
+  /// before the last one or, for a time after a late tick, the one before that.
+  SteadyTime ReadBound{};
   bool Draining = false; ///< This instance is shutting down.
   /// This instance has a list of upstreams, so it can be a sender.
   bool HasUpstreamList = false;
--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -241,6 +241,7 @@
     P.HasUpstreamList = Message.HasUpstreamList;
     recordMessage(P, Now);
     P.LastPingRaw = Now;
+    P.LastPingBound = readBound(State, Now);
     // A ping of a former process may arrive after those of the present one. An
     // answered ping tells which of the two is running.
     if (OtherProcess)
@@ -387,7 +388,11 @@
 
 void compensateForPause(CellState &State, SteadyTime Now) {
   SteadyTime Last = std::exchange(State.LastTick, Now);
-  if (Last == SteadyTime{} || Now - Last < PauseThreshold)
+  bool Late = Last != SteadyTime{} && Now - Last >= PauseThreshold;
+  if (Late || State.LateTick == SteadyTime{} ||
+      Now - State.LateTick >= PauseThreshold)
+    State.ReadBound = Last;
+  if (!Late)
     return;
   State.LateTick = Now;
   Duration Pause = Now - Last;
@@ -401,6 +406,10 @@
   }
 }
 
+SteadyTime readBound(const CellState &State, SteadyTime Now) {
+  return State.ReadBound == SteadyTime{} ? Now : State.ReadBound;
+}
+
 bool isLagging(const CellState &State, SteadyTime Now) {
   if (State.LastTick == SteadyTime{})
     return false;
--- a/src/cells/cell_cmd.h
+++ b/src/cells/cell_cmd.h
@@ -55,6 +55,9 @@
 /// with each tick.
 void compensateForPause(CellState &State, SteadyTime Now);
 
+/// Returns a time since which the messages that are handled now have arrived.
+SteadyTime readBound(const CellState &State, SteadyTime Now);
+
 /// Returns true if this process is behind: messages that it handles now may
 /// have waited in its sockets for `PauseThreshold` or longer.
 bool isLagging(const CellState &State, SteadyTime Now);
--- a/src/cells/cell_table.h
+++ b/src/cells/cell_table.h
@@ -57,8 +57,11 @@
 /// Pause before a cell is claimed again from which this instance was fenced
 /// off.
 constexpr Duration ReclaimPause = std::chrono::milliseconds(3000);
+/// Period of the ticks of an instance. Leases and deadlines are checked this
+/// often, so each is acted upon at most this much late.
+constexpr Duration CellTickPeriod = std::chrono::milliseconds(20);
 /// A longer gap between two ticks or events is a pause of this process, not
-/// silence of its peers. Ticks come every 20 ms.
+/// silence of its peers.
 constexpr Duration PauseThreshold = std::chrono::milliseconds(150);
 /// Silence after which a peer is removed.
 constexpr Duration PeerExpiry = std::chrono::seconds(30);
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -98,6 +98,22 @@
          Now - std::max(P->second.LastPingRaw, J.Received) >= EntryTimeout;
 }
 
+/// Returns a time at which the entry of a job still awaited it, the last one
+/// that is known; zero if it no longer does. A job of this instance's own entry
+/// can't outlast that unnoticed.
+SteadyTime lastContact(const CellState &Cells, const SenderJob &J,
+                       SteadyTime Now) {
+  if (J.Waiter.Local)
+    return Now;
+  if (isAbandonedByEntry(Cells, J, Now))
+    return {};
+  const Peer &P = Cells.Peers.at(J.Order.Entry);
+  // A job that came late may have been given up before.
+  SteadyTime Received =
+      J.ConfirmSince == SteadyTime{} ? J.ReceivedBound : SteadyTime{};
+  return std::max({P.LastPingBound, P.LastConfirmation, Received});
+}
+
 /// Returns true if the entry of a job is confirmed to await it.
 bool isAwaitedByEntry(const CellState &Cells, const SenderJob &J,
                       SteadyTime Now) {
@@ -256,6 +272,7 @@
     if (Job == State.Sender.Jobs.end())
       return;
     Job->second.Received = Now;
+    Job->second.ReceivedBound = readBound(State.Cells, Now);
     if (isLagging(State.Cells, Now))
       Job->second.ConfirmSince = Now;
   }
@@ -559,6 +576,9 @@
   returnStrandedJobs(State.Sender, E.Now, Pending);
   while (deliverLocally(State, E.Now, Pending, Out)) {
   }
+  ContactLookup LastContact = [&](const SenderJob &J) {
+    return lastContact(State.Cells, J, E.Now);
+  };
   if (mayStartTasks(State, E.Now))
     startWaitingTasks(
         State.Sender,
@@ -566,13 +586,13 @@
           return E.Now < J.Deadline &&
                  (J.Waiter.Local || isAwaitedByEntry(State.Cells, J, E.Now));
         },
-        E.Now, Pending);
+        LastContact, E.Now, Pending);
   renewUpstreams(
       State.Sender,
       [&](const UpstreamId &Id) {
         return isUsedByPredecessor(State.Cells, Id, E.Now);
       },
-      E.Now, Pending);
+      LastContact, E.Now, Pending);
   sendPings(State.Cells, E.Now, Pending);
   while (deliverLocally(State, E.Now, Pending, Out)) {
   }
--- a/src/runtime/cell_daemon.cpp
+++ b/src/runtime/cell_daemon.cpp
@@ -15,9 +15,6 @@
 
 namespace {
 
-// Leases and deadlines are checked this often, so each is acted upon at most
-// this much late.
-constexpr Duration TickPeriod = std::chrono::milliseconds(20);
 // Jobs that one sender can have from this instance at a time. Each occupies a
 // connection until it has ended.
 constexpr size_t MaxJobConnections = 400;
@@ -134,7 +131,7 @@
       << " address=" << valueOf(Bound).Value
       << " weight=" << State.Settings.Self.Weight
       << " incarnation=" << State.Cells.Incarnation.Value;
-  TickTimer.startPeriodic(TickPeriod);
+  TickTimer.startPeriodic(CellTickPeriod);
   dispatch(InstanceTick{});
   return Ok{};
 }
--- a/src/sender/placement_cmd.cpp
+++ b/src/sender/placement_cmd.cpp
@@ -5,6 +5,7 @@
 #include "sender/estimate_func.h"
 #include "sender/forecast.h"
 #include "sender/job_cmd.h"
+#include "sender/lease_table.h"
 #include "sender/sender_table.h"
 #include "sender/upstream_cmd.h"
 
@@ -95,19 +96,45 @@
   return Found;
 }
 
+/// State of one placement pass.
+struct PlacementPass {
+  const ContactLookup &LastContact;
+  std::vector<StartableUpstream> Startable;
+  /// Upstreams that must become free of runs for a suspected task.
+  std::set<UpstreamId> Reserved;
+  std::optional<SlotForecast> Forecast; ///< Made when a task first needs it.
+};
+
+/// Returns true if the lease on \p U allows the start of a run of a job with
+/// this last contact. If not, the job's entry is silent, or a lease was granted
+/// for other runs whose entries were heard from later.
+bool leaseAllows(SenderState &State, const SenderUpstream &U,
+                 const PlacementPass &Pass, SteadyTime LastContact,
+                 SteadyTime Now) {
+  if (!outlastsContact(State, U, LastContact) &&
+      grantableLease(State, U, Pass.LastContact, Now) >= MinStartLease &&
+      leaseFor(State, LastContact, Now) >= MinStartLease)
+    return true;
+  // The next message of the entry may allow it, and no other event does.
+  State.PlacementDue = true;
+  return false;
+}
+
 /// Returns the upstream on which the task is expected to end first, or null.
 /// \p Expected is set to its run time there.
 SenderUpstream *chooseUpstream(SenderState &State, const SenderJob &J,
                                const SenderTask &T, Duration TypicalRunTime,
-                               const std::vector<StartableUpstream> &Startable,
+                               const PlacementPass &Pass, SteadyTime Now,
                                Duration &Expected) {
-  State.Counts.UpstreamsVisited += Startable.size();
+  State.Counts.UpstreamsVisited += Pass.Startable.size();
+  SteadyTime Contact = Pass.LastContact(J);
   SenderUpstream *Best = nullptr;
   double BestFactor = 0;
-  for (const StartableUpstream &S : Startable) {
+  for (const StartableUpstream &S : Pass.Startable) {
     SenderUpstream &U = *S.Upstream;
     if (!U.Free.covers(J.Order.Step.PerTask) ||
-        (U.Probing && !U.Runs.empty()) || !fitsTask(U, J.Order, T))
+        (U.Probing && !U.Runs.empty()) || !fitsTask(U, J.Order, T) ||
+        !leaseAllows(State, U, Pass, Contact, Now))
       continue;
     bool Better = !Best;
     if (Best) {
@@ -124,18 +151,10 @@
   return Best;
 }
 
-/// State of one placement pass.
-struct PlacementPass {
-  std::vector<StartableUpstream> Startable;
-  /// Upstreams that must become free of runs for a suspected task.
-  std::set<UpstreamId> Reserved;
-  std::optional<SlotForecast> Forecast; ///< Made when a task first needs it.
-};
-
 /// Starts a waiting task on \p U.
 void startTask(SenderState &State, SenderJob &J, uint32_t Index,
-               SenderUpstream &U, Duration Expected, SteadyTime Now,
-               InstanceEffects &Out) {
+               SenderUpstream &U, Duration Expected, const PlacementPass &Pass,
+               SteadyTime Now, InstanceEffects &Out) {
   SenderTask &T = J.Tasks[Index];
   T.State = SenderTaskState::Started;
   T.Upstream = U.Record.Id;
@@ -144,7 +163,9 @@
   J.Started = true;
   ++State.Counts.RunsStarted;
   RunKey Key{J.Order.Id, 0, Index, T.Run};
-  orderStart(U, J, Key, Expected, State.Bounds, Now, Out);
+  Duration Lease = std::min(grantableLease(State, U, Pass.LastContact, Now),
+                            leaseFor(State, Pass.LastContact(J), Now));
+  orderStart(U, J, Key, Expected, Lease, State.Bounds, Now, Out);
   U.Runs.at(Key).Exclusive = T.Crashes > 0;
 }
 
@@ -163,12 +184,13 @@
                                   const SenderTask &T,
                                   const PlacementPass &Pass, SteadyTime Now) {
   State.Counts.UpstreamsVisited += State.Upstreams.size();
+  SteadyTime Contact = Pass.LastContact(J);
   SenderUpstream *Best = nullptr;
   std::pair<Duration, double> BestCost;
   for (auto &[Id, U] : State.Upstreams) {
     if (!isUsable(State, U, Now) || Pass.Reserved.count(Id) ||
         !U.Record.Capacity.covers(J.Order.Step.PerTask) ||
-        !fitsTask(U, J.Order, T))
+        !fitsTask(U, J.Order, T) || !leaseAllows(State, U, Pass, Contact, Now))
       continue;
     std::pair<Duration, double> Cost{timeUntilFree(U, Now),
                                      logRunTimeFactor(State.Learned, U)};
@@ -197,7 +219,7 @@
   if (U->Runs.empty()) {
     Duration Expected = scaled(typicalRunTime(State.Learned, J.Order),
                                std::exp(logRunTimeFactor(State.Learned, *U)));
-    startTask(State, J, Index, *U, Expected, Now, Out);
+    startTask(State, J, Index, *U, Expected, Pass, Now, Out);
   } else if (Pass.Reserved.size() <
              std::max<size_t>(1,
                               State.Upstreams.size() / UpstreamsPerReserved)) {
@@ -244,12 +266,12 @@
       continue;
     Duration Expected{0};
     SenderUpstream *U =
-        chooseUpstream(State, J, T, Typical, Pass.Startable, Expected);
+        chooseUpstream(State, J, T, Typical, Pass, Now, Expected);
     if (!U && !T.AvoidedUpstreams.empty() &&
         T.AvoidedUpstreams.size() + 1 >= State.Upstreams.size()) {
       // It avoids all upstreams but at most one; a retry on any beats none.
       T.AvoidedUpstreams.clear();
-      U = chooseUpstream(State, J, T, Typical, Pass.Startable, Expected);
+      U = chooseUpstream(State, J, T, Typical, Pass, Now, Expected);
     }
     if (!U) {
       // The other tasks of the job have the same needs, so they fit nowhere
@@ -267,7 +289,7 @@
                      fitsTask(Other, J.Order, T);
             }))
       continue;
-    startTask(State, J, Index, *U, Expected, Now, Out);
+    startTask(State, J, Index, *U, Expected, Pass, Now, Out);
   }
 }
 
@@ -275,14 +297,15 @@
 
 void startWaitingTasks(SenderState &State,
                        const std::function<bool(const SenderJob &)> &MayStart,
-                       SteadyTime Now, InstanceEffects &Out) {
+                       const ContactLookup &LastContact, SteadyTime Now,
+                       InstanceEffects &Out) {
   if (!State.PlacementDue)
     return;
   State.PlacementDue = false;
   std::optional<int64_t> Need = smallestNeed(State);
   if (!Need)
     return;
-  PlacementPass Pass;
+  PlacementPass Pass{LastContact, {}, {}, {}};
   Pass.Startable = startableUpstreams(State, *Need, Now);
   if (Pass.Startable.empty())
     return;
--- a/src/sender/placement_cmd.h
+++ b/src/sender/placement_cmd.h
@@ -4,6 +4,7 @@
 
 #include "instance/instance_effect.h"
 #include "sender/sender_base.h"
+#include "sender/upstream_cmd.h"
 
 #include <functional>
 
@@ -14,7 +15,8 @@
 /// after each event; does nothing unless `SenderState::PlacementDue`.
 void startWaitingTasks(SenderState &State,
                        const std::function<bool(const SenderJob &)> &MayStart,
-                       SteadyTime Now, InstanceEffects &Out);
+                       const ContactLookup &LastContact, SteadyTime Now,
+                       InstanceEffects &Out);
 
 } // namespace snipeshunt
 
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -183,7 +183,9 @@
   /// entry may have given it up while it waited in the socket, so no task is
   /// started before the entry has answered a ping sent since then.
   SteadyTime ConfirmSince{};
-  SteadyTime Received{};  ///< When this sender last received the job.
+  SteadyTime Received{}; ///< When this sender last received the job.
+  /// `CellState::ReadBound` at that time.
+  SteadyTime ReceivedBound{};
   SteadyTime Arrived{};   ///< When the entry received the caller's request.
   SteadyTime Objective{}; ///< Answers until then meet the objective.
   SteadyTime LatestUsefulEnd{}; ///< The caller has no use for a later answer.
--- a/src/sender/sender_table.h
+++ b/src/sender/sender_table.h
@@ -11,7 +11,7 @@
 
 /// An upstream answers a renewal when a run ends, at the latest after this
 /// time. If the answer is lost, ends stay unknown for this time and
-/// `RenewalSlack`; the lease of 1 s then leaves room for two more renewals.
+/// `RenewalSlack`; the lease then leaves room for two more renewals.
 /// Shorter waits cost more calls.
 constexpr std::chrono::milliseconds RenewalWait{160};
 /// A renewal times out this long after its wait. Answers take a few
@@ -25,11 +25,6 @@
 /// Longest delay before an end is acknowledged. A renewal for further runs
 /// usually acknowledges it earlier, which saves a call.
 constexpr Duration AcknowledgeDelay = std::chrono::milliseconds(400);
-/// Upstream clocks may run up to 2 % slow; leases then last that much longer on
-/// the clock of this process.
-constexpr double MaxClockDrift = 0.02;
-/// Added to the longest lease for the transit time of an order.
-constexpr Duration LeaseExpiryMargin = std::chrono::milliseconds(60);
 /// Pause before the next call to an upstream that did not answer, doubled with
 /// each failed call up to the limit.
 constexpr Duration RetryDelay = std::chrono::milliseconds(300);
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -4,6 +4,7 @@
 #include "sender/crash_cmd.h"
 #include "sender/estimate_func.h"
 #include "sender/job_cmd.h"
+#include "sender/lease_table.h"
 #include "sender/sender_table.h"
 
 #include <algorithm>
@@ -42,23 +43,30 @@
   U.ClockOffsetUpdated = Now;
 }
 
-/// End of a lease that begins now, on the upstream's clock in milliseconds. The
-/// drift is subtracted, so that the lease isn't longer than the upstream
-/// grants.
-int64_t leaseDeadline(const SenderUpstream &U, const FleetBounds &Bounds,
-                      SteadyTime Now) {
+/// End of a lease of length \p Lease that begins now, on the upstream's clock
+/// in milliseconds. The drift is subtracted, so that the lease isn't longer.
+int64_t leaseDeadline(const SenderUpstream &U, Duration Lease, SteadyTime Now) {
   return steadyMs(Now) + *U.ClockOffset -
-         maxDriftSince(U.ClockOffsetUpdated, Now) + Bounds.MaxLease.count();
+         maxDriftSince(U.ClockOffsetUpdated, Now) + toMilliseconds(Lease);
 }
 
-/// Latest end of a lease that was sent at \p Sent, on the clock of this
-/// process.
-SteadyTime leaseExpiry(const FleetBounds &Bounds, SteadyTime Sent) {
-  Duration Lease = Bounds.MaxLease;
-  return Sent + Lease +
-         std::chrono::duration_cast<Duration>(Lease * MaxClockDrift /
-                                              (1 - MaxClockDrift)) +
-         LeaseExpiryMargin;
+/// Latest end of a lease of length \p Lease that was sent at \p Sent, on the
+/// clock of this process.
+SteadyTime leaseEnd(Duration Lease, SteadyTime Sent) {
+  return Sent + onOwnClock(Lease);
+}
+
+/// Time after the end of a lease until its runs count as ended.
+Duration expiryMargin(const FleetBounds &Bounds) {
+  return Duration(Bounds.StopTimeout) + LeaseExpiryReserve;
+}
+
+/// Notes that a lease of length \p Lease is sent to \p U. Earlier ones may end
+/// later.
+void recordLease(SenderUpstream &U, const FleetBounds &Bounds, Duration Lease,
+                 SteadyTime Now) {
+  U.LeaseExpiry =
+      std::max(U.LeaseExpiry, leaseEnd(Lease, Now) + expiryMargin(Bounds));
 }
 
 /// Records that a task of the job may have run.
@@ -144,7 +152,8 @@
   // An upstream rejects a start once the lease in it has expired, unless its
   // clock has started anew since.
   return !Run.ProcessChanged &&
-         leaseExpiry(Bounds, Run.Ordered) < ReportRequested;
+         leaseEnd(longestLease(Bounds), Run.Ordered) + expiryMargin(Bounds) <
+             ReportRequested;
 }
 
 /// Updates the progress of the reported runs, records unknown ones as orphaned,
@@ -298,9 +307,9 @@
   return &It->second;
 }
 
-/// Sends a renewal. \p Prolong renews the lease too; otherwise only the lists
-/// are read and ends acknowledged.
-void sendRenewal(SenderState &State, SenderUpstream &U, bool Prolong,
+/// Sends a renewal. \p Lease is the length to which the lease is renewed;
+/// unless it is positive, only the lists are read and ends acknowledged.
+void sendRenewal(SenderState &State, SenderUpstream &U, Duration Lease,
                  std::chrono::milliseconds Wait, SteadyTime Now,
                  InstanceEffects &Out) {
   RenewUpstream Effect;
@@ -314,9 +323,9 @@
   Effect.Wait = Wait;
   Effect.Sequence = ++U.RenewalSequence;
   U.RenewalWaits = Wait.count() > 0;
-  if (Prolong && U.ClockOffset) {
-    Effect.LeaseDeadlineMs = leaseDeadline(U, State.Bounds, Now);
-    U.LeaseExpiry = leaseExpiry(State.Bounds, Now);
+  if (Lease > Duration::zero() && U.ClockOffset) {
+    Effect.LeaseDeadlineMs = leaseDeadline(U, Lease, Now);
+    recordLease(U, State.Bounds, Lease, Now);
   }
   U.RenewalPending = true;
   U.RenewalSent = Now;
@@ -326,19 +335,24 @@
 
 /// Sends a renewal to a ready upstream if it has runs, or if there are ends to
 /// acknowledge or orphaned runs to check.
-void renewReadyUpstream(SenderState &State, SenderUpstream &U, SteadyTime Now,
+void renewReadyUpstream(SenderState &State, SenderUpstream &U,
+                        const ContactLookup &LastContact, SteadyTime Now,
                         InstanceEffects &Out) {
   bool Runs = std::any_of(U.Runs.begin(), U.Runs.end(), [](const auto &E) {
     return E.second.Phase != RunPhase::Starting;
   });
   if (Runs) {
-    sendRenewal(State, U, !mustLapse(State, U), RenewalWait, Now, Out);
+    Duration Lease = mustLapse(State, U)
+                         ? Duration::zero()
+                         : grantableLease(State, U, LastContact, Now);
+    sendRenewal(State, U, Lease, RenewalWait, Now, Out);
     return;
   }
   bool AcknowledgeDue = U.AcknowledgeUpTo > U.AcknowledgedUpTo &&
                         Now - U.FirstUnacknowledged >= AcknowledgeDelay;
   if (AcknowledgeDue || !U.OrphanedRuns.empty())
-    sendRenewal(State, U, false, std::chrono::milliseconds(0), Now, Out);
+    sendRenewal(State, U, Duration::zero(), std::chrono::milliseconds(0), Now,
+                Out);
 }
 
 /// Sends the stops of runs and orphaned runs that are due.
@@ -370,9 +384,34 @@
          });
 }
 
+Duration grantableLease(const SenderState &State, const SenderUpstream &U,
+                        const ContactLookup &LastContact, SteadyTime Now) {
+  Duration Lease = longestLease(State.Bounds);
+  for (const auto &[Key, Run] : U.Runs) {
+    // An accepted stop ends the run before any lease.
+    auto Job = State.Jobs.find(Key.Job);
+    if (Run.StopAcknowledged || Job == State.Jobs.end())
+      continue;
+    Lease = std::min(Lease, leaseFor(State, LastContact(Job->second), Now));
+  }
+  return Lease;
+}
+
+Duration leaseFor(const SenderState &State, SteadyTime LastContact,
+                  SteadyTime Now) {
+  Duration Left = LastContact + contactLease(State.Bounds) - Now;
+  return std::min(longestLease(State.Bounds), onUpstreamClock(Left));
+}
+
+bool outlastsContact(const SenderState &State, const SenderUpstream &U,
+                     SteadyTime LastContact) {
+  return U.LeaseExpiry - expiryMargin(State.Bounds) >
+         LastContact + contactLease(State.Bounds);
+}
+
 void orderStart(SenderUpstream &U, const SenderJob &J, const RunKey &Key,
-                Duration Expected, const FleetBounds &Bounds, SteadyTime Now,
-                InstanceEffects &Out) {
+                Duration Expected, Duration Lease, const FleetBounds &Bounds,
+                SteadyTime Now, InstanceEffects &Out) {
   SenderRun Run;
   Run.Key = Key;
   Run.Need = J.Order.Step.PerTask;
@@ -380,14 +419,14 @@
   Run.ExpectedRunTime = Expected;
   U.Free -= Run.Need;
   U.Runs[Key] = Run;
-  U.LeaseExpiry = leaseExpiry(Bounds, Now);
+  recordLease(U, Bounds, Lease, Now);
   StartRun Effect;
   Effect.Upstream = U.Record.Id;
   Effect.Endpoint = U.Record.Endpoint;
   Effect.Token = U.Token;
   Effect.Key = Key;
   Effect.Spec = J.Order.Spec;
-  Effect.LeaseDeadlineMs = leaseDeadline(U, Bounds, Now);
+  Effect.LeaseDeadlineMs = leaseDeadline(U, Lease, Now);
   // The next process may be of another kind, which upstreams don't check.
   if (!J.Order.Step.Requirement.empty())
     Effect.OnlyTo = ProcessCondition{U.StartedAt, U.ProcessKnownAt};
@@ -407,7 +446,7 @@
 void renewUpstreams(
     SenderState &State,
     const std::function<bool(const UpstreamId &)> &HeldByPredecessor,
-    SteadyTime Now, InstanceEffects &Out) {
+    const ContactLookup &LastContact, SteadyTime Now, InstanceEffects &Out) {
   for (auto &[Id, U] : State.Upstreams) {
     if (U.Phase == UpstreamPhase::AwaitingPredecessor) {
       if (HeldByPredecessor(Id))
@@ -420,9 +459,10 @@
     if (U.RenewalPending || Now < U.NextRenewal)
       continue;
     if (U.Phase == UpstreamPhase::Ready)
-      renewReadyUpstream(State, U, Now, Out);
+      renewReadyUpstream(State, U, LastContact, Now, Out);
     else
-      sendRenewal(State, U, false, std::chrono::milliseconds(0), Now, Out);
+      sendRenewal(State, U, Duration::zero(), std::chrono::milliseconds(0), Now,
+                  Out);
   }
 }
 
@@ -535,7 +575,8 @@
   // show the runs that it has.
   if (Event.Status == OrderStatus::NoRoom && !U->RenewalPending &&
       U->Runs.size() == 1)
-    sendRenewal(State, *U, false, std::chrono::milliseconds(0), Now, Out);
+    sendRenewal(State, *U, Duration::zero(), std::chrono::milliseconds(0), Now,
+                Out);
   finishRun(State, *U, Event.Key, RunOutcome::Aborted, Now, Out,
             isRejection(Event.Status));
 }
@@ -642,6 +683,10 @@
       U->FirstUnacknowledged = Now;
     U->AcknowledgeUpTo = Report.LastNumber;
   }
+  // An earlier sender may have renewed the lease until this one's renewal
+  // fenced it off.
+  if (U->Phase == UpstreamPhase::Syncing)
+    recordLease(*U, State.Bounds, State.Bounds.MaxLease, Now);
   applyRunningReports(State, *U, Report.Running, Now, Out);
   stopStalledRuns(State, *U, Now, Out);
   U->NextRenewal = Now;
--- a/src/sender/upstream_cmd.h
+++ b/src/sender/upstream_cmd.h
@@ -27,12 +27,16 @@
 void releaseCell(SenderState &State, const CellId &Cell, SteadyTime Now,
                  InstanceEffects &Out);
 
+/// Returns a time at which the entry of a job still awaited it, the last one
+/// that is known.
+using ContactLookup = std::function<SteadyTime(const SenderJob &)>;
+
 /// Sends the renewals and stops that are due. \p HeldByPredecessor returns true
 /// if a predecessor still uses an upstream. Called after each event.
 void renewUpstreams(
     SenderState &State,
     const std::function<bool(const UpstreamId &)> &HeldByPredecessor,
-    SteadyTime Now, InstanceEffects &Out);
+    const ContactLookup &LastContact, SteadyTime Now, InstanceEffects &Out);
 
 /// Ends runs whose lease has certainly expired. Called on each tick.
 void expireRuns(SenderState &State, SteadyTime Now, InstanceEffects &Out);
@@ -54,11 +58,26 @@
 /// has to end and no stop of it has been accepted.
 bool mustLapse(const SenderState &State, const SenderUpstream &U);
 
-/// Orders the start of a run on \p U and reserves its resources. \p Expected is
-/// the expected run time on \p U.
+/// Returns the longest lease, on the upstream's clock, that the runs on \p U
+/// allow: no run may outlast the last contact with its entry by
+/// `contactLease`. Not positive if there is none.
+Duration grantableLease(const SenderState &State, const SenderUpstream &U,
+                        const ContactLookup &LastContact, SteadyTime Now);
+
+/// Returns the longest lease that a run of a job with this last contact allows.
+Duration leaseFor(const SenderState &State, SteadyTime LastContact,
+                  SteadyTime Now);
+
+/// Returns true if a lease that was granted for other runs on \p U may outlast
+/// the last contact with a job's entry by `contactLease`.
+bool outlastsContact(const SenderState &State, const SenderUpstream &U,
+                     SteadyTime LastContact);
+
+/// Orders the start of a run on \p U, with a lease of length \p Lease, and
+/// reserves its resources. \p Expected is the expected run time on \p U.
 void orderStart(SenderUpstream &U, const SenderJob &J, const RunKey &Key,
-                Duration Expected, const FleetBounds &Bounds, SteadyTime Now,
-                InstanceEffects &Out);
+                Duration Expected, Duration Lease, const FleetBounds &Bounds,
+                SteadyTime Now, InstanceEffects &Out);
 
 /// Orders the stop of a run, unless a stop is pending or acknowledged.
 void orderStop(SenderUpstream &U, SenderRun &Run, SteadyTime Now,
--- a/tests/cell_late_stops_test.cpp
+++ b/tests/cell_late_stops_test.cpp
@@ -77,8 +77,26 @@
 }
 
 // Guards against a series of stops without pauses at an upstream that does not
-// answer any: only the first one is repeated at once.
+// answer any: only the first one is repeated at once. The entry of the job goes
+// on, so that the lease of the stalled run is renewed meanwhile.
 TEST(CellLateStops, StopsOfAMuteUpstreamAreRepeatedAtIntervals) {
+  LateStops T;
+  T.World.faults(T.UpA).LosesStops = true;
+  T.World.faults(T.UpA).Stalls = true;
+  T.World.submit(T.Entry, "b", 1, milliseconds(100), seconds(6));
+  T.World.run(milliseconds(20));
+  ASSERT_EQ(T.World.runs().size(), 2U);
+  for (int I = 0; T.World.stopsSent() == 0 && I < 2000; ++I)
+    T.World.run(milliseconds(1));
+  T.World.run(milliseconds(760));
+  // At 0, 150, 350, 550 and 750 ms.
+  EXPECT_EQ(T.World.stopsSent(), 5U);
+  EXPECT_GT(T.World.runs().back().Ended, T.World.now());
+}
+
+// Guards against stops beyond the end of the lease, which comes soon after the
+// first stop for a job whose entry is silent.
+TEST(CellLateStops, StopsForASilentEntryEndWithTheLease) {
   LateStops T;
   T.World.faults(T.UpA).LosesStops = true;
   T.silenceAndKillEntry();
@@ -86,6 +104,7 @@
          T.World.runs().front().Ended > T.World.now())
     T.World.run(milliseconds(1));
   T.World.run(milliseconds(760));
-  // At 0, 150, 350, 550 and 750 ms.
-  EXPECT_EQ(T.World.stopsSent(), 5U);
+  // At 0 and 150 ms.
+  EXPECT_EQ(T.World.stopsSent(), 2U);
+  EXPECT_LE(T.World.runs().front().Ended, T.World.now());
 }
--- a/tests/cell_lease_test.cpp
+++ b/tests/cell_lease_test.cpp
@@ -117,3 +117,66 @@
   ASSERT_TRUE(World.caller(Long).Answer);
   EXPECT_EQ(World.caller(Long).Answer->Status, AnswerStatus::Done);
 }
+
+// Guards against two runs of a task at once (TWICE, review case 10): the entry
+// of a job freezes, its caller leaves unnoticed, and the sender freezes before
+// it has given up the entry. The lease has to end before the caller's next
+// submission is started, however long the entry has been silent by then.
+TEST(CellLeaseContact, LeaseOfASilentEntryEndsBeforeTheResubmission) {
+  for (int Phase = 0; Phase < 260; Phase += 50)
+    for (int Gap = 100; Gap <= 1100; Gap += 100) {
+      CellWorld World;
+      World.addUpstream({"up-a", "centre-a", 64000, 1, /*ClockRate=*/0.98});
+      World.addUpstream({"up-b", "centre-b", 64000, 1, /*ClockRate=*/0.98});
+      Address Sender = World.addInstance("sender-a", "centre-a", 0.6);
+      Address Entry = World.addInstance("entry", "centre-a", 0.2);
+      Address Other = World.addInstance("sender-b", "centre-b", 0.6);
+      World.run(seconds(2));
+      size_t First = World.submit(Entry, "a", 1, seconds(4), seconds(6));
+      World.run(milliseconds(500 + Phase));
+      ASSERT_EQ(World.runs().size(), 1U);
+      World.freeze(Entry);
+      World.disconnectCaller(First);
+      World.run(milliseconds(Gap));
+      World.freeze(Sender);
+      World.run(CallerRetryPause - milliseconds(Gap));
+      size_t Again = World.submit(Other, "a", 1, milliseconds(200), seconds(5));
+      World.run(seconds(1));
+      std::vector<std::string> Found = World.overlappingRuns();
+      EXPECT_TRUE(Found.empty())
+          << Found.front() << " phase " << Phase << " gap " << Gap;
+      ASSERT_TRUE(World.caller(Again).Answer);
+      EXPECT_EQ(World.caller(Again).Answer->Status, AnswerStatus::Done);
+    }
+}
+
+// Guards against the same after a pause of the sender: a ping that has waited
+// in its socket meanwhile doesn't show that the entry still awaits its jobs.
+TEST(CellLeaseContact, PingsThatWaitedDuringAPauseProlongNoLease) {
+  for (int Phase = 0; Phase < 260; Phase += 50)
+    for (int Pause = 300; Pause <= 700; Pause += 100) {
+      CellWorld World;
+      World.addUpstream({"up-a", "centre-a", 64000, 1, /*ClockRate=*/0.98});
+      World.addUpstream({"up-b", "centre-b", 64000, 1, /*ClockRate=*/0.98});
+      Address Sender = World.addInstance("sender-a", "centre-a", 0.6);
+      Address Entry = World.addInstance("entry", "centre-a", 0.2);
+      Address Other = World.addInstance("sender-b", "centre-b", 0.6);
+      World.run(seconds(2));
+      size_t First = World.submit(Entry, "a", 1, seconds(4), seconds(6));
+      World.run(milliseconds(500 + Phase));
+      World.freeze(Sender);
+      World.run(milliseconds(260));
+      World.freeze(Entry);
+      World.disconnectCaller(First);
+      World.run(milliseconds(Pause - 260));
+      World.thaw(Sender);
+      World.run(CallerRetryPause - milliseconds(Pause - 260));
+      size_t Again = World.submit(Other, "a", 1, milliseconds(200), seconds(5));
+      World.run(seconds(1));
+      std::vector<std::string> Found = World.overlappingRuns();
+      EXPECT_TRUE(Found.empty())
+          << Found.front() << " phase " << Phase << " pause " << Pause;
+      ASSERT_TRUE(World.caller(Again).Answer);
+      EXPECT_EQ(World.caller(Again).Answer->Status, AnswerStatus::Done);
+    }
+}
