docs, models: how long a run can go on without renewal

Change: docs/proofs.md states the inequality once, for each process that may start a task again, with what is not proved. models/lease.pml checks it with freezes and delays at each step, and models/check.sh that it fails with each of four mechanisms disabled.

--- a/models/check.sh
+++ b/models/check.sh
@@ -30,3 +30,7 @@
 for mechanism in NO_CLOSE NO_REPEAT; do
   run stop 1 "-D$mechanism"
 done
+run lease 0
+for mechanism in ROUNDED_DRIFT NO_CONTACT NO_READ_BOUND NO_START_CHECK; do
+  run lease 1 "-D$mechanism"
+done
