tests: runs beside one of a silent entry go on

The shortened lease of a silent entry's run ends all runs of its upstream unless the stop comes before.

--- a/models/lease.pml
+++ b/models/lease.pml
@@ -1,6 +1,7 @@
 /* Model of how long a run can go on without renewal (src/sender/lease_table.h,
  * src/cells/cell_cmd.cpp): an entry instance, the sender of its job, and the
- * upstream that runs it. Times are in units of 50 ms. No stop ever arrives; only the end of the lease ends the run.
+ * upstream that runs it. Times are in units of 50 ms. No stop ever arrives; only
+ * the end of the lease ends the run.
  *
  * At each step, the sender may freeze, once, and wake after any time; the entry
  * may freeze for good, and its caller leaves unnoticed at that moment; pings
--- a/tests/cell_lease_test.cpp
+++ b/tests/cell_lease_test.cpp
@@ -180,3 +180,25 @@
       EXPECT_EQ(World.caller(Again).Answer->Status, AnswerStatus::Done);
     }
 }
+
+// Guards against runs of other jobs that lapse with the shortened lease of a
+// silent entry's run: its stop is accepted before, and renewals are of full
+// length again.
+TEST(CellLeaseContact, OtherRunsOnTheUpstreamSurviveASilentEntry) {
+  for (int Phase = 0; Phase < 260; Phase += 10) {
+    CellWorld World;
+    World.addUpstream({"up-a", "centre-a", 64000, 1, /*ClockRate=*/0.98});
+    Address Sender = World.addInstance("sender-a", "centre-a", 0.6);
+    Address Entry = World.addInstance("entry", "centre-a", 0.2);
+    World.run(seconds(2));
+    World.submit(Entry, "a", 1, seconds(4), seconds(6));
+    size_t Other = World.submit(Sender, "b", 1, seconds(4), seconds(8));
+    World.run(milliseconds(500 + Phase));
+    ASSERT_EQ(World.runs().size(), 2U);
+    World.freeze(Entry);
+    World.run(seconds(5));
+    EXPECT_EQ(World.runs().size(), 2U) << "phase " << Phase;
+    ASSERT_TRUE(World.caller(Other).Answer);
+    EXPECT_EQ(World.caller(Other).Answer->Status, AnswerStatus::Done);
+  }
+}
