upstreams: require the fields that a start relies on

A record without `born` is not used if the upstream itself reports `born`, or has stated it before, and at least half of the listed records state it; the upstream counts as unlisted, so it gets no starts, and its runs are renewed at its own address. Upstreams of deployments that state no `born` are used as before.

Tests: three new ones in odd_record_test.cpp and one in store_decoder_test.cpp. RecordThatLacksTheReportedStartIsNotUsed (1 start, other address), NewUpstreamIsNotUsedByARecordThatLacksTheReportedStart and RecordsWithoutTheFieldsOfAStartNameNoUpstream failed on the code before; UpstreamsThatStateNoStartAreUsed passed there, it guards the deployments without `born`.

--- a/src/sender/placement_cmd.cpp
+++ b/src/sender/placement_cmd.cpp
@@ -23,16 +23,17 @@
 /// Returns true if the record of the upstream is that of its present process,
 /// which may have less capacity than the one before. The reports of an upstream
 /// don't contain its capacity, and often arrive before its record is read.
-bool hasCurrentRecord(const SenderUpstream &U) {
-  return U.StartedAt == 0 || U.Record.StartedAt == 0 ||
-         U.Record.StartedAt == U.StartedAt;
+bool hasCurrentRecord(const SenderState &State, const SenderUpstream &U) {
+  return !lacksStart(State, U, U.Record) &&
+         (U.StartedAt == 0 || U.Record.StartedAt == 0 ||
+          U.Record.StartedAt == U.StartedAt);
 }
 
 /// Returns true if the upstream takes starts, regardless of free capacity.
 bool isUsable(const SenderState &State, const SenderUpstream &U,
               SteadyTime Now) {
   // A start prolongs the lease of all runs on the upstream.
-  return acceptsStarts(U, Now) && hasCurrentRecord(U) &&
+  return acceptsStarts(U, Now) && hasCurrentRecord(State, U) &&
          U.UnlistedSince == SteadyTime{} && U.ClockOffset &&
          U.UnansweredCalls == 0 && !mustLapse(State, U);
 }
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -274,6 +274,9 @@
   bool PlacementDue = true; ///< A start may have become possible.
   /// Upstreams were released or fenced off, so that jobs may have none left.
   bool UpstreamsLost = false;
+  /// The upstreams of this deployment state the start of their process in their
+  /// records, by the list that was applied last.
+  bool RecordsStateStart = false;
   /// The upstreams of a newly claimed cell are being read from the store. Jobs
   /// are admitted meanwhile.
   bool UpstreamListPending = false;
--- a/src/sender/upstream_cmd.h
+++ b/src/sender/upstream_cmd.h
@@ -20,6 +20,12 @@
                     const std::function<CellId(const UpstreamRecord &)> &CellOf,
                     bool Complete, SteadyTime Now, InstanceEffects &Out);
 
+/// Returns true if \p Record lacks the start of the upstream's process though
+/// the upstream and the records of the others state it. Such a record is that
+/// of another writer; it names neither the service nor the address to use.
+bool lacksStart(const SenderState &State, const SenderUpstream &U,
+                const UpstreamRecord &Record);
+
 /// Removes the upstreams of a cell whose claim was lost; jobs with runs on them
 /// end as lost. Upstreams with starts that await their answers are kept for
 /// these, see `SenderUpstream::Released`. A draining sender keeps the upstreams
--- a/src/sender/upstream_list_cmd.cpp
+++ b/src/sender/upstream_list_cmd.cpp
@@ -26,6 +26,22 @@
   U.NextRenewal = Now;
 }
 
+/// Returns true if most of the records state the start of their process. An
+/// entry of another writer among them does not decide.
+static bool statesStart(const std::vector<UpstreamRecord> &List) {
+  auto Stating =
+      std::count_if(List.begin(), List.end(),
+                    [](const UpstreamRecord &R) { return R.StartedAt != 0; });
+  return Stating > 0 && 2 * static_cast<size_t>(Stating) >= List.size();
+}
+
+// An upstream that states its start in its reports states it in its record as
+// well, if the others of the deployment do.
+bool lacksStart(const SenderState &State, const SenderUpstream &U,
+                const UpstreamRecord &Record) {
+  return State.RecordsStateStart && Record.StartedAt == 0 && U.StartedAt != 0;
+}
+
 // The runs stay until a report shows that the new process does not run them: a
 // start in transit may still reach it.
 void resetIncarnation(SenderUpstream &U, int64_t StartedAt,
@@ -58,6 +74,7 @@
                     const std::function<CellId(const UpstreamRecord &)> &CellOf,
                     bool Complete, SteadyTime Now, InstanceEffects &Out) {
   State.UpstreamListPending = false;
+  State.RecordsStateStart = statesStart(List);
   std::set<UpstreamId> Listed;
   for (const UpstreamRecord &Record : List) {
     CellId Cell = CellOf(Record);
@@ -70,6 +87,15 @@
                  It->second.Phase != UpstreamPhase::Fenced;
     if (!Claimed && !InUse)
       continue;
+    // Such an entry is of another writer. The upstream counts as unlisted, so
+    // it gets no starts, and its runs go on.
+    if (It != State.Upstreams.end() && lacksStart(State, It->second, Record)) {
+      if (It->second.UnlistedSince == SteadyTime{})
+        logUpstream(Out, It->second,
+                    "has a record without the start of its process, which is "
+                    "not used");
+      continue;
+    }
     Listed.insert(Record.Id);
     if (It == State.Upstreams.end()) {
       SenderUpstream &Added = State.Upstreams[Record.Id];
--- a/tests/odd_record_test.cpp
+++ b/tests/odd_record_test.cpp
@@ -4,11 +4,15 @@
 #include "cells/cell_table.h"
 #include "instance/instance_reducer.h"
 #include "rpc/cell_codec.h"
+#include "sender/job_cmd.h"
+#include "sender/placement_cmd.h"
 #include "sender/upstream_cmd.h"
 #include "support/cell_world.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using namespace snipeshunt;
 using namespace snipeshunt::testing;
 using std::chrono::milliseconds;
@@ -67,12 +71,39 @@
     return Out;
   }
 
+  /// Submits a job and returns how many of its tasks are started at once.
+  size_t startsOf(const std::string &Job, const ServiceName &Service) {
+    JobOrder Order;
+    Order.Id = {Job};
+    Order.Service = Service;
+    Order.Step.Estimate = milliseconds(50);
+    Order.Step.PerTask.CpuMillis = 1000;
+    Order.Slack = Order.Remaining = seconds(2);
+    InstanceEffects Out;
+    acceptJob(State.Sender, Order, {{999}, /*Local=*/true}, Now, Out);
+    startWaitingTasks(
+        State.Sender, [](const SenderJob &) { return true; }, Now, Out);
+    return static_cast<size_t>(
+        std::count_if(Out.begin(), Out.end(), [](const InstanceEffect &E) {
+          return std::holds_alternative<StartRun>(E);
+        }));
+  }
+
   CellWorld World;
   FleetInstance State;
   SteadyTime Now;
   int32_t Percent = 0;
 };
 
+/// Record of an upstream of another data centre that states its start.
+UpstreamRecord completeRecord() {
+  UpstreamRecord Record;
+  Record.Id = {"elsewhere"};
+  Record.Centre = {"centre-z"};
+  Record.StartedAt = 1700000000000;
+  return Record;
+}
+
 } // namespace
 
 // Guards against an upstream that is reset with each read of the list, because
@@ -224,3 +255,54 @@
     EXPECT_GE(Pings, 1U) << Centre;
   }
 }
+
+// Guards against starts on an upstream of another service: another writer left
+// an entry under its id that names the service of a route and lacks the start
+// of the process, which the upstream itself reports.
+TEST(OddRecords, RecordThatLacksTheReportedStartIsNotUsed) {
+  RunningSender S;
+  UpstreamRecord Proper = S.upstream().Record;
+  UpstreamRecord Odd = Proper;
+  Odd.StartedAt = 0;
+  Odd.Service = {"another"};
+  Odd.Endpoint = {"10.8.8.8:80"};
+  S.list({Odd, completeRecord()});
+  EXPECT_EQ(S.startsOf("b", Odd.Service), 0U);
+  EXPECT_EQ(S.startsOf("c", Proper.Service), 0U);
+  // The run goes on, and is renewed at the upstream's own address.
+  EXPECT_EQ(S.upstream().Runs.size(), 1U);
+  EXPECT_EQ(S.upstream().Record.Endpoint, Proper.Endpoint);
+  // The job that has waited is started with the next one.
+  S.list({Proper, completeRecord()});
+  EXPECT_EQ(S.startsOf("d", Proper.Service), 2U);
+}
+
+// As above, with an upstream that the sender knows from that entry only.
+TEST(OddRecords, NewUpstreamIsNotUsedByARecordThatLacksTheReportedStart) {
+  RunningSender S;
+  int64_t StartedAt = S.upstream().StartedAt;
+  UpstreamRecord Odd = S.upstream().Record;
+  Odd.StartedAt = 0;
+  S.State.Sender.Upstreams.clear();
+  S.list({Odd, completeRecord()});
+  S.upstream().RenewalPending = true;
+  S.report(StartedAt);
+  ASSERT_EQ(S.upstream().Phase, UpstreamPhase::Ready);
+  EXPECT_EQ(S.startsOf("b", Odd.Service), 0U);
+}
+
+// Guards against a deployment that is not served, because its upstreams don't
+// state the start of their process in their records.
+TEST(OddRecords, UpstreamsThatStateNoStartAreUsed) {
+  RunningSender Without;
+  UpstreamRecord Record = Without.upstream().Record;
+  Record.StartedAt = 0;
+  Without.list({Record});
+  EXPECT_EQ(Without.startsOf("b", Record.Service), 1U);
+  // One that doesn't report it either, beside others that state it.
+  RunningSender Beside;
+  Beside.upstream().StartedAt = 0;
+  Beside.upstream().Record.StartedAt = 0;
+  Beside.list({Record, completeRecord()});
+  EXPECT_EQ(Beside.startsOf("b", Record.Service), 1U);
+}
--- a/tests/store_decoder_test.cpp
+++ b/tests/store_decoder_test.cpp
@@ -410,6 +410,31 @@
   EXPECT_EQ(Read.ids(), (Ids{"a", "b"}));
 }
 
+// Guards against starts by an entry that lacks what a start relies on, or has
+// it in another type.
+TEST(StoreDecoder, RecordsWithoutTheFieldsOfAStartNameNoUpstream) {
+  std::vector<std::pair<const char *, const char *>> Changes = {
+      {"capacity", "{}"},
+      {"capacity", R"({"mem_mb":1})"},
+      {"capacity", R"({"cpu":"1"})"},
+      {"capacity", R"({"cpu":1000,"mem_mb":"x"})"},
+      {"capacity", R"({"cpu":1000,"mem_mb":1,"gpu":[]})"}};
+  for (const char *Field : {"service", "zone", "address", "state", "capacity"})
+    for (const char *Value : {"null", "\"\"", "7", "[]"})
+      Changes.emplace_back(Field, Value);
+  for (const auto &[Field, Value] : Changes) {
+    StoreRead Read(StoreCollection::Upstreams);
+    EXPECT_TRUE(Read.add(answer(
+        {upstreamItem("a"), item("servers/odd", record(Field, Value))})));
+    EXPECT_EQ(Read.ids(), Ids{"a"}) << Field << " " << Value;
+  }
+  // Upstreams without accelerators may leave them out.
+  StoreRead Read(StoreCollection::Upstreams);
+  EXPECT_TRUE(Read.add(
+      answer({item("servers/a", record("capacity", R"({"cpu":1000})"))})));
+  EXPECT_EQ(Read.ids(), Ids{"a"});
+}
+
 // Guards against instances that are pinged without end, count as a sender that
 // may still work, or are this process under another spelling of its address.
 TEST(StoreDecoder, InstancesHaveUsableAddressesAndWeights) {
