entry: answer cancelled jobs as cancelled and remember them

Cause: the POST of a job that was cancelled by somebody else was answered with 502, which asks its caller for another submission. A sender that was not asked did not know of the cancellation at all.

Change: such a POST is answered 200 with `state` `cancelled`; neither 502 nor 503 nor `failed` would be right. A cancelled id is remembered for 10 s by the instance that got the DELETE and by all that may start tasks, also if the job was open where the DELETE arrived; that is announced in the background. Further submissions and forwards within the 10 s are answered as cancelled and not started; a job that had ended before gets its result. New senders, and new processes at their addresses, are told of the cancellations of the last 10 s (2 s before). A DELETE of a job that is open at its entry now costs one query and one answer for each sender as well. `cancelled` in the result of a forward is optional and left out if false.

Tests: RepeatedSubmissionOfACancelledJobIsNotStarted, OtherSendersLearnOfACancellationOfAnOwnJob, SubmissionIsAcceptedOnlyLongAfterTheCancellation and NewSenderIsInformedOfRecentCancellations (5 s) failed on the code before. ResultOfAnEndedJobIsStillAnswered and the first part of RecordOfCancellationsIsBounded passed there; they guard against faults of the correction. Replaced, because they demanded the fault: NewSubmissionIsAcceptedAfterTheMargin (accepted after 1,010 ms, now rejected up to 9,900 ms and accepted after 10,010 ms), JobSubmittedAnewIsStarted (after 1.1 s, now 11 s), and the answer `lost` to the POST in JobOfAnotherEntryIsStopped and JobThatItsSenderTookIsStopped (now `cancelled`).

--- a/src/entry/entry_base.h
+++ b/src/entry/entry_base.h
@@ -48,6 +48,7 @@
   uint64_t Rejected = 0;     ///< Jobs answered as not run.
   uint64_t Lost = 0;         ///< Jobs answered as lost.
   uint64_t Expired = 0;      ///< Jobs answered as expired.
+  uint64_t Cancelled = 0;    ///< Jobs answered as cancelled.
   uint64_t Disconnected = 0; ///< Jobs whose caller disconnected.
   uint64_t Forwarded = 0;    ///< Forwards of jobs to senders.
   uint64_t Fetched = 0;      ///< Results that came by a result query.
--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -90,6 +90,9 @@
   case AnswerStatus::Expired:
     ++Counts.Expired;
     break;
+  case AnswerStatus::Cancelled:
+    ++Counts.Cancelled;
+    break;
   default:
     ++Counts.Lost;
     break;
@@ -134,7 +137,9 @@
 
 /// Removes a job, answers its caller and logs any status but `Done`. A
 /// rejection is answered as lost if an earlier submission may have started
-/// tasks. \p RetryAfter is for the caller, \p Reason for the log.
+/// tasks, and a loss as cancelled if a caller has cancelled the job: the
+/// answers to a loss ask for another submission, which would start the job
+/// again. \p RetryAfter is for the caller, \p Reason for the log.
 void endJob(EntryState &State, const EntryContext &Context, RequestId Forward,
             AnswerStatus Status, Duration RetryAfter, std::string Reason,
             SteadyTime Now, InstanceEffects &Out) {
@@ -145,7 +150,11 @@
     Status = AnswerStatus::Lost;
     Reason += ", an earlier submission may have run";
   }
-  if (Status == AnswerStatus::Lost || Status == AnswerStatus::Expired)
+  if (J->Cancelled &&
+      (Status == AnswerStatus::Lost || Status == AnswerStatus::Expired))
+    Status = AnswerStatus::Cancelled;
+  if (Status == AnswerStatus::Lost || Status == AnswerStatus::Expired ||
+      Status == AnswerStatus::Cancelled)
     recordIfUnresolved(State, *J, Now);
   else if (Status != AnswerStatus::NotRun)
     recordStartedJob(State.Answered, J->Order.Id, Now);
@@ -360,6 +369,22 @@
   forwardOrWait(State, Context, Forward, NoSenderRetry, NoSender, Now, Out);
 }
 
+bool answerCancelledJob(EntryState &State, const JobSubmitted &Event,
+                        SteadyTime Now, InstanceEffects &Out) {
+  // An open job is stopped by its cancellation, and the answer then goes to the
+  // last submission. The sender of an ended one may have its result.
+  if (State.ByJob.count(Event.Job.Id) ||
+      mayHaveStarted(State.Answered, Event.Job.Id, Now))
+    return false;
+  ++State.Counts.Submitted;
+  count(State.Counts, AnswerStatus::Cancelled);
+  logJob(Out, Event.Job.Id,
+         "submitted again after its cancellation, not started");
+  answerCaller(State, Event.Request, AnswerStatus::Cancelled, Duration::zero(),
+               Out);
+  return true;
+}
+
 void cancelJob(EntryState &State, const EntryContext &Context, const JobId &Id,
                SteadyTime Now, InstanceEffects &Out) {
   // A forwarded job stays open: the sender answers the forward once it has
@@ -420,6 +445,7 @@
     mergeCrashes(State.Crashes, J.Order.Id, Event.Result->Crashes, Now);
     J.MayHaveRun = J.MayHaveRun || Event.Result->MayHaveRun ||
                    !Event.Result->Crashes.empty();
+    J.Cancelled = J.Cancelled || Event.Result->Cancelled;
   }
   if (!Event.Result) {
     if (Event.NothingSent) {
@@ -444,7 +470,10 @@
            Duration::zero(), Result.Reason, Now, Out);
     return;
   case JobOutcome::NotRun:
-    if (Result.Moved)
+    if (Result.Cancelled)
+      endJob(State, Context, Event.Request, AnswerStatus::Cancelled,
+             Duration::zero(), Result.Reason, Now, Out);
+    else if (Result.Moved)
       forwardOrWait(State, Context, Event.Request, Result.RetryAfter,
                     Result.Reason, Now, Out);
     else
--- a/src/entry/entry_cmd.h
+++ b/src/entry/entry_cmd.h
@@ -26,6 +26,12 @@
 void submitJob(EntryState &State, const EntryContext &Context,
                const JobSubmitted &Event, SteadyTime Now, InstanceEffects &Out);
 
+/// Answers a submission of a job that was cancelled lately as cancelled,
+/// without starting it. Returns false if the job is open here or its result may
+/// be known; it is to be submitted then.
+bool answerCancelledJob(EntryState &State, const JobSubmitted &Event,
+                        SteadyTime Now, InstanceEffects &Out);
+
 /// Has the sender of a job that is open here stop it. If this instance is the
 /// sender, the calling function must do so.
 void cancelJob(EntryState &State, const EntryContext &Context, const JobId &Id,
--- a/src/entry/open_job_base.h
+++ b/src/entry/open_job_base.h
@@ -36,12 +36,12 @@
   uint64_t NextQuery = 1;    ///< Number of the next query.
   std::unordered_map<uint64_t, JobQuestion> Questions;
   std::map<Address, QuestionChannel> Channels; ///< With questions only.
-  /// Jobs cancelled here lately that were not open here, oldest first. An
-  /// instance that becomes a sender is told of them, since a job may have
-  /// waited for it at another entry.
+  /// Jobs cancelled here lately, oldest first. An instance that becomes a
+  /// sender is told of them, since a job may have waited for it at another
+  /// entry, or be submitted again.
   std::deque<std::pair<SteadyTime, JobId>> RecentCancels;
-  /// Instances that `RecentCancels` were sent to.
-  std::set<Address> Informed;
+  /// Instances that `RecentCancels` were sent to, and their processes.
+  std::map<Address, IncarnationId> Informed;
   uint64_t Asked = 0;      ///< Questions of callers since the start.
   uint64_t Unresolved = 0; ///< Of these, answered as unknown.
 };
--- a/src/entry/open_job_cmd.cpp
+++ b/src/entry/open_job_cmd.cpp
@@ -3,6 +3,7 @@
 
 #include "cells/cell_table.h"
 #include "cells/peer_func.h"
+#include "sender/remote_cancel_cmd.h"
 
 #include <algorithm>
 
@@ -23,9 +24,9 @@
 // Limit on the open questions. Each takes about 200 bytes, and 8 more for each
 // instance that is asked; callers above the limit are told to ask again.
 constexpr size_t MaxQuestions = 4096;
-// A job waits at its entry for a sender for at most a second, and for the tick
-// of an entry that is behind.
-constexpr Duration RecentCancelTime = std::chrono::seconds(2);
+// Time for which an instance is told of a cancellation again if it does not
+// answer. Later, only a new process or a new sender is told.
+constexpr Duration AnnouncementLimit = std::chrono::seconds(3);
 
 void finishQuestion(EntryState &State, JobQuestion &Q, AnswerStatus Status,
                     InstanceEffects &Out) {
@@ -92,31 +93,67 @@
          Now - Cells.Started >= DiscoveryTime;
 }
 
-/// Sends the recent cancellations to instances that have become senders since.
+/// Tells instances of a cancellation, without a caller that awaits the answers.
+void announceTo(OpenJobState &State, const std::vector<Address> &Receivers,
+                const JobId &Job, SteadyTime Now) {
+  if (Receivers.empty())
+    return;
+  uint64_t Key = State.NextQuestion++;
+  JobQuestion &Q = State.Questions[Key];
+  Q.Job = {Job, /*Cancel=*/true};
+  Q.Limit = Now + AnnouncementLimit;
+  Q.Awaited = Receivers.size();
+  Q.Answered = true;
+  for (const Address &Receiver : Receivers)
+    State.Channels[Receiver].Waiting.push_back(Key);
+}
+
+/// Returns the process of an instance, as far as it is known.
+IncarnationId processOf(const CellState &Cells, const Address &Endpoint) {
+  auto P = Cells.Peers.find(Endpoint);
+  return P == Cells.Peers.end() ? IncarnationId{} : P->second.Incarnation;
+}
+
+/// Sends the recent cancellations to instances that have become senders since,
+/// and to new processes.
 void informNewSenders(OpenJobState &State, const CellState &Cells,
                       Duration Grace, SteadyTime Now) {
   while (!State.RecentCancels.empty() &&
-         Now - State.RecentCancels.front().first > RecentCancelTime)
+         Now - State.RecentCancels.front().first > CancelledJobRetention)
     State.RecentCancels.pop_front();
   if (State.RecentCancels.empty()) {
     State.Informed.clear();
     return;
   }
   for (const Address &Receiver : possibleSenders(Cells, Grace, Now)) {
-    if (!State.Informed.insert(Receiver).second)
+    IncarnationId Process = processOf(Cells, Receiver);
+    auto [Known, IsNew] = State.Informed.emplace(Receiver, Process);
+    bool Replaced = !IsNew && Process != IncarnationId{} &&
+                    Known->second != IncarnationId{} &&
+                    Known->second != Process;
+    if (Process != IncarnationId{})
+      Known->second = Process;
+    if (!IsNew && !Replaced)
       continue;
-    for (const auto &[At, Job] : State.RecentCancels) {
-      uint64_t Key = State.NextQuestion++;
-      JobQuestion &Q = State.Questions[Key];
-      Q.Job = {Job, /*Cancel=*/true};
-      Q.Limit = Now + QuestionLimit;
-      Q.Awaited = 1;
-      Q.Answered = true;
-      State.Channels[Receiver].Waiting.push_back(Key);
-    }
+    for (const auto &[At, Job] : State.RecentCancels)
+      announceTo(State, {Receiver}, Job, Now);
   }
 }
 
+/// Records a cancellation for instances that become senders later.
+void recordRecentCancel(OpenJobState &State, const CellState &Cells,
+                        const JobId &Job, const std::vector<Address> &Receivers,
+                        Duration Grace, SteadyTime Now) {
+  // Receivers that are new are told of the earlier ones before they count as
+  // informed.
+  informNewSenders(State, Cells, Grace, Now);
+  for (const Address &Receiver : Receivers)
+    State.Informed.emplace(Receiver, processOf(Cells, Receiver));
+  if (State.RecentCancels.size() >= MaxQuestions)
+    State.RecentCancels.pop_front();
+  State.RecentCancels.emplace_back(Now, Job);
+}
+
 } // namespace
 
 void askForJob(EntryState &State, const CellState &Cells, RequestId Caller,
@@ -137,8 +174,8 @@
   // Without any sender, the job may be waiting for one at another entry.
   Q.Unknown = !hasDiscoveredPeers(Cells, Now) ||
               (Receivers.empty() && Cells.Claims.empty());
-  if (Job.Cancel && S.RecentCancels.size() < MaxQuestions)
-    S.RecentCancels.emplace_back(Now, Job.Id);
+  if (Job.Cancel)
+    recordRecentCancel(S, Cells, Job.Id, Receivers, Grace, Now);
   if (Receivers.empty())
     return finishQuestion(
         State, Q, Q.Unknown ? AnswerStatus::Unknown : AnswerStatus::NoSuchJob,
@@ -147,14 +184,26 @@
   uint64_t Key = S.NextQuestion++;
   S.Questions.emplace(Key, std::move(Q));
   for (const Address &Receiver : Receivers) {
-    if (Job.Cancel)
-      S.Informed.insert(Receiver);
     QuestionChannel &Channel = S.Channels[Receiver];
     Channel.Waiting.push_back(Key);
     sendQuery(S, Receiver, Channel, Now, Out);
   }
 }
 
+void announceCancel(EntryState &State, const CellState &Cells, const JobId &Job,
+                    Duration Grace, SteadyTime Now, InstanceEffects &Out) {
+  OpenJobState &S = State.Elsewhere;
+  if (Job.Value.size() > MaxJobIdLength)
+    return;
+  std::vector<Address> Receivers = possibleSenders(Cells, Grace, Now);
+  recordRecentCancel(S, Cells, Job, Receivers, Grace, Now);
+  if (S.Questions.size() >= MaxQuestions)
+    return;
+  announceTo(S, Receivers, Job, Now);
+  for (const Address &Receiver : Receivers)
+    sendQuery(S, Receiver, S.Channels[Receiver], Now, Out);
+}
+
 void applyOpenJobReply(EntryState &State, const CellState &Cells,
                        const OpenJobQueryAnswered &Event, Duration Grace,
                        SteadyTime Now, InstanceEffects &Out) {
--- a/src/entry/open_job_cmd.h
+++ b/src/entry/open_job_cmd.h
@@ -13,6 +13,12 @@
                const QueriedJob &Job, Duration Grace, SteadyTime Now,
                InstanceEffects &Out);
 
+/// Tells all instances that may start tasks that a caller has cancelled a job
+/// that was open here, so that a further submission at another instance is not
+/// started. No caller awaits the answers.
+void announceCancel(EntryState &State, const CellState &Cells, const JobId &Job,
+                    Duration Grace, SteadyTime Now, InstanceEffects &Out);
+
 /// Applies the answer to a query, or its failure.
 void applyOpenJobReply(EntryState &State, const CellState &Cells,
                        const OpenJobQueryAnswered &Event, Duration Grace,
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -107,14 +107,13 @@
          !isAbandonedByEntry(Cells, J, Now);
 }
 
-/// Passes a forwarded job to the sender, unless its caller has cancelled it at
-/// another instance.
+/// Passes a forwarded job to the sender, unless its caller has cancelled it.
 void acceptUnlessCancelled(SenderState &Sender, const JobOrder &Order,
-                           JobWaiter Waiter, bool MayBeLate, SteadyTime Now,
+                           JobWaiter Waiter, SteadyTime Now,
                            InstanceEffects &Out) {
-  // A job that is open here was submitted after the cancellation.
+  // A cancellation ends an open job, so one that is open is not cancelled.
   if (!Sender.Jobs.count(Order.Id) &&
-      isCancelledRemotely(Sender.Cancelled, Order, MayBeLate, Now))
+      isCancelledRemotely(Sender.Cancelled, Order.Id, Now))
     rejectCancelledJob(Sender, Order, Waiter, Now, Out);
   else
     acceptJob(Sender, Order, Waiter, Now, Out);
@@ -183,6 +182,9 @@
   }
 
   void operator()(const JobSubmitted &E) {
+    if (isCancelledRemotely(State.Sender.Cancelled, E.Job.Id, Now) &&
+        answerCancelledJob(State.Entry, E, Now, Out))
+      return;
     submitJob(State.Entry, entryContext(State, Now), E, Now, Out);
   }
   void operator()(const JobQueried &E) {
@@ -192,9 +194,11 @@
               grace(), Now, Out);
   }
   void operator()(const JobCancelled &E) {
-    if (cancelHere(E.Id))
-      return answerAbout(State.Entry, E.Request, AnswerStatus::Cancelled, Out);
     recordRemoteCancel(State.Sender.Cancelled, E.Id, Now);
+    if (cancelHere(E.Id)) {
+      announceCancel(State.Entry, State.Cells, E.Id, grace(), Now, Out);
+      return answerAbout(State.Entry, E.Request, AnswerStatus::Cancelled, Out);
+    }
     askForJob(State.Entry, State.Cells, E.Request, {E.Id, /*Cancel=*/true},
               grace(), Now, Out);
   }
@@ -247,11 +251,8 @@
       }
       confirmJob(P->second);
     }
-    bool MayBeLate = isLagging(State.Cells, Now) ||
-                     (P != State.Cells.Peers.end() &&
-                      P->second.UnconfirmedSince != SteadyTime{});
     acceptUnlessCancelled(State.Sender, E.Order, {E.Request, /*Local=*/false},
-                          MayBeLate, Now, Out);
+                          Now, Out);
     auto Job = State.Sender.Jobs.find(E.Order.Id);
     if (Job == State.Sender.Jobs.end())
       return;
@@ -500,8 +501,7 @@
     if (auto *Forward = std::get_if<ForwardJob>(&E);
         Forward && Forward->Sender == State.Settings.Self.Endpoint) {
       acceptUnlessCancelled(State.Sender, Forward->Order,
-                            {Forward->Request, /*Local=*/true},
-                            /*MayBeLate=*/false, Now, From);
+                            {Forward->Request, /*Local=*/true}, Now, From);
       Delivered = true;
     } else if (auto *Answer = std::get_if<AnswerJob>(&E);
                Answer && (Answer->Request.Value & LocalRequestBit)) {
--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -504,6 +504,8 @@
   // Left out if false, so that earlier versions accept the message.
   if (R.MayHaveRun)
     V["may_have_run"] = true;
+  if (R.Cancelled)
+    V["cancelled"] = true;
   return V;
 }
 
@@ -518,6 +520,7 @@
   readSenderLoad(Reader, R.Load);
   readCrashes(Reader, R.Crashes);
   Reader.optionalBoolean("may_have_run", R.MayHaveRun);
+  Reader.optionalBoolean("cancelled", R.Cancelled);
   return finishReading(Reader, std::move(R));
 }
 
--- a/src/runtime/cell_metrics.cpp
+++ b/src/runtime/cell_metrics.cpp
@@ -57,6 +57,9 @@
                     E.Lost);
   Values.setCounter("entry_expired_total",
                     "Jobs whose deadline passed after a start.", E.Expired);
+  Values.setCounter("entry_cancelled_total",
+                    "Submissions answered as cancelled by a caller.",
+                    E.Cancelled);
   Values.setCounter("entry_hung_up_total",
                     "Callers that disconnected before the answer.",
                     E.Disconnected);
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -4,6 +4,7 @@
 #include "core/duration_func.h"
 #include "sender/crash_cmd.h"
 #include "sender/estimate_func.h"
+#include "sender/remote_cancel_cmd.h"
 #include "sender/sender_table.h"
 #include "sender/upstream_cmd.h"
 
@@ -89,6 +90,7 @@
   Result.Leaving = State.Draining;
   Result.MayHaveRun = renewStartedResult(State, Order.Id, Now) ||
                       !crashesOf(State.Crashes, Order.Id).empty();
+  Result.Cancelled = isCancelledRemotely(State.Cancelled, Order.Id, Now);
   logJob(Out, Order.Id,
          (Result.MayHaveRun ? "rejected, started for an earlier submission: "
                             : "rejected, nothing was started: ") +
@@ -416,13 +418,20 @@
     Result.Moved = Moved || State.Draining;
     Result.MayHaveRun = RunEarlier;
   }
+  Result.Cancelled =
+      (Outcome == JobOutcome::Lost || Outcome == JobOutcome::NotRun) &&
+      isCancelledRemotely(State.Cancelled, Id, Now);
   answer(State, Id, J.Waiter, std::move(Result), Now, Out);
 }
 
 void rejectCancelledJob(SenderState &State, const JobOrder &Order,
                         const JobWaiter &Waiter, SteadyTime Now,
                         InstanceEffects &Out) {
-  rejectJob(State, Order, Waiter, "cancelled by its caller at another instance",
+  // A result states more, and its job is not started again.
+  const RetainedResult *Earlier = retainedResult(State, Order.Id, Now);
+  if (Earlier && Earlier->Outcome != JobOutcome::Lost)
+    return acceptJob(State, Order, Waiter, Now, Out);
+  rejectJob(State, Order, Waiter, "cancelled by its caller",
             /*Moved=*/false, Now, Out);
 }
 
@@ -472,6 +481,8 @@
       JobResult &Result = Closed.Result.emplace();
       Result.Outcome = Retained->second.Outcome;
       Result.Reason = "retained result, its answer did not arrive";
+      Result.Cancelled = Result.Outcome == JobOutcome::Lost &&
+                         isCancelledRemotely(State.Cancelled, Job.Id, Now);
       Result.Leaving = State.Draining;
       if (!Load)
         Load = senderLoad(State, Now);
--- a/src/sender/job_cmd.h
+++ b/src/sender/job_cmd.h
@@ -21,7 +21,8 @@
 void acceptJob(SenderState &State, const JobOrder &Order, JobWaiter Waiter,
                SteadyTime Now, InstanceEffects &Out);
 
-/// Rejects a job that its caller has cancelled at another instance.
+/// Answers a job that its caller has cancelled: with the result, if it had
+/// ended before, and as cancelled otherwise.
 void rejectCancelledJob(SenderState &State, const JobOrder &Order,
                         const JobWaiter &Waiter, SteadyTime Now,
                         InstanceEffects &Out);
--- a/src/sender/remote_cancel_cmd.h
+++ b/src/sender/remote_cancel_cmd.h
@@ -1,4 +1,5 @@
-/// \file Record of the jobs that callers have cancelled at other instances.
+/// \file Record of the jobs that callers have cancelled, here or at other
+/// instances.
 #ifndef SNIPESHUNT_SENDER_REMOTE_CANCEL_CMD_H
 #define SNIPESHUNT_SENDER_REMOTE_CANCEL_CMD_H
 
@@ -6,16 +7,22 @@
 
 namespace snipeshunt {
 
-/// Records that a caller has cancelled a job at another instance, so that
-/// forwards of it that arrive later are not started.
+/// Time for which a cancelled job is not started, however often it is
+/// submitted. It covers the callers' pause before they submit a job again
+/// (`retry_ms`, 1,300 ms) and `cancel_ms` (up to 5,000 ms), after which a
+/// cancelled job must not start; a job that waits at its entry for a second;
+/// and cuts that delay its forward by seconds. Cancellations by entries are
+/// kept as long.
+constexpr Duration CancelledJobRetention = std::chrono::seconds(10);
+
+/// Records that a caller has cancelled a job, so that submissions and forwards
+/// of it that arrive later are not started.
 void recordRemoteCancel(RemoteCancels &Record, const JobId &Job,
                         SteadyTime Now);
 
-/// Returns true if a forward that arrives now is of a submission that was
-/// cancelled. \p MayBeLate is true if the forward may have been delayed on its
-/// way, so that its age says nothing.
-bool isCancelledRemotely(const RemoteCancels &Record, const JobOrder &Order,
-                         bool MayBeLate, SteadyTime Now);
+/// Returns true if the job was cancelled within `CancelledJobRetention`.
+bool isCancelledRemotely(const RemoteCancels &Record, const JobId &Job,
+                         SteadyTime Now);
 
 } // namespace snipeshunt
 
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -258,8 +258,8 @@
   SteadyTime Updated{}; ///< When a job was last added.
 };
 
-/// Jobs that callers have cancelled at other instances. Their number and age
-/// are limited.
+/// Jobs that callers have cancelled, here or at other instances. Their number
+/// and age are limited.
 struct RemoteCancels {
   std::unordered_map<JobId, SteadyTime> Jobs; ///< When each arrived last.
   /// Jobs by arrival, oldest first; those that arrived again are outdated.
--- a/src/sender/sender_type.h
+++ b/src/sender/sender_type.h
@@ -111,6 +111,8 @@
   /// With `JobOutcome::NotRun`: an upstream of the sender may have run tasks of
   /// the job, for this or an earlier submission.
   bool MayHaveRun = false;
+  /// A caller has cancelled the job, so the entry must not ask for it again.
+  bool Cancelled = false;
 };
 
 /// Names a job that an entry instance has handed over.
