directory: notice silent connections to the store by its other calls

Other calls had timed out within a second and worked again on new connections, which did not end the watch.

Change: an instance makes a call to the store beside the watch at least every 1,100 ms (`MaxStoreSilence`); if no read is due, it renews its lease, at a tenth of the price of a watch. If such a call fails, a watch that was sent before it is sent again from its revision, on a new connection, without a read. A silence is noticed within 1,100 + 20 + 800 ms, and a slow store answers within 240 ms more; the platform allows `stable_window_ms` (at least 3,000 ms) after the silence and `config_apply_ms` (at least 2,000 ms) after the change. Senders that read the upstreams each second make no further call.

Tests: SilentConnectionsAreNoticedInTimeByOtherCalls (129 phases, sender and other) and LaterWatchGoesOnWhenACallFails failed on the code before. SilenceIsProbedWithFewCalls bounds the cost; it passed on the code before.

--- a/src/directory/directory_base.h
+++ b/src/directory/directory_base.h
@@ -19,6 +19,7 @@
   CollectionReaderPhase Phase = CollectionReaderPhase::Idle;
   uint64_t Sequence = 0;  ///< Of the last call; answers to others are ignored.
   SteadyTime NextCall{};  ///< Earliest time of the next call, while idle.
+  SteadyTime LastCall{};  ///< When the last call was sent.
   StoreRevision Revision; ///< Of the last answer.
   uint32_t Failures = 0;  ///< Consecutive calls that failed.
   uint32_t CompletedReads = 0;  ///< Reads that succeeded.
@@ -43,7 +44,8 @@
 struct Registration {
   RegistrationPhase Phase = RegistrationPhase::NoLease;
   StoreLease Lease;
-  SteadyTime Due{}; ///< Earliest time of the next call.
+  SteadyTime Due{};      ///< Earliest time of the next call.
+  SteadyTime LastCall{}; ///< When the last call was sent.
 };
 
 /// What this instance has read from the store, and its registration.
--- a/src/directory/directory_cmd.cpp
+++ b/src/directory/directory_cmd.cpp
@@ -69,17 +69,40 @@
 }
 
 void startRead(CollectionReader &Reader, StoreCollection Collection, bool Stale,
-               InstanceEffects &Out) {
+               SteadyTime Now, InstanceEffects &Out) {
   Reader.Phase = CollectionReaderPhase::Reading;
+  Reader.LastCall = Now;
   Reader.ReadIsStale = Stale;
   Out.push_back(ReadCollection{Collection, Stale, ++Reader.Sequence});
 }
 
 void startWatch(CollectionReader &Reader, StoreCollection Collection,
-                InstanceEffects &Out) {
+                bool OnNewConnection, SteadyTime Now, InstanceEffects &Out) {
   Reader.Phase = CollectionReaderPhase::Watching;
+  Reader.LastCall = Now;
   Out.push_back(WatchCollection{Collection, Reader.Revision, WatchTimeout,
-                                ++Reader.Sequence});
+                                ++Reader.Sequence, OnNewConnection});
+}
+
+/// Watches anew on a new connection if the watch was sent before a call that
+/// has failed: the connections of both may have fallen silent. The watch goes
+/// on from its revision, so no version is missed and none is read again.
+void renewWatch(DirectoryState &State, SteadyTime FailedCall, SteadyTime Now,
+                InstanceEffects &Out) {
+  CollectionReader &Reader = readerOf(State, StoreCollection::Configuration);
+  if (Reader.Phase == CollectionReaderPhase::Watching &&
+      Reader.LastCall <= FailedCall)
+    startWatch(Reader, StoreCollection::Configuration,
+               /*OnNewConnection=*/true, Now, Out);
+}
+
+/// Returns when the last call beside the watch was sent.
+SteadyTime lastOtherCall(const DirectoryState &State) {
+  SteadyTime Last = State.OwnRegistration.LastCall;
+  for (const CollectionReader &Reader : State.Readers)
+    if (Reader.Phase != CollectionReaderPhase::Watching)
+      Last = std::max(Last, Reader.LastCall);
+  return Last;
 }
 
 /// Applies a configuration that is newer than the current one.
@@ -110,7 +133,7 @@
   CollectionReader &Reader = readerOf(State, Collection);
   if (Collection == StoreCollection::Configuration &&
       Reader.CompletedReads > 0 && State.Configuration) {
-    startWatch(Reader, Collection, Out);
+    startWatch(Reader, Collection, /*OnNewConnection=*/false, Now, Out);
     return;
   }
   Reader.Phase = CollectionReaderPhase::Idle;
@@ -134,20 +157,24 @@
   bool Stale = Collection == StoreCollection::Instances ||
                (Collection == StoreCollection::Upstreams && !State.IsSender &&
                 !Reader.NeedsCurrentRead);
-  startRead(Reader, Collection, Stale, Out);
+  startRead(Reader, Collection, Stale, Now, Out);
 }
 
 /// Makes the next call of the registration if one is due.
 void advanceRegistration(DirectoryState &State, SteadyTime Now,
                          InstanceEffects &Out) {
   Registration &R = State.OwnRegistration;
-  if (State.Leaving || Now < R.Due)
+  if (State.Leaving)
     return;
-  if (R.Phase == RegistrationPhase::NoLease) {
+  bool Silent = Now - lastOtherCall(State) >= MaxStoreSilence;
+  if (R.Phase == RegistrationPhase::NoLease && Now >= R.Due) {
     R.Phase = RegistrationPhase::Acquiring;
+    R.LastCall = Now;
     Out.push_back(AcquireLease{RegistrationLifetime});
-  } else if (R.Phase == RegistrationPhase::Registered) {
+  } else if (R.Phase == RegistrationPhase::Registered &&
+             (Now >= R.Due || Silent)) {
     R.Phase = RegistrationPhase::Renewing;
+    R.LastCall = Now;
     Out.push_back(RenewLease{R.Lease});
   }
 }
@@ -181,6 +208,8 @@
     return false;
   if (Event.Status != StoreStatus::Done) {
     recordFailure(Reader, Event.Collection, Now, Out);
+    if (Event.Status == StoreStatus::Failed)
+      renewWatch(State, Reader.LastCall, Now, Out);
     return false;
   }
   recordAnswer(Reader, Event.Collection, Out);
@@ -222,13 +251,13 @@
   bool NeedsRead = Event.Status == StoreStatus::Gone ||
                    (Event.Changed && !Event.Configuration);
   if (NeedsRead) {
-    startRead(Reader, Event.Collection, false, Out);
+    startRead(Reader, Event.Collection, false, Now, Out);
     return;
   }
   if (Event.Configuration)
     applyConfiguration(State, *Event.Configuration, Event.Revision, Out);
   Reader.Revision = Event.Revision;
-  startWatch(Reader, Event.Collection, Out);
+  startWatch(Reader, Event.Collection, /*OnNewConnection=*/false, Now, Out);
 }
 
 void applyLeaseAnswer(DirectoryState &State, const LeaseAnswered &Event,
@@ -237,6 +266,8 @@
   Registration &R = State.OwnRegistration;
   if (R.Phase != RegistrationPhase::Acquiring)
     return;
+  if (Event.Status == StoreStatus::Failed)
+    renewWatch(State, R.LastCall, Now, Out);
   if (Event.Status != StoreStatus::Done) {
     R.Phase = RegistrationPhase::NoLease;
     R.Due = Now + MaxStoreRetryDelay;
@@ -244,14 +275,17 @@
   }
   R.Lease = Event.Lease;
   R.Phase = RegistrationPhase::Publishing;
+  R.LastCall = Now;
   Out.push_back(PublishInstance{Self, R.Lease});
 }
 
 void applyPublishAnswer(DirectoryState &State, const PublishAnswered &Event,
-                        SteadyTime Now) {
+                        SteadyTime Now, InstanceEffects &Out) {
   Registration &R = State.OwnRegistration;
   if (R.Phase != RegistrationPhase::Publishing)
     return;
+  if (Event.Status == StoreStatus::Failed)
+    renewWatch(State, R.LastCall, Now, Out);
   bool Registered = Event.Status == StoreStatus::Done;
   R.Phase =
       Registered ? RegistrationPhase::Registered : RegistrationPhase::NoLease;
@@ -259,10 +293,12 @@
 }
 
 void applyLeaseRenewal(DirectoryState &State, const LeaseRenewalAnswered &Event,
-                       SteadyTime Now) {
+                       SteadyTime Now, InstanceEffects &Out) {
   Registration &R = State.OwnRegistration;
   if (R.Phase != RegistrationPhase::Renewing)
     return;
+  if (Event.Status == StoreStatus::Failed)
+    renewWatch(State, R.LastCall, Now, Out);
   if (Event.Status == StoreStatus::Gone) {
     R.Phase = RegistrationPhase::NoLease;
     R.Due = Now;
--- a/src/directory/directory_cmd.h
+++ b/src/directory/directory_cmd.h
@@ -29,9 +29,9 @@
                       const InstanceRecord &Self, SteadyTime Now,
                       InstanceEffects &Out);
 void applyPublishAnswer(DirectoryState &State, const PublishAnswered &Event,
-                        SteadyTime Now);
+                        SteadyTime Now, InstanceEffects &Out);
 void applyLeaseRenewal(DirectoryState &State, const LeaseRenewalAnswered &Event,
-                       SteadyTime Now);
+                       SteadyTime Now, InstanceEffects &Out);
 
 /// Returns true if this instance has use for the list of upstreams.
 bool wantsUpstreams(const DirectoryState &State);
--- a/src/directory/directory_type.h
+++ b/src/directory/directory_type.h
@@ -61,6 +61,8 @@
   StoreRevision AfterRevision;       ///< Only later changes count.
   std::chrono::milliseconds Wait{0}; ///< The store answers after this time.
   uint64_t Sequence = 0;             ///< Returned with the answer.
+  /// The open connections to the store may have fallen silent.
+  bool OnNewConnection = false;
 };
 
 /// Acquire a lease for this instance's record.
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -328,14 +328,14 @@
     applyLeaseAnswer(State.Directory, E, State.Settings.Self, Now, Out);
   }
   void operator()(const PublishAnswered &E) {
-    applyPublishAnswer(State.Directory, E, Now);
+    applyPublishAnswer(State.Directory, E, Now, Out);
   }
   void operator()(const SnapshotFetched &E) {
     applySnapshot(State.Directory, E, Out);
     updateWantedSenders(State);
   }
   void operator()(const LeaseRenewalAnswered &E) {
-    applyLeaseRenewal(State.Directory, E, Now);
+    applyLeaseRenewal(State.Directory, E, Now, Out);
   }
 
 private:
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -6,6 +6,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
+#include <optional>
 
 using namespace snipeshunt;
 using namespace snipeshunt::testing;
@@ -244,3 +246,114 @@
     EXPECT_TRUE(Answer && Answer->Status == AnswerStatus::Done) << J;
   }
 }
+
+namespace {
+
+/// A directory whose open connections to the store fall silent at \p Silence:
+/// no call before is answered any more, and reads and renewals time out.
+struct SilencedDirectory {
+  explicit SilencedDirectory(SteadyTime Silence) : Silence(Silence) {}
+
+  void execute(const InstanceEffects &Out) {
+    for (const InstanceEffect &E : Out) {
+      bool Lost = Now >= Silence && !Recovered;
+      SteadyTime Answer = Now + milliseconds(Lost ? 800 : 4);
+      Renewals += std::holds_alternative<RenewLease>(E) ? 1 : 0;
+      if (const auto *Watch = std::get_if<WatchCollection>(&E)) {
+        if (Now >= Silence && !WatchedAnew)
+          WatchedAnew = Now;
+        Sequence = Watch->Sequence;
+      } else if (!std::holds_alternative<LogDecision>(E)) {
+        Pending.insert({Answer, {E, Lost}});
+      }
+    }
+  }
+
+  void answer(const InstanceEffect &E, StoreStatus Status,
+              InstanceEffects &Out) {
+    if (const auto *Read = std::get_if<ReadCollection>(&E)) {
+      CollectionReadAnswered Event;
+      Event.Collection = Read->Collection;
+      Event.Sequence = Read->Sequence;
+      Event.Status = Status;
+      Event.Revision = {10};
+      if (Read->Collection == StoreCollection::Configuration)
+        Event.Configuration = version(1);
+      applyCollectionRead(State, Event, Now, Out);
+    } else if (std::holds_alternative<AcquireLease>(E)) {
+      applyLeaseAnswer(State, {Status, {7}}, {}, Now, Out);
+    } else if (std::holds_alternative<PublishInstance>(E)) {
+      applyPublishAnswer(State, {Status}, Now, Out);
+    } else {
+      applyLeaseRenewal(State, {Status}, Now, Out);
+    }
+  }
+
+  void runUntil(SteadyTime End) {
+    for (; Now < End; Now += milliseconds(1)) {
+      InstanceEffects Out;
+      while (!Pending.empty() && Pending.begin()->first <= Now) {
+        auto [E, Lost] = Pending.begin()->second;
+        Pending.erase(Pending.begin());
+        // Later calls use new connections.
+        Recovered = Recovered || Lost;
+        answer(E, Lost ? StoreStatus::Failed : StoreStatus::Done, Out);
+      }
+      if (Now.time_since_epoch() % milliseconds(20) == Duration::zero())
+        advanceDirectory(State, Now, Out);
+      execute(Out);
+    }
+  }
+
+  SteadyTime Silence;
+  DirectoryState State;
+  SteadyTime Now{seconds(100)};
+  /// Calls by the time of their answers, and whether they are lost.
+  std::multimap<SteadyTime, std::pair<InstanceEffect, bool>> Pending;
+  uint64_t Sequence = 0; ///< Of the last watch.
+  size_t Renewals = 0;   ///< Of the lease, sent so far.
+  bool Recovered = false;
+  std::optional<SteadyTime> WatchedAnew;
+};
+
+} // namespace
+
+// Guards against a configuration that is in force too late, because the silence
+// of the connection under the watch is noticed by TCP probes alone.
+TEST(DirectoryReads, SilentConnectionsAreNoticedInTimeByOtherCalls) {
+  for (bool IsSender : {false, true})
+    for (milliseconds Phase(0); Phase < seconds(9); Phase += milliseconds(70)) {
+      SilencedDirectory D(SteadyTime(seconds(110)) + Phase);
+      D.State.IsSender = IsSender;
+      D.State.IsStandby = IsSender;
+      D.runUntil(D.Silence + seconds(4));
+      ASSERT_TRUE(D.WatchedAnew) << Phase.count();
+      EXPECT_LE(*D.WatchedAnew - D.Silence, milliseconds(2000))
+          << Phase.count();
+    }
+}
+
+// Guards against a watch that ends with each call that fails, though it was
+// sent later than that call.
+TEST(DirectoryReads, LaterWatchGoesOnWhenACallFails) {
+  SilencedDirectory D(SteadyTime(seconds(110)));
+  D.runUntil(D.Silence + seconds(4));
+  ASSERT_TRUE(D.WatchedAnew);
+  uint64_t Sequence = D.Sequence;
+  D.runUntil(D.Silence + seconds(9));
+  EXPECT_EQ(D.Sequence, Sequence);
+}
+
+// Guards against calls to the store that are made only to notice silence while
+// others are made anyway, and against more than one a second.
+TEST(DirectoryReads, SilenceIsProbedWithFewCalls) {
+  for (bool IsSender : {false, true}) {
+    SilencedDirectory D(SteadyTime(seconds(1000)));
+    D.State.IsSender = IsSender;
+    D.runUntil(SteadyTime(seconds(110)));
+    size_t Before = D.Renewals;
+    D.runUntil(SteadyTime(seconds(140)));
+    EXPECT_GE(D.Renewals - Before, 9U);
+    EXPECT_LE(D.Renewals - Before, IsSender ? 11U : 28U);
+  }
+}
