--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -124,14 +124,13 @@
          !isAbandonedByEntry(Cells, J, Now);
 }
 
-/// Passes a forwarded job to the sender, unless its caller has cancelled it at
-/// another instance.
+/// Passes a forwarded job to the sender, unless its caller has cancelled it.
 void acceptUnlessCancelled(SenderState &Sender, const JobOrder &Order,
-                           JobWaiter Waiter, bool MayBeLate, SteadyTime Now,
+                           JobWaiter Waiter, SteadyTime Now,
                            InstanceEffects &Out) {
-  // A job that is open here was submitted after the cancellation.
+  // A cancellation ends an open job, so one that is open is not cancelled.
   if (!Sender.Jobs.count(Order.Id) &&
-      isCancelledRemotely(Sender.Cancelled, Order, MayBeLate, Now))
+      isCancelledRemotely(Sender.Cancelled, Order.Id, Now))
     rejectCancelledJob(Sender, Order, Waiter, Now, Out);
   else
     acceptJob(Sender, Order, Waiter, Now, Out);
@@ -201,6 +200,9 @@
   }
 
   void operator()(const JobSubmitted &E) {
+    if (isCancelledRemotely(State.Sender.Cancelled, E.Job.Id, Now) &&
+        answerCancelledJob(State.Entry, E, Now, Out))
+      return;
     submitJob(State.Entry, entryContext(State, Now), E, Now, Out);
   }
   void operator()(const JobQueried &E) {
@@ -210,9 +212,11 @@
               grace(), Now, Out);
   }
   void operator()(const JobCancelled &E) {
-    if (cancelHere(E.Id))
-      return answerAbout(State.Entry, E.Request, AnswerStatus::Cancelled, Out);
     recordRemoteCancel(State.Sender.Cancelled, E.Id, Now);
+    if (cancelHere(E.Id)) {
+      announceCancel(State.Entry, State.Cells, E.Id, grace(), Now, Out);
+      return answerAbout(State.Entry, E.Request, AnswerStatus::Cancelled, Out);
+    }
     askForJob(State.Entry, State.Cells, E.Request, {E.Id, /*Cancel=*/true},
               grace(), Now, Out);
   }
@@ -265,11 +269,8 @@
       }
       confirmJob(P->second);
     }
-    bool MayBeLate = isLagging(State.Cells, Now) ||
-                     (P != State.Cells.Peers.end() &&
-                      P->second.UnconfirmedSince != SteadyTime{});
     acceptUnlessCancelled(State.Sender, E.Order, {E.Request, /*Local=*/false},
-                          MayBeLate, Now, Out);
+                          Now, Out);
     auto Job = State.Sender.Jobs.find(E.Order.Id);
     if (Job == State.Sender.Jobs.end())
       return;
@@ -350,14 +351,14 @@
     applyLeaseAnswer(State.Directory, E, State.Settings.Self, Now, Out);
   }
   void operator()(const PublishAnswered &E) {
-    applyPublishAnswer(State.Directory, E, Now);
+    applyPublishAnswer(State.Directory, E, Now, Out);
   }
   void operator()(const SnapshotFetched &E) {
     applySnapshot(State.Directory, E, Out);
     updateWantedSenders(State);
   }
   void operator()(const LeaseRenewalAnswered &E) {
-    applyLeaseRenewal(State.Directory, E, Now);
+    applyLeaseRenewal(State.Directory, E, Now, Out);
   }
 
 private:
@@ -558,8 +559,7 @@
     if (auto *Forward = std::get_if<ForwardJob>(&E);
         Forward && Forward->Sender == State.Settings.Self.Endpoint) {
       acceptUnlessCancelled(State.Sender, Forward->Order,
-                            {Forward->Request, /*Local=*/true},
-                            /*MayBeLate=*/false, Now, From);
+                            {Forward->Request, /*Local=*/true}, Now, From);
       Delivered = true;
     } else if (auto *Answer = std::get_if<AnswerJob>(&E);
                Answer && (Answer->Request.Value & LocalRequestBit)) {
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -262,8 +262,8 @@
   SteadyTime Updated{}; ///< When a job was last added.
 };
 
-/// Jobs that callers have cancelled at other instances. Their number and age
-/// are limited.
+/// Jobs that callers have cancelled, here or at other instances. Their number
+/// and age are limited.
 struct RemoteCancels {
   std::unordered_map<JobId, SteadyTime> Jobs; ///< When each arrived last.
   /// Jobs by arrival, oldest first; those that arrived again are outdated.
@@ -278,6 +278,9 @@
   bool PlacementDue = true; ///< A start may have become possible.
   /// Upstreams were released or fenced off, so that jobs may have none left.
   bool UpstreamsLost = false;
+  /// The upstreams of this deployment state the start of their process in their
+  /// records, by the list that was applied last.
+  bool RecordsStateStart = false;
   /// The upstreams of a newly claimed cell are being read from the store. Jobs
   /// are admitted meanwhile.
   bool UpstreamListPending = false;
