tests: show what hostile clients do to an instance

A client of any port can make an instance exceed its memory or its descriptors. Each of these tests starts one instance beside the stand-ins, with at most 600 clients, and checks that it is alive, that its peak resident memory is within the 120 MB of the smallest machine, that of 400 descriptors 50 are free, and that an ordinary job is answered.

The idle tests first passed or checked too late: connections beyond the backlog were not yet open, and descriptors were counted after the idle time-out. They now pause while connecting and count before the job.

--- a/src/standins/cell_fleet.cpp
+++ b/src/standins/cell_fleet.cpp
@@ -166,10 +166,15 @@
   if (!File)
     return Error{ErrorKind::Unavailable, "can't write " + settings(I),
                  "don't delete the directory of a running fleet"};
+  std::vector<std::string> Command = {Options.BinaryDir + "/snipeshuntd",
+                                      "--cells", "--settings", settings(I)};
+  if (Options.DescriptorLimit > 0)
+    Command.insert(Command.begin(),
+                   {"/bin/sh", "-c",
+                    "ulimit -n " + std::to_string(Options.DescriptorLimit) +
+                        R"( && exec "$0" "$@")"});
   Result<ChildProcess> Started =
-      ChildProcess::start({Options.BinaryDir + "/snipeshuntd", "--cells",
-                           "--settings", settings(I)},
-                          log("i" + std::to_string(I)));
+      ChildProcess::start(Command, log("i" + std::to_string(I)));
   if (failed(Started))
     return errorOf(Started);
   Processes[I] = std::make_unique<ChildProcess>(std::move(valueOf(Started)));
--- a/src/standins/cell_fleet.h
+++ b/src/standins/cell_fleet.h
@@ -21,6 +21,8 @@
   size_t Centres = 1;    ///< Number of data centres, `dc1`, `dc2`, ...
   size_t Runners = 4;    ///< Number of stand-in runners over all data centres.
   bool KeepWorkDir = false; ///< Keep settings and logs on destruction.
+  /// Open descriptors that each instance may have; 0: as this process.
+  size_t DescriptorLimit = 0;
 };
 
 /// One start or end of a run, as printed by the stand-in runners. All runners
@@ -81,6 +83,10 @@
   const Address &peers(size_t I) const { return Peers[I]; }
   /// Address on which instance \p I listens for callers.
   const Address &front(size_t I) const { return Fronts[I]; }
+  /// Address on which instance \p I is asked whether it is ready.
+  const Address &readiness(size_t I) const { return ReadyEndpoints[I]; }
+  /// Address on which instance \p I serves its metrics.
+  const Address &metricsAddress(size_t I) const { return Metrics[I]; }
   /// Returns the addresses on which the runners listen; empty until all have
   /// printed theirs.
   std::vector<Address> runnerAddresses() const;
