http: bound what connections hold, each and together

A client that pipelines requests and reads no response made an instance grow without limit: evhttp reads on while it writes a response, and the server's limit on read-ahead ended with the reply of the handler. Incomplete headers and bodies were limited on each connection only, headers had no time limit, and idle connections were kept up to a fixed number of descriptors.

ConnectionTable registers the incoming connections of one or more servers. At most 4 KB are read ahead until a response has been written. Beyond a limit on the sum, connections above an equal share are closed, the oldest first, and complete requests above it are answered with 503. Beyond a limit on their number, the one without a request for the longest time is closed; one whose request is being served never is. Header time-outs count ticks, so that a pause of the process is not taken for a slow client. Request limits can be replaced while connections are open.

A server without a shared table has one of its own, without the limit on memory and with the header time-out at 60 s.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -14,19 +14,45 @@
 #include <strings.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <filesystem>
 #include <iterator>
-
-#include <algorithm>
+#include <utility>
 
 namespace snipeshunt {
 
 namespace {
 
 // Bytes that a client can send ahead of the answer to its request. More stay in
-// the socket.
-constexpr size_t MaxReadAhead = 64 << 10;
+// the socket. As much as libevent reads at once.
+constexpr size_t MaxReadAhead = 4 << 10;
+// Memory of a header line beyond its bytes: evhttp's record and the allocations
+// of the name and the value, of at least 32 bytes each.
+constexpr size_t HeaderLineOverhead = 128;
+// Copies of the body of an unanswered request: the job, the order that is sent
+// to a sender, and the job of a sender in the same process. 300 jobs of 250 KB
+// were measured to take 3.1 times their size.
+constexpr size_t BodyCopies = 4;
+// Connections that are accepted before they are registered.
+constexpr size_t MaxAcceptedAtOnce = 32;
+
+timeval toTimeval(std::chrono::milliseconds Time) {
+  timeval Out{};
+  Out.tv_sec = Time.count() / 1000;
+  Out.tv_usec = Time.count() % 1000 * 1000;
+  return Out;
+}
+
+/// Returns the bytes that may wait to be taken by evhttp. It takes a part of a
+/// chunked body only once it is complete.
+size_t maxRequest(const HttpServerLimits &Limits) {
+  return Limits.MaxHeaders + Limits.MaxBody + MaxReadAhead;
+}
+
+size_t inputSize(const HttpConnection &C) {
+  return evbuffer_get_length(bufferevent_get_input(C.Buffers));
+}
 
 /// Returns true if the client has closed or reset \p Connection, from which all
 /// bytes of a request have been read.
@@ -52,20 +78,11 @@
   // now. evhttp sets its callbacks again with the answer and then reads what is
   // in the buffer.
   bufferevent_setcb(Buffers, nullptr, Write, Event, Arg);
-  bufferevent_setwatermark(Buffers, EV_READ, 0, MaxReadAhead);
   // A client that awaits its answer sends nothing.
   bufferevent_set_timeouts(Buffers, nullptr, nullptr);
   bufferevent_enable(Buffers, EV_READ);
 }
 
-/// Undoes `watchForClose`; \p Timeout is that of the connection.
-void stopWatchingForClose(evhttp_connection *Connection,
-                          std::chrono::seconds Timeout) {
-  bufferevent *Buffers = evhttp_connection_get_bufferevent(Connection);
-  bufferevent_setwatermark(Buffers, EV_READ, 0, 0);
-  evhttp_connection_set_timeout(Connection, static_cast<int>(Timeout.count()));
-}
-
 const char *methodName(evhttp_cmd_type Type) {
   switch (Type) {
   case EVHTTP_REQ_GET:
@@ -140,13 +157,25 @@
 
 void HttpServer::HttpDeleter::operator()(evhttp *H) const { evhttp_free(H); }
 
+void HttpServer::EventDeleter::operator()(event *E) const { event_free(E); }
+
 HttpServer::HttpServer(EventLoop &Loop, HttpServerLimits Limits)
-    : Loop(Loop), Limits(Limits), Http(evhttp_new(Loop.base())),
+    : HttpServer(Loop, Limits,
+                 std::make_unique<ConnectionTable>(Loop, ConnectionLimits{}),
+                 nullptr) {}
+
+HttpServer::HttpServer(EventLoop &Loop, HttpServerLimits Limits,
+                       ConnectionTable &Shared)
+    : HttpServer(Loop, Limits, nullptr, &Shared) {}
+
+HttpServer::HttpServer(EventLoop &Loop, HttpServerLimits Given,
+                       std::unique_ptr<ConnectionTable> Own,
+                       ConnectionTable *Shared)
+    : Loop(Loop), Limits(Given), OwnTable(std::move(Own)),
+      Table(Shared ? *Shared : *OwnTable), Http(evhttp_new(Loop.base())),
       DropTimer(Loop, [this] { closeDropped(); }),
       DescriptorCheckTimer(Loop, [this] { checkDescriptors(); }) {
-  evhttp_set_max_body_size(Http.get(), Limits.MaxBody);
-  evhttp_set_max_headers_size(Http.get(), Limits.MaxHeaders);
-  evhttp_set_timeout(Http.get(), static_cast<int>(Limits.Timeout.count()));
+  setRequestLimits(Given);
   evhttp_set_allowed_methods(Http.get(),
                              EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
                                  EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD);
@@ -154,15 +183,53 @@
     static_cast<HttpServer *>(Arg)->handle(Request);
   };
   evhttp_set_gencb(Http.get(), Callback, this);
+  auto Create = [](event_base *, void *Arg) {
+    return static_cast<HttpServer *>(Arg)->createBuffers();
+  };
+  evhttp_set_bevcb(Http.get(), Create, this);
+  auto Adopt = [](evutil_socket_t, short, void *Arg) {
+    static_cast<HttpServer *>(Arg)->adopt();
+  };
+  AdoptEvent.reset(event_new(Loop.base(), -1, 0, Adopt, this));
+  TableCheck = Table.Checked.connect([this] {
+    if (Paused)
+      updateListener();
+  });
 }
 
 HttpServer::~HttpServer() {
+  TableCheck.disconnect();
+  for (bufferevent *Buffers : Accepted)
+    bufferevent_decref(Buffers);
   // Otherwise evhttp, which is freed after this, would call back into a
   // destroyed server.
-  for (auto &[Id, Record] : Open)
-    evhttp_connection_set_closecb(Record->Connection, nullptr, nullptr);
-  for (evhttp_connection *Connection : Dropped)
+  for (auto &[Connection, C] : Connections) {
     evhttp_connection_set_closecb(Connection, nullptr, nullptr);
+    evbuffer_remove_cb_entry(bufferevent_get_input(C->Buffers),
+                             C->InputCallback);
+    Table.remove(*C);
+  }
+}
+
+void HttpServer::setRequestLimits(const HttpServerLimits &New) {
+  Limits.MaxBody = New.MaxBody;
+  Limits.MaxHeaders = New.MaxHeaders;
+  Limits.Timeout = New.Timeout;
+  Limits.HeaderTimeout = New.HeaderTimeout;
+  timeval Timeout = toTimeval(Limits.Timeout);
+  evhttp_set_max_body_size(Http.get(), static_cast<ev_ssize_t>(Limits.MaxBody));
+  evhttp_set_max_headers_size(Http.get(),
+                              static_cast<ev_ssize_t>(Limits.MaxHeaders));
+  evhttp_set_timeout_tv(Http.get(), &Timeout);
+  for (auto &[Connection, C] : Connections) {
+    evhttp_connection_set_max_body_size(
+        Connection, static_cast<ev_ssize_t>(Limits.MaxBody));
+    evhttp_connection_set_max_headers_size(
+        Connection, static_cast<ev_ssize_t>(Limits.MaxHeaders));
+    // The others get these values with the answer to their request.
+    if (!C->Request && !C->Dropped)
+      evhttp_connection_set_timeout_tv(Connection, &Timeout);
+  }
 }
 
 Result<Address> HttpServer::listen(const Address &Listen) {
@@ -195,13 +262,113 @@
     return;
   size_t Count = static_cast<size_t>(
       std::distance(begin(Entries), std::filesystem::directory_iterator()));
+  OutOfDescriptors = Count > Limits.MaxDescriptors;
+  updateListener();
+}
+
+void HttpServer::updateListener() {
+  if (!Socket)
+    return;
   evconnlistener *Listener = evhttp_bound_socket_get_listener(Socket);
-  if (Count > Limits.MaxDescriptors)
+  Paused = OutOfDescriptors || Table.full();
+  if (Paused)
     evconnlistener_disable(Listener);
   else
     evconnlistener_enable(Listener);
 }
 
+bufferevent *HttpServer::createBuffers() {
+  bufferevent *Buffers = bufferevent_socket_new(Loop.base(), -1, 0);
+  if (!Buffers)
+    return nullptr;
+  // evhttp has no call that returns a new connection. It is found from its
+  // buffers, once evhttp has set it up and before anything is read.
+  bufferevent_incref(Buffers);
+  Accepted.push_back(Buffers);
+  if (Accepted.size() == 1)
+    event_active(AdoptEvent.get(), EV_TIMEOUT, 0);
+  if (Accepted.size() >= MaxAcceptedAtOnce && Socket)
+    evconnlistener_disable(evhttp_bound_socket_get_listener(Socket));
+  return Buffers;
+}
+
+void HttpServer::adopt() {
+  std::vector<bufferevent *> Now = std::exchange(Accepted, {});
+  for (bufferevent *Buffers : Now) {
+    adopt(Buffers);
+    bufferevent_decref(Buffers);
+  }
+  updateListener();
+}
+
+void HttpServer::adopt(bufferevent *Buffers) {
+  void *Arg = nullptr;
+  bufferevent_getcb(Buffers, nullptr, nullptr, nullptr, &Arg);
+  // evhttp has closed the connection at once.
+  if (!Arg)
+    return;
+  auto C = std::make_unique<HttpConnection>();
+  C->Server = this;
+  C->Buffers = Buffers;
+  C->Connection = static_cast<evhttp_connection *>(Arg);
+  C->InputCallback =
+      evbuffer_add_cb(bufferevent_get_input(Buffers), handleInput, C.get());
+  evhttp_connection_set_closecb(C->Connection, handleClose, C.get());
+  HttpConnection &Added = *C;
+  Connections.emplace(C->Connection, std::move(C));
+  Table.add(Added);
+}
+
+void HttpServer::handleInput(evbuffer *Input, const evbuffer_cb_info *Change,
+                             void *Arg) {
+  auto &C = *static_cast<HttpConnection *>(Arg);
+  if (C.Dropped)
+    return;
+  HttpServer &Server = *C.Server;
+  if (Change->n_added == 0) {
+    // evhttp has begun to take a request that was read ahead. It may need more
+    // bytes, for instance of a large chunk.
+    if (C.Limited && !C.Request && !C.Writing)
+      Server.limitReadAhead(C, false);
+    return;
+  }
+  size_t Lines = C.Request ? 0 : Server.scanHeader(C, Change->n_added);
+  Server.Table.setHeld(C, C.Held + Change->n_added + Lines);
+  if (evbuffer_get_length(Input) > maxRequest(Server.Limits))
+    Server.Table.closeForMemory(C);
+  else
+    Server.Table.enforceBytes(C);
+}
+
+void HttpServer::limitReadAhead(HttpConnection &C, bool Limit) {
+  C.Limited = Limit;
+  bufferevent_setwatermark(C.Buffers, EV_READ, 0, Limit ? MaxReadAhead : 0);
+}
+
+size_t HttpServer::scanHeader(HttpConnection &C, size_t Size) {
+  if (C.Scan.done())
+    return 0;
+  if (C.HeaderTick == 0)
+    Table.beginHeader(C);
+  evbuffer *Input = bufferevent_get_input(C.Buffers);
+  evbuffer_ptr Begin{};
+  evbuffer_ptr_set(Input, &Begin, evbuffer_get_length(Input) - Size,
+                   EVBUFFER_PTR_SET);
+  size_t Lines = 0;
+  evbuffer_iovec Part{};
+  while (Size > 0 && !C.Scan.done() &&
+         evbuffer_peek(Input, -1, &Begin, &Part, 1) > 0 && Part.iov_len > 0) {
+    size_t Count = std::min(Size, Part.iov_len);
+    Lines += C.Scan.add(static_cast<const char *>(Part.iov_base), Count);
+    Size -= Count;
+    if (Size > 0)
+      evbuffer_ptr_set(Input, &Begin, Count, EVBUFFER_PTR_ADD);
+  }
+  if (C.Scan.done())
+    Table.endHeader(C);
+  return Lines * HeaderLineOverhead;
+}
+
 void HttpServer::stopListening() {
   if (!Socket)
     return;
@@ -210,29 +377,47 @@
 }
 
 void HttpServer::handle(evhttp_request *Request) {
+  evhttp_connection *Connection = evhttp_request_get_connection(Request);
+  auto Found = Connections.find(Connection);
+  if (Found == Connections.end()) {
+    evhttp_send_error(Request, 503, "out of memory");
+    return;
+  }
+  HttpConnection &C = *Found->second;
+  // The request is freed with its connection.
+  if (C.Dropped)
+    return;
+  // The next bytes are those of a further request.
+  Table.endHeader(C);
+  Table.setHeld(C, inputSize(C));
+  limitReadAhead(C, true);
   if (Open.size() >= Limits.MaxOpenRequests) {
     evhttp_send_error(Request, 503, "too many open requests");
     return;
   }
+  size_t Body = BodyCopies *
+                evbuffer_get_length(evhttp_request_get_input_buffer(Request));
+  if (Table.mustReject(Body)) {
+    Table.countRejected();
+    evhttp_send_error(Request, 503, "out of memory for requests");
+    return;
+  }
   HttpRequest Out = readRequest(Request);
-  evhttp_connection *Connection = evhttp_request_get_connection(Request);
   // The request may have waited in the socket while its client gave up. The
   // client may have sent it to another instance since.
   if (hasDisconnected(Connection)) {
     ++Abandoned;
-    freeLater(Connection);
+    freeLater(C);
     return emit(AbandonedRequestReceived, Out);
   }
-  auto Record = std::make_unique<OpenRequest>();
-  Record->Server = this;
-  Record->Id = RequestId{NextId++};
-  Record->Request = Request;
-  Record->Connection = Connection;
-  evhttp_connection_set_closecb(Connection, handleClose, Record.get());
+  C.Id = RequestId{NextId++};
+  C.Request = Request;
+  Table.setBusy(C);
+  Table.setHeld(C, C.Held + Body);
   watchForClose(Connection);
 
-  Out.Id = Record->Id;
-  Open.emplace(Out.Id, std::move(Record));
+  Out.Id = C.Id;
+  Open.emplace(Out.Id, &C);
   emit(RequestReceived, Out);
 }
 
@@ -251,66 +436,101 @@
   }
 }
 
-void HttpServer::handleClose(evhttp_connection *, void *Arg) {
-  auto *Record = static_cast<OpenRequest *>(Arg);
-  HttpServer *Server = Record->Server;
-  RequestId Id = Record->Id;
+void HttpServer::handleClose(evhttp_connection *Connection, void *Arg) {
+  auto &C = *static_cast<HttpConnection *>(Arg);
+  HttpServer &Server = *C.Server;
+  evbuffer_remove_cb_entry(bufferevent_get_input(C.Buffers), C.InputCallback);
+  Server.Table.remove(C);
+  if (C.Dropped) {
+    auto &List = Server.Dropped;
+    List.erase(std::remove(List.begin(), List.end(), Connection), List.end());
+  }
+  evhttp_request *Request = C.Request;
+  RequestId Id = C.Id;
+  Server.Connections.erase(Connection);
+  if (!Request)
+    return;
   // evhttp leaves a request that it has taken off its connection to its user.
-  if (!evhttp_request_get_connection(Record->Request))
-    evhttp_request_free(Record->Request);
-  Server->Open.erase(Id);
-  Server->RequestClosed.emit(Id);
+  if (!evhttp_request_get_connection(Request))
+    evhttp_request_free(Request);
+  Server.Open.erase(Id);
+  Server.RequestClosed.emit(Id);
 }
 
 void HttpServer::drop(RequestId Id) {
   auto It = Open.find(Id);
   if (It == Open.end())
     return;
-  evhttp_connection *Connection = It->second->Connection;
+  HttpConnection &C = *It->second;
   Open.erase(It);
-  freeLater(Connection);
+  C.Request = nullptr;
+  freeLater(C);
 }
 
-void HttpServer::freeLater(evhttp_connection *Connection) {
+void HttpServer::close(HttpConnection &C) { freeLater(C); }
+
+void HttpServer::freeLater(HttpConnection &C) {
   // evhttp may still use the connection after its request callback, so it is
   // freed later from the event loop. Until then nothing is read: evhttp would
   // take the request off a connection that ends, and leave it to its user. If
   // evhttp frees the connection itself, it is taken off the list.
-  auto RemoveClosed = [](evhttp_connection *Closed, void *Arg) {
-    auto &List = static_cast<HttpServer *>(Arg)->Dropped;
-    List.erase(std::remove(List.begin(), List.end(), Closed), List.end());
-  };
-  bufferevent_disable(evhttp_connection_get_bufferevent(Connection), EV_READ);
-  evhttp_connection_set_closecb(Connection, RemoveClosed, this);
-  Dropped.push_back(Connection);
+  bufferevent_disable(C.Buffers, EV_READ);
+  Table.setDropped(C);
+  // What has just arrived would still be parsed. In one turn of the event loop,
+  // this can be a part of the header of each connection.
+  evbuffer_drain(bufferevent_get_input(C.Buffers), inputSize(C));
+  Dropped.push_back(C.Connection);
   DropTimer.startOnce(Duration::zero());
 }
 
 void HttpServer::closeDropped() {
-  std::vector<evhttp_connection *> Now = std::move(Dropped);
-  Dropped.clear();
-  for (evhttp_connection *Connection : Now) {
-    evhttp_connection_set_closecb(Connection, nullptr, nullptr);
-    // This also frees the request, which is still on the connection's list.
+  std::vector<evhttp_connection *> Now = std::exchange(Dropped, {});
+  // This also frees the request, which is still on the connection's list.
+  for (evhttp_connection *Connection : Now)
     evhttp_connection_free(Connection);
-  }
+  if (Paused)
+    updateListener();
 }
 
 void HttpServer::reply(RequestId Id, const HttpReply &Reply) {
   auto It = Open.find(Id);
   if (It == Open.end())
     return;
-  std::unique_ptr<OpenRequest> Record = std::move(It->second);
+  HttpConnection &C = *It->second;
   Open.erase(It);
-  evhttp_connection_set_closecb(Record->Connection, nullptr, nullptr);
-  stopWatchingForClose(Record->Connection, Limits.Timeout);
-  evkeyvalq *Headers = evhttp_request_get_output_headers(Record->Request);
+  evhttp_request *Request = std::exchange(C.Request, nullptr);
+  C.Writing = true;
+  Table.setWaiting(C);
+  timeval Timeout = toTimeval(Limits.Timeout);
+  evhttp_connection_set_timeout_tv(C.Connection, &Timeout);
+  evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
   evhttp_add_header(Headers, "Content-Type", Reply.ContentType.c_str());
   for (const auto &[Name, Value] : Reply.Headers)
     evhttp_add_header(Headers, Name.c_str(), Value.c_str());
-  evbuffer *Output = evhttp_request_get_output_buffer(Record->Request);
+  evbuffer *Output = evhttp_request_get_output_buffer(Request);
   evbuffer_add(Output, Reply.Body.data(), Reply.Body.size());
-  evhttp_send_reply(Record->Request, Reply.Status, nullptr, nullptr);
+  evhttp_request_set_on_complete_cb(Request, handleWritten, &C);
+  evhttp_send_reply(Request, Reply.Status, nullptr, nullptr);
+  // What was read ahead belongs to the next request.
+  size_t Ahead = inputSize(C);
+  C.Scan = {};
+  size_t Lines = Ahead > 0 ? scanHeader(C, Ahead) : 0;
+  Table.setHeld(C, Ahead + Lines +
+                       evbuffer_get_length(bufferevent_get_output(C.Buffers)));
+  Table.enforceBytes(C);
+}
+
+void HttpServer::handleWritten(evhttp_request *, void *Arg) {
+  auto &C = *static_cast<HttpConnection *>(Arg);
+  if (C.Dropped)
+    return;
+  C.Writing = false;
+  size_t Ahead = inputSize(C);
+  C.Server->Table.setHeld(C, Ahead);
+  // Otherwise a client could send more in each turn of the event loop than is
+  // taken from what it sent before.
+  if (Ahead < MaxReadAhead)
+    C.Server->limitReadAhead(C, false);
 }
 
 } // namespace snipeshunt
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -3,6 +3,7 @@
 #define SNIPESHUNT_HTTP_HTTP_SERVER_H
 
 #include "core/error_type.h"
+#include "http/connection_table.h"
 #include "http/event_loop.h"
 #include "http/http_type.h"
 
@@ -11,10 +12,11 @@
 #include <memory>
 #include <unordered_map>
 
+struct event;
+struct evbuffer;
+struct evbuffer_cb_info;
 struct evhttp;
 struct evhttp_bound_socket;
-struct evhttp_connection;
-struct evhttp_request;
 
 namespace snipeshunt {
 
@@ -23,7 +25,9 @@
   size_t MaxBody = 1 << 20;     ///< Largest request body, in bytes.
   size_t MaxHeaders = 16 << 10; ///< Largest request line and headers, in bytes.
   /// Time after which an idle or stalled connection is closed.
-  std::chrono::seconds Timeout{60};
+  std::chrono::milliseconds Timeout{60000};
+  /// Longest time from the first byte of a request to the end of its header.
+  std::chrono::milliseconds HeaderTimeout{60000};
   /// Unanswered requests beyond which new ones are answered with 503.
   size_t MaxOpenRequests = 20000;
   /// Open file descriptors of the process beyond which no connection is
@@ -38,7 +42,10 @@
 /// HTTP server on one address.
 class HttpServer {
 public:
+  /// Creates a server whose connections have a table of their own.
   HttpServer(EventLoop &Loop, HttpServerLimits Limits);
+  /// Creates a server whose connections are in \p Shared.
+  HttpServer(EventLoop &Loop, HttpServerLimits Limits, ConnectionTable &Shared);
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
   ~HttpServer();
@@ -53,6 +60,12 @@
   /// Closes the connection of request \p Id without an answer. The request must
   /// not be used afterwards.
   void drop(RequestId Id);
+  /// Closes \p C, which has no unanswered request, from the event loop.
+  void close(HttpConnection &C);
+  const HttpServerLimits &limits() const { return Limits; }
+  /// Replaces the limits of requests and times, also for connections that are
+  /// open; the others stay as they are.
+  void setRequestLimits(const HttpServerLimits &New);
   /// Returns the number of unanswered requests.
   size_t openRequests() const { return Open.size(); }
   /// Returns the number of requests whose clients had disconnected before they
@@ -73,42 +86,71 @@
   sigc::signal<void(RequestId)> RequestClosed;
 
 private:
-  /// A request that has not been answered.
-  struct OpenRequest {
-    HttpServer *Server;
-    RequestId Id;
-    evhttp_request *Request;
-    evhttp_connection *Connection;
-  };
   struct HttpDeleter {
     void operator()(evhttp *H) const;
   };
+  struct EventDeleter {
+    void operator()(event *E) const;
+  };
+
+  HttpServer(EventLoop &Loop, HttpServerLimits Limits,
+             std::unique_ptr<ConnectionTable> Own, ConnectionTable *Shared);
 
+  /// Called by evhttp for each accepted connection, before it is set up.
+  /// Returns its buffers.
+  bufferevent *createBuffers();
+  /// Registers the connections that were accepted. Called before anything is
+  /// read from them.
+  void adopt();
+  /// Registers the connection of \p Buffers.
+  void adopt(bufferevent *Buffers);
+  /// Called when bytes have arrived or were taken from a connection's input.
+  static void handleInput(evbuffer *Input, const evbuffer_cb_info *Change,
+                          void *Arg);
+  /// Scans the last \p Size bytes of the input of \p C for the end of a
+  /// header. Returns the memory that the lines take beyond their bytes.
+  size_t scanHeader(HttpConnection &C, size_t Size);
+  /// Limits what is read from \p C beyond its request, or lifts that limit,
+  /// with which reading would cost more.
+  static void limitReadAhead(HttpConnection &C, bool Limit);
+  /// Called by evhttp when the answer to a request has been written.
+  static void handleWritten(evhttp_request *Request, void *Arg);
   /// Called by evhttp for each complete request.
   void handle(evhttp_request *Request);
   /// Passes \p Request to the handlers of \p Signal.
   void emit(const sigc::signal<void(const HttpRequest &)> &Signal,
             const HttpRequest &Request);
-  /// Frees \p Connection from the event loop.
-  void freeLater(evhttp_connection *Connection);
+  /// Frees the connection of \p C from the event loop.
+  void freeLater(HttpConnection &C);
   /// Frees the connections of dropped requests.
   void closeDropped();
-  /// Pauses or resumes accepting connections by the number of open descriptors.
-  /// Called periodically.
+  /// Counts the open descriptors. Called periodically.
   void checkDescriptors();
-  /// Called by evhttp when the client of an open request has disconnected.
+  /// Pauses or resumes accepting connections.
+  void updateListener();
+  /// Called by evhttp when a connection ends.
   static void handleClose(evhttp_connection *Connection, void *Arg);
 
   EventLoop &Loop;
   HttpServerLimits Limits;
+  std::unique_ptr<ConnectionTable> OwnTable; ///< Null if it is shared.
+  ConnectionTable &Table;
+  std::unordered_map<evhttp_connection *, std::unique_ptr<HttpConnection>>
+      Connections;
+  std::vector<bufferevent *> Accepted; ///< For `adopt`.
+  std::unique_ptr<event, EventDeleter> AdoptEvent;
   std::unique_ptr<evhttp, HttpDeleter> Http;
   evhttp_bound_socket *Socket = nullptr;
-  std::unordered_map<RequestId, std::unique_ptr<OpenRequest>> Open;
+  bool OutOfDescriptors = false;
+  bool Paused = false; ///< No connections are accepted.
+  /// Connections with an unanswered request.
+  std::unordered_map<RequestId, HttpConnection *> Open;
   std::vector<evhttp_connection *> Dropped; ///< For `closeDropped`.
   Timer DropTimer;
   uint64_t NextId = 1;
   uint64_t Abandoned = 0;
   Timer DescriptorCheckTimer;
+  sigc::connection TableCheck;
 };
 
 } // namespace snipeshunt
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,15 +1,13 @@
 /// \file Tests of the HTTP server and client over loopback.
-#include "http/http_address.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "support/counting_server.h"
+#include "support/raw_client.h"
 
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
 #include <malloc.h>
 #include <sys/resource.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <optional>
@@ -19,6 +17,7 @@
 namespace {
 
 using testing::CountingServer;
+using testing::RawClient;
 
 /// Sends \p Call and runs the loop until its outcome is known.
 HttpOutcome callAndWait(EventLoop &Loop, HttpClient &Client, HttpCall Call) {
@@ -39,44 +38,6 @@
   return Count;
 }
 
-/// A connection on which any bytes can be sent.
-class RawClient {
-public:
-  explicit RawClient(const Address &Target)
-      : Socket(socket(AF_INET, SOCK_STREAM, 0)) {
-    HostPort Parts = valueOf(parseAddress(Target));
-    sockaddr_in To{};
-    To.sin_family = AF_INET;
-    To.sin_port = htons(Parts.Port);
-    inet_pton(AF_INET, Parts.Host.c_str(), &To.sin_addr);
-    EXPECT_EQ(connect(Socket, reinterpret_cast<sockaddr *>(&To), sizeof(To)),
-              0);
-  }
-  RawClient(const RawClient &) = delete;
-  RawClient &operator=(const RawClient &) = delete;
-  ~RawClient() { close(Socket); }
-
-  void send(std::string_view Bytes) const {
-    EXPECT_EQ(write(Socket, Bytes.data(), Bytes.size()),
-              static_cast<ssize_t>(Bytes.size()));
-  }
-  /// Returns the bytes that have arrived since the last call.
-  std::string received() const {
-    char Bytes[4096];
-    ssize_t Count = recv(Socket, Bytes, sizeof(Bytes), MSG_DONTWAIT);
-    return Count > 0 ? std::string(Bytes, static_cast<size_t>(Count))
-                     : std::string();
-  }
-  /// Has the connection end with a reset.
-  void resetOnClose() const {
-    linger Abort{1, 0};
-    setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Abort, sizeof(Abort));
-  }
-
-private:
-  int Socket;
-};
-
 // Guards against an unlimited number of connections: none is accepted while
 // more descriptors are open than allowed.
 TEST(HttpServerTest, PausesAcceptingAboveDescriptorLimit) {
