platform: obey the limits of the operators' configuration

The limits inside which clients are served were constants of the adapter, and a header had no time limit. With `limits`, the operators state what a client may do, and change it with a configuration.

A missing or unusable field has the former constant, the header time-out 3 s.

ConfigurationSetsTheLargestBody, before: after 30 s, neither was a body of 200,000 bytes rejected with a limit of 100,000, nor one of 300,000 accepted with a limit of 400,000. After: passes in 0.5 s.

--- a/src/directory/directory_cmd.cpp
+++ b/src/directory/directory_cmd.cpp
@@ -86,6 +86,10 @@
 void applyConfiguration(DirectoryState &State,
                         const FleetConfiguration &Received,
                         StoreRevision Revision, InstanceEffects &Out) {
+  // A peer's copy has no limits.
+  if (State.Configuration && Received.Version == State.Configuration->Version &&
+      Received.Limits)
+    State.Configuration->Limits = Received.Limits;
   // An outdated answer must not bring back an older configuration.
   if (State.Configuration && Received.Version <= State.Configuration->Version)
     return;
--- a/src/directory/directory_type.h
+++ b/src/directory/directory_type.h
@@ -33,10 +33,30 @@
   Duration Slack{0};
 };
 
+/// Limits inside which clients are served. The defaults are those of the
+/// platform's documentation.
+struct ClientLimits {
+  size_t MaxHeaderBytes = 16384;
+  size_t MaxBodyBytes = 262144;
+  /// From the first byte of a request to the end of its header.
+  std::chrono::milliseconds HeaderTimeout{3000};
+  std::chrono::milliseconds IdleTimeout{15000};
+
+  bool operator==(const ClientLimits &Other) const {
+    return MaxHeaderBytes == Other.MaxHeaderBytes &&
+           MaxBodyBytes == Other.MaxBodyBytes &&
+           HeaderTimeout == Other.HeaderTimeout &&
+           IdleTimeout == Other.IdleTimeout;
+  }
+};
+
 /// The operators' configuration. `Version` rises with each change.
 struct FleetConfiguration {
   uint64_t Version = 0;
   std::vector<Route> Routes;
+  /// Unset in a peer's copy: instances of earlier versions reject a snapshot
+  /// with further fields.
+  std::optional<ClientLimits> Limits;
 };
 
 /// An instance's record in the store, written by the instance itself.
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -102,6 +102,29 @@
   EXPECT_GE(R.MaxAttempts, 1U);
 }
 
+// Guards against limits of the operators that are ignored, and against values
+// with which no client could be served.
+TEST(PlatformCodecTest, ReadsTheLimitsOfClients) {
+  auto Decode = [](const std::string &Limits) {
+    return *valueOf(decodeConfiguration(
+                        R"({"version":1,"routes":[],"limits":)" + Limits + "}"))
+                .Limits;
+  };
+  ClientLimits Read = Decode(R"({"max_header_bytes":2048,)"
+                             R"("max_body_bytes":4096,"header_timeout_ms":500,)"
+                             R"("idle_timeout_ms":7000})");
+  EXPECT_EQ(Read.MaxHeaderBytes, 2048U);
+  EXPECT_EQ(Read.MaxBodyBytes, 4096U);
+  EXPECT_EQ(Read.HeaderTimeout.count(), 500);
+  EXPECT_EQ(Read.IdleTimeout.count(), 7000);
+  EXPECT_TRUE(Decode("{}") == ClientLimits());
+  EXPECT_TRUE(Decode(R"({"max_body_bytes":-1,"idle_timeout_ms":"a"})") ==
+              ClientLimits());
+  Read = Decode(R"({"max_body_bytes":1e300,"idle_timeout_ms":1})");
+  EXPECT_EQ(Read.MaxBodyBytes, 64U << 20);
+  EXPECT_EQ(Read.IdleTimeout.count(), 100);
+}
+
 // Guards against a cut, which only times out, that is taken for the end of an
 // upstream's process.
 TEST(PlatformCodecTest, OnlyARefusedConnectionIsReportedAsRefused) {
--- a/tests/process/client_limits_process_test.cpp
+++ b/tests/process/client_limits_process_test.cpp
@@ -1,5 +1,6 @@
 /// \file Clients that send what no well-behaved client sends, against one
 /// instance. Checked are only facts that don't depend on the machine's speed.
+#include "core/base64_func.h"
 #include "http/http_address.h"
 #include "standins/cell_fleet.h"
 
@@ -28,6 +29,8 @@
 constexpr size_t FreeDescriptors = 50;
 // More connections than the instance has descriptors.
 constexpr size_t ManyClients = 600;
+// Jobs of 250 KB. An instance needs three times their size.
+constexpr size_t LargeJobs = 300;
 // Clients that pipeline requests, and what each sends. Together it is more than
 // twice the memory of the smallest machine.
 constexpr size_t PipeliningClients = 8;
@@ -71,12 +74,12 @@
     std::string Block;
     while (Block.size() < std::min<size_t>(Total, 256 << 10))
       Block += Text;
-    std::fill(Sent.begin(), Sent.end(), 0);
-    std::vector<pollfd> Waiting = Clients;
-    while (poll(Waiting.data(), Waiting.size(), StalledMs) > 0)
-      for (size_t I = 0; I < Waiting.size(); ++I)
-        if (Waiting[I].revents && !sendSome(I, Block, Text.size(), Total))
-          Waiting[I].fd = -1;
+    send(std::vector<std::string>(1, Block), Text.size(), Total);
+  }
+
+  /// Has each client send one of \p Texts.
+  void sendEach(const std::vector<std::string> &Texts) {
+    send(Texts, Texts[0].size(), Texts[0].size());
   }
 
   /// Returns true once the instance has closed all connections. Each client
@@ -93,6 +96,17 @@
   }
 
 private:
+  void send(const std::vector<std::string> &Blocks, size_t Period,
+            size_t Total) {
+    std::fill(Sent.begin(), Sent.end(), 0);
+    std::vector<pollfd> Waiting = Clients;
+    while (poll(Waiting.data(), Waiting.size(), StalledMs) > 0)
+      for (size_t I = 0; I < Waiting.size(); ++I)
+        if (Waiting[I].revents &&
+            !sendSome(I, Blocks[I % Blocks.size()], Period, Total))
+          Waiting[I].fd = -1;
+  }
+
   /// Sends what the socket of client \p I takes. Returns false once there is
   /// nothing left or the connection has ended.
   bool sendSome(size_t I, const std::string &Block, size_t Period,
@@ -128,7 +142,8 @@
     Fleet = std::make_unique<CellFleet>(Options);
     ASSERT_FALSE(failed(Fleet->start()));
     ASSERT_TRUE(Fleet->waitUntilReady()) << Fleet->allLogs();
-    ASSERT_EQ(Fleet->submit(0, "00000000000000a1", 1, 5).Status, 200);
+    HttpReply Reply = Fleet->submit(0, "00000000000000a1", 1, 5);
+    ASSERT_EQ(Reply.Status, 200) << Reply.Body << Fleet->allLogs();
   }
 
   /// Highest resident memory of the instance since its start, in KB.
@@ -250,7 +265,27 @@
   expectInstanceServes();
 }
 
-// As above, on the peers' port, whose size limit is 1 MiB.
+// Guards against jobs within all limits whose bodies together exceed the memory
+// while they are served.
+TEST_F(ClientLimitsProcessTest, LargeJobsOnManyConnections) {
+  start();
+  Crowd Clients(Fleet->front(0), LargeJobs);
+  std::vector<std::string> Jobs;
+  for (size_t I = 0; I < LargeJobs; ++I) {
+    std::string Body = R"({"spec":"work_ms=3000 )" + std::string(250000, 'x') +
+                       R"(","best_effort":true,"steps":[{"count":1,"cpu":100,)"
+                       R"("mem_mb":1,"estimate_ms":3000}]})";
+    Jobs.push_back("POST /jobs/0000000000000" + std::to_string(100 + I) +
+                   " HTTP/1.1\r\nHost: jobs.example\r\n"
+                   "X-Snipeshunt-Deadline-Ms: 20000\r\nContent-Length: " +
+                   std::to_string(Body.size()) + "\r\n\r\n" + Body);
+  }
+  Clients.sendEach(Jobs);
+  expectInstanceServes();
+}
+
+// Guards against unfinished bodies on the peers' port, whose size limit is 1
+// MiB.
 TEST_F(ClientLimitsProcessTest, LargeBodiesOfPeers) {
   start();
   Crowd Clients(Fleet->peers(0), ManyClients / 4);
@@ -291,5 +326,45 @@
   EXPECT_TRUE(Fleet->isReady(0));
 }
 
+/// Replaces the configuration by one with the stand-in's route and \p Limits.
+void configure(const CellFleet &Fleet, int Version, const std::string &Limits) {
+  HttpCall Call;
+  Call.Target = Fleet.store();
+  Call.Method = "POST";
+  Call.Path = "/snipeshunt/kv-txn";
+  Call.Body =
+      R"({"expected_revision":[],"remove":[],"writes":[{"key":"op/config",)"
+      R"("lease":0,"value":")" +
+      encodeBase64(R"({"version":)" + std::to_string(Version) +
+                   R"(,"routes":[{"name":"jobs","host":"jobs.example",)"
+                   R"("prefix":"/jobs/","service":"standin",)"
+                   R"("max_attempts":3,"stretch":1.6,"slo_ms":60}],)"
+                   R"("limits":)" +
+                   Limits + "}") +
+      R"("}]})";
+  EXPECT_TRUE(std::holds_alternative<HttpReply>(callOnce(std::move(Call))));
+}
+
+// Guards against limits of the configuration that are ignored, both lower and
+// higher ones than the defaults.
+TEST_F(ClientLimitsProcessTest, ConfigurationSetsTheLargestBody) {
+  start();
+  auto StatusOf = [&](size_t Padding) {
+    HttpCall Call = Fleet->submission(0, "00000000000000a3", 1, 5,
+                                      std::chrono::seconds(20));
+    Call.Body.insert(1, Padding, ' ');
+    HttpOutcome Outcome = callOnce(std::move(Call));
+    const auto *Reply = std::get_if<HttpReply>(&Outcome);
+    return Reply ? Reply->Status : 0;
+  };
+  EXPECT_EQ(StatusOf(200000), 200);
+  configure(*Fleet, 2, R"({"max_body_bytes":100000})");
+  EXPECT_TRUE(snipeshunt::Fleet::waitUntil(
+      [&] { return StatusOf(200000) == 413; }, std::chrono::seconds(30)));
+  configure(*Fleet, 3, R"({"max_body_bytes":400000})");
+  EXPECT_TRUE(snipeshunt::Fleet::waitUntil(
+      [&] { return StatusOf(300000) == 200; }, std::chrono::seconds(30)));
+}
+
 } // namespace
 } // namespace snipeshunt
