settings: read bounds.evacuate_ms

Deployments that evacuate data centres state in which time starts must end. Nothing uses it yet.

Measured: FleetSettingsTest.EvacuationBoundIsOptionalAndChecked passes; on the code before, the key is rejected as unknown.

--- a/src/settings/fleet_settings.cpp
+++ b/src/settings/fleet_settings.cpp
@@ -26,6 +26,11 @@
   readTime(Reader, "max_lease_ms", Out.MaxLease, 100, 60000);
   readTime(Reader, "stop_timeout_ms", Out.StopTimeout, 1, 10000);
   readTime(Reader, "drain_notice_ms", Out.DrainNotice, 100, 600000);
+  if (Reader.has("evacuate_ms")) {
+    std::chrono::milliseconds Evacuate{0};
+    readTime(Reader, "evacuate_ms", Evacuate, 100, 600000);
+    Out.Evacuate = Evacuate;
+  }
   double GraceSeconds = static_cast<double>(Out.Grace.count()) / 1000;
   Reader.optionalNumber("grace_s", GraceSeconds, 1, 600);
   Out.Grace =
--- a/src/settings/fleet_settings_type.h
+++ b/src/settings/fleet_settings_type.h
@@ -5,6 +5,7 @@
 #include "directory/directory_type.h"
 #include "settings/settings_type.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,9 @@
   /// Time from an upstream's being listed as draining until it must no longer
   /// receive starts.
   Milliseconds DrainNotice{2000};
+  /// Time from the acknowledgement of an evacuation until no task is started in
+  /// the data centre any more; absent if the operators evacuate none.
+  std::optional<Milliseconds> Evacuate;
   /// Time that this instance has between SIGTERM and SIGKILL.
   Milliseconds Grace{6000};
 };
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,4 +1,5 @@
-/// \file Tests of reading the settings of a daemon of the ticket mode.
+/// \file Tests of reading the settings of a daemon, mostly of the ticket mode.
+#include "settings/fleet_settings_func.h"
 #include "settings/settings_func.h"
 #include "settings/settings_table.h"
 
@@ -186,5 +187,27 @@
   std::remove(Name.c_str());
 }
 
+// Guards against evacuations that are read without the setting, or with a bound
+// that lets a sender wait for no time or for hours.
+TEST(FleetSettingsTest, EvacuationBoundIsOptionalAndChecked) {
+  auto Read = [](const std::string &Bounds) {
+    return parseFleetSettings(
+        R"({"name":"i","data_centre":"a","front":"127.0.0.1:1",)"
+        R"("ready":"127.0.0.1:2","peers":"127.0.0.1:3",)"
+        R"("store":"127.0.0.1:4","bounds":{)" +
+            Bounds + "}}",
+        "test.json");
+  };
+  Result<FleetSettings> Without = Read("");
+  ASSERT_FALSE(failed(Without));
+  EXPECT_FALSE(valueOf(Without).Bounds.Evacuate);
+  Result<FleetSettings> With = Read(R"("evacuate_ms":5000)");
+  ASSERT_FALSE(failed(With));
+  EXPECT_EQ(valueOf(With).Bounds.Evacuate, milliseconds(5000));
+  for (const char *Wrong : {"99", "600001", "\"5000\"", "null"})
+    EXPECT_TRUE(failed(Read(std::string(R"("evacuate_ms":)") + Wrong)))
+        << Wrong;
+}
+
 } // namespace
 } // namespace snipeshunt
