evacuation: withhold starts in evacuated data centres

Operators write op/evacuate/ZONE so that no further task is started there. It was not read.

Each instance reads and watches the prefix if bounds.evacuate_ms is set, and keeps the set with its revision. Senders start nothing in an evacuated data centre and return the jobs that have not run; entries forward to the others and reject jobs at once if all are evacuated. Starts wait until the set is known, also after a pause or a network cut, for at most the bound. Metrics show the evacuated data centres and the withheld starts.

--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -126,6 +126,10 @@
   /// senders are taken.
   bool IsStandby = true;
   CellCounters Counts;
+  /// The answers to pings should contain the evacuated data centres.
+  bool WantsEvacuation = false;
+  /// Data centres whose senders get no jobs.
+  std::set<DataCentre> Evacuated;
   /// Instances in the store's list, and when that was read.
   std::set<Address> ListedInstances;
   SteadyTime InstanceListRead{};
--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -76,9 +76,12 @@
       Ranked[P.Record.Centre].emplace_back(
           XXH64(Endpoint.Value.data(), Endpoint.Value.size(), Seed), &P);
   }
+  // The load of an evacuated data centre goes to all senders of the others.
+  bool FollowsAll = State.Evacuated.count(State.Self.Centre) != 0;
   for (auto &[Centre, Senders] : Ranked) {
     std::sort(Senders.rbegin(), Senders.rend());
-    Senders.resize(std::min(Senders.size(), FollowedSendersPerCentre));
+    if (!FollowsAll)
+      Senders.resize(std::min(Senders.size(), FollowedSendersPerCentre));
     for (const auto &[Hash, P] : Senders)
       P->Followed = true;
   }
@@ -181,6 +184,7 @@
                                  Now - State.Started < DiscoveryTime);
   Message.OldestAwaitedJob = oldestAwaitedJob(State, P);
   Message.CancelledJobs = cancelledJobs(P, Now);
+  Message.WantsEvacuation = State.WantsEvacuation;
   for (const auto &[Cell, Claim] : State.Claims)
     Message.Claims.push_back({Cell, Claim.Token});
   ++State.Counts.PingsSent;
@@ -266,6 +270,8 @@
   if (State.Draining)
     Reply.UpstreamsInUse = Report.UpstreamsInUse;
   Reply.ConfigurationVersion = Report.ConfigurationVersion;
+  if (Message.WantsEvacuation)
+    Reply.Evacuation = Report.Evacuation;
   if (It != State.Peers.end()) {
     Reply.OldestAwaitedJob = oldestAwaitedJob(State, It->second);
     Reply.CancelledJobs = cancelledJobs(It->second, Now);
@@ -437,7 +443,43 @@
                      });
 }
 
+void applyEvacuatedCentres(CellState &State,
+                           const std::set<DataCentre> &Evacuated,
+                           SteadyTime Now) {
+  if (State.Evacuated == Evacuated)
+    return;
+  State.Evacuated = Evacuated;
+  for (auto &[Endpoint, P] : State.Peers)
+    if (!P.Claims.empty())
+      pingBy(State, P, Now);
+}
+
+bool areAllCentresEvacuated(const CellState &State) {
+  auto IsEvacuated = [&](const DataCentre &Centre) {
+    return State.Evacuated.count(Centre) != 0;
+  };
+  return IsEvacuated(State.Self.Centre) &&
+         std::all_of(State.Peers.begin(), State.Peers.end(),
+                     [&](const auto &Item) {
+                       const DataCentre &Centre = Item.second.Record.Centre;
+                       return Centre.Value.empty() || IsEvacuated(Centre);
+                     });
+}
+
 std::vector<Address> availableSenders(const CellState &State, SteadyTime Now) {
+  std::vector<Address> Senders = reachableSenders(State, Now);
+  auto IsEvacuated = [&](const Address &Sender) {
+    auto P = State.Peers.find(Sender);
+    return State.Evacuated.count(P == State.Peers.end()
+                                     ? State.Self.Centre
+                                     : P->second.Record.Centre) != 0;
+  };
+  Senders.erase(std::remove_if(Senders.begin(), Senders.end(), IsEvacuated),
+                Senders.end());
+  return Senders;
+}
+
+std::vector<Address> reachableSenders(const CellState &State, SteadyTime Now) {
   std::vector<Address> Senders;
   if (!State.Claims.empty() && !State.Draining)
     Senders.push_back(State.Self.Endpoint);
--- a/src/cells/cell_cmd.h
+++ b/src/cells/cell_cmd.h
@@ -12,8 +12,9 @@
 /// State of this instance's sender and configuration, as pongs report it.
 struct OwnReport {
   SenderLoad Load;
-  std::vector<UpstreamId> UpstreamsInUse; ///< Upstreams with runs of its own.
-  uint64_t ConfigurationVersion = 0;      ///< 0 without a configuration.
+  std::vector<UpstreamId> UpstreamsInUse;  ///< Upstreams with runs of its own.
+  uint64_t ConfigurationVersion = 0;       ///< 0 without a configuration.
+  std::optional<EvacuationSet> Evacuation; ///< Absent if it is not known.
 };
 
 /// Adds an instance from the store's list, the settings or a message of a peer.
@@ -75,7 +76,20 @@
 bool isUsedByPredecessor(const CellState &State, const UpstreamId &Id,
                          SteadyTime Now);
 
-/// Returns the senders that jobs can be forwarded to, this instance included.
+/// Records the evacuated data centres. The senders whose data centre is
+/// affected are pinged at once, since their load is out of date.
+void applyEvacuatedCentres(CellState &State,
+                           const std::set<DataCentre> &Evacuated,
+                           SteadyTime Now);
+
+/// Returns true if the own data centre and those of all peers are evacuated.
+bool areAllCentresEvacuated(const CellState &State);
+
+/// Returns the senders that answer, this instance included.
+std::vector<Address> reachableSenders(const CellState &State, SteadyTime Now);
+
+/// Returns the senders that jobs can be forwarded to, this instance included:
+/// the reachable ones whose data centre is not evacuated.
 std::vector<Address> availableSenders(const CellState &State, SteadyTime Now);
 
 } // namespace snipeshunt
--- a/src/cells/cell_type.h
+++ b/src/cells/cell_type.h
@@ -69,6 +69,9 @@
   /// Jobs of the pinging instance that the receiver must stop as well.
   std::vector<CancelledJob> CancelledJobs;
   std::vector<CellClaim> Claims; ///< Cells that it is the sender of.
+  /// The answer should contain the evacuated data centres. Sent beside the
+  /// message, as earlier versions reject one with an unknown field.
+  bool WantsEvacuation = false;
 };
 
 /// Answer to a ping.
@@ -88,6 +91,8 @@
   uint64_t OldestAwaitedJob = 0; ///< As in a ping, of the answering instance.
   /// As in a ping, of the answering instance.
   std::vector<CancelledJob> CancelledJobs;
+  /// The evacuated data centres that it knows of, if the ping asked for them.
+  std::optional<EvacuationSet> Evacuation;
 };
 
 // Effects.
--- a/src/daemon/metric_registry.cpp
+++ b/src/daemon/metric_registry.cpp
@@ -38,6 +38,19 @@
   Metric->Set(Value);
 }
 
+void MetricRegistry::setGauge(const std::string &Name, const std::string &Help,
+                              const std::string &Label,
+                              const std::string &LabelValue, double Value) {
+  prometheus::Gauge *&Metric = LabelledGauges[Name + "/" + LabelValue];
+  if (!Metric)
+    Metric = &prometheus::BuildGauge()
+                  .Name("snipeshunt_" + Name)
+                  .Help(Help)
+                  .Register(Registry)
+                  .Add({{Label, LabelValue}});
+  Metric->Set(Value);
+}
+
 void MetricRegistry::observe(const std::string &Name, const std::string &Help,
                              const std::string &Label,
                              const std::string &LabelValue, double Seconds) {
--- a/src/daemon/metric_registry.h
+++ b/src/daemon/metric_registry.h
@@ -21,6 +21,10 @@
                   uint64_t Total);
   /// Sets a gauge to \p Value.
   void setGauge(const std::string &Name, const std::string &Help, double Value);
+  /// Sets the gauge \p Name with the given label to \p Value.
+  void setGauge(const std::string &Name, const std::string &Help,
+                const std::string &Label, const std::string &LabelValue,
+                double Value);
   /// Adds a duration to the histogram \p Name with the given label.
   void observe(const std::string &Name, const std::string &Help,
                const std::string &Label, const std::string &LabelValue,
@@ -33,6 +37,8 @@
   std::map<std::string, prometheus::Counter *> Counters; ///< By name.
   std::map<std::string, prometheus::Gauge *> Gauges;     ///< By name.
   /// By name and label value, as `NAME/VALUE`.
+  std::map<std::string, prometheus::Gauge *> LabelledGauges;
+  /// By name and label value, as `NAME/VALUE`.
   std::map<std::string, prometheus::Histogram *> Histograms;
 };
 
--- a/src/directory/directory_base.h
+++ b/src/directory/directory_base.h
@@ -4,6 +4,7 @@
 #define SNIPESHUNT_DIRECTORY_DIRECTORY_BASE_H
 
 #include "directory/directory_type.h"
+#include "directory/evacuation_base.h"
 
 #include <array>
 #include <optional>
@@ -61,6 +62,7 @@
   std::optional<FleetConfiguration> Configuration;
   /// Since when peers are known to have a newer configuration; unset if none.
   std::optional<SteadyTime> ConfigurationBehindSince;
+  EvacuationState Evacuation;
   std::vector<UpstreamRecord> Upstreams; ///< Of all data centres.
   SteadyTime NextSnapshotRequest{};      ///< Earliest time to ask a peer again.
 };
--- a/src/directory/directory_cmd.cpp
+++ b/src/directory/directory_cmd.cpp
@@ -2,6 +2,7 @@
 #include "directory/directory_cmd.h"
 
 #include "directory/directory_table.h"
+#include "directory/evacuation_cmd.h"
 
 #include <algorithm>
 
@@ -21,6 +22,8 @@
     return "upstreams";
   case StoreCollection::Instances:
     return "instances";
+  case StoreCollection::Evacuations:
+    return "evacuations";
   }
   return "";
 }
@@ -103,13 +106,14 @@
              : InstanceReadPeriod;
 }
 
-/// Continues after a read: starts a watch of the configuration, or schedules
-/// the next read.
+/// Continues after a read: starts a watch of the configuration or of the
+/// evacuations, or schedules the next read.
 void scheduleNext(DirectoryState &State, StoreCollection Collection,
                   SteadyTime Now, InstanceEffects &Out) {
   CollectionReader &Reader = readerOf(State, Collection);
-  if (Collection == StoreCollection::Configuration &&
-      Reader.CompletedReads > 0 && State.Configuration) {
+  if (Collection == StoreCollection::Evacuations ||
+      (Collection == StoreCollection::Configuration &&
+       Reader.CompletedReads > 0 && State.Configuration)) {
     startWatch(Reader, Collection, Out);
     return;
   }
@@ -131,6 +135,8 @@
     return;
   if (Collection == StoreCollection::Upstreams && !wantsUpstreams(State))
     return;
+  if (Collection == StoreCollection::Evacuations && !State.Evacuation.Bound)
+    return;
   bool Stale = Collection == StoreCollection::Instances ||
                (Collection == StoreCollection::Upstreams && !State.IsSender &&
                 !Reader.NeedsCurrentRead);
@@ -167,7 +173,7 @@
   }
   for (StoreCollection Collection :
        {StoreCollection::Configuration, StoreCollection::Upstreams,
-        StoreCollection::Instances})
+        StoreCollection::Instances, StoreCollection::Evacuations})
     advanceReader(State, Collection, Now, Out);
   advanceRegistration(State, Now, Out);
 }
@@ -181,6 +187,8 @@
     return false;
   if (Event.Status != StoreStatus::Done) {
     recordFailure(Reader, Event.Collection, Now, Out);
+    if (Event.Collection == StoreCollection::Evacuations)
+      State.Evacuation.ReadFailed = true;
     return false;
   }
   recordAnswer(Reader, Event.Collection, Out);
@@ -203,6 +211,9 @@
     applyConfiguration(State, *Event.Configuration, Event.Revision, Out);
   if (Event.Collection == StoreCollection::Upstreams)
     State.Upstreams = Event.Upstreams;
+  if (Event.Collection == StoreCollection::Evacuations)
+    applyEvacuationRead(State.Evacuation, {Event.Evacuated, Event.Revision},
+                        Out);
   scheduleNext(State, Event.Collection, Now, Out);
   return true;
 }
@@ -219,14 +230,20 @@
     return;
   }
   recordAnswer(Reader, Event.Collection, Out);
-  bool NeedsRead = Event.Status == StoreStatus::Gone ||
-                   (Event.Changed && !Event.Configuration);
+  bool IsEvacuations = Event.Collection == StoreCollection::Evacuations;
+  bool KnowsChanges = IsEvacuations ? !Event.Evacuations.empty()
+                                    : Event.Configuration.has_value();
+  bool NeedsRead =
+      Event.Status == StoreStatus::Gone || (Event.Changed && !KnowsChanges);
   if (NeedsRead) {
     startRead(Reader, Event.Collection, false, Out);
     return;
   }
   if (Event.Configuration)
     applyConfiguration(State, *Event.Configuration, Event.Revision, Out);
+  if (IsEvacuations)
+    applyEvacuationChanges(State.Evacuation, Event.Evacuations, Event.Revision,
+                           Out);
   Reader.Revision = Event.Revision;
   startWatch(Reader, Event.Collection, Out);
 }
@@ -305,6 +322,9 @@
                    InstanceEffects &Out) {
   if (Event.Configuration)
     applyConfiguration(State, *Event.Configuration, {}, Out);
+  // The peer may have been asked before the last return.
+  if (Event.Evacuation)
+    applyPeerEvacuation(State.Evacuation, *Event.Evacuation, SteadyTime{}, Out);
   if (!wantsUpstreams(State) || !State.Upstreams.empty() ||
       Event.Upstreams.empty())
     return;
--- a/src/directory/directory_type.h
+++ b/src/directory/directory_type.h
@@ -5,6 +5,8 @@
 
 #include "orders/order_type.h"
 
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,8 +18,20 @@
 using StoreLease = StrongId<struct StoreLeaseTag>;
 
 /// Collections in the store that an instance reads.
-enum class StoreCollection { Configuration, Upstreams, Instances };
-constexpr size_t CollectionCount = 3;
+enum class StoreCollection { Configuration, Upstreams, Instances, Evacuations };
+constexpr size_t CollectionCount = 4;
+
+/// The evacuated data centres, as the store has them at a revision.
+struct EvacuationSet {
+  std::set<DataCentre> Centres;
+  StoreRevision Revision;
+};
+
+/// Begin or end of the evacuation of a data centre.
+struct EvacuationChange {
+  DataCentre Centre;
+  bool Ended = false;
+};
 
 /// A queue of the operators' configuration, and the requests that it takes.
 struct Route {
@@ -88,6 +102,7 @@
 /// the store does not answer.
 struct FetchSnapshot {
   Address Endpoint;
+  bool WantsEvacuation = false; ///< See `PeerPing::WantsEvacuation`.
 };
 
 // Events.
@@ -96,6 +111,7 @@
 struct SnapshotFetched {
   std::optional<FleetConfiguration> Configuration;
   std::vector<UpstreamRecord> Upstreams;
+  std::optional<EvacuationSet> Evacuation; ///< Absent if the peer has none.
 };
 
 /// Outcome of a call to the store.
@@ -116,6 +132,7 @@
   std::optional<FleetConfiguration> Configuration;
   std::vector<UpstreamRecord> Upstreams;
   std::vector<InstanceRecord> Instances;
+  std::set<DataCentre> Evacuated;
   size_t UnreadableRecords = 0; ///< Invalid records, which were skipped.
 };
 
@@ -128,6 +145,7 @@
   bool Changed = false;   ///< At least one record has changed.
   /// The newest valid configuration among the changes.
   std::optional<FleetConfiguration> Configuration;
+  std::vector<EvacuationChange> Evacuations; ///< In the order of the changes.
 };
 
 /// A lease was granted, or the call has failed.
--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -42,6 +42,7 @@
 // failed sender are acquired by another instance in about a second.
 constexpr Duration UnknownRetry = std::chrono::seconds(1);
 constexpr const char *NoSender = "no sender is available";
+constexpr const char *AllEvacuated = "all data centres are evacuated";
 // Time after which the result of a job is asked for: its objective, within
 // these limits. The answers of most jobs come earlier, so most jobs cost no
 // query; a wrong estimate does not delay it for longer than the upper limit.
@@ -262,6 +263,9 @@
                   "cancelled before any start", Now, Out);
   if (forwardToBestSender(State, Context, Forward, Now, Out))
     return;
+  if (areAllCentresEvacuated(Context.Cells))
+    return endJob(State, Context, Forward, AnswerStatus::NotRun, RetryAfter,
+                  AllEvacuated, Now, Out);
   bool SenderAvailable = !availableSenders(Context.Cells, Now).empty();
   if (SenderAvailable || Now >= waitLimit(J))
     endJob(State, Context, Forward, AnswerStatus::NotRun, RetryAfter,
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -7,6 +7,8 @@
 #include "cells/peer_func.h"
 #include "directory/directory_cmd.h"
 #include "directory/directory_table.h"
+#include "directory/evacuation_cmd.h"
+#include "directory/evacuation_table.h"
 #include "entry/entry_cmd.h"
 #include "entry/open_job_cmd.h"
 #include "sender/job_cmd.h"
@@ -59,9 +61,31 @@
   Report.ConfigurationVersion = State.Directory.Configuration
                                     ? State.Directory.Configuration->Version
                                     : 0;
+  Report.Evacuation = evacuationForPeers(State.Directory.Evacuation);
   return Report;
 }
 
+/// Makes the sender and the entry obey the known evacuations.
+void updateEvacuation(FleetInstance &State, SteadyTime Now) {
+  const EvacuationState &Known = State.Directory.Evacuation;
+  if (!Known.Bound && !State.Cells.WantsEvacuation)
+    return;
+  State.Cells.WantsEvacuation = Known.Bound.has_value();
+  std::set<DataCentre> Centres;
+  if (Known.Current)
+    Centres = Known.Current->Centres;
+  applyEvacuatedCentres(State.Cells, Centres, Now);
+  WithheldStarts &Withheld = State.Sender.Withheld;
+  std::optional<SteadyTime> PausedSince = startsPausedSince(Known, Now);
+  if (Withheld.Paused != PausedSince.has_value() || Withheld.Centres != Centres)
+    State.Sender.PlacementDue = true;
+  Withheld.Paused = PausedSince.has_value();
+  Withheld.Evacuated = Centres.count(State.Settings.Self.Centre) != 0;
+  Withheld.ReturnsJobs = Withheld.Evacuated ||
+                         (PausedSince && Now - *PausedSince >= MaxStartPause);
+  Withheld.Centres = std::move(Centres);
+}
+
 void logInstance(InstanceEffects &Out, std::string Message) {
   Out.push_back(LogDecision{DecisionPart::Instance, "", std::move(Message)});
 }
@@ -136,6 +160,7 @@
                    std::to_string(toMilliseconds(Now - LastTick)));
     updateRole();
     advanceDirectory(State.Directory, Now, Out);
+    advanceEvacuation(State.Directory.Evacuation, Now, Out);
     requestSnapshot();
     updateOwnCells();
     expireRuns(State.Sender, Now, Out);
@@ -178,6 +203,10 @@
     State.Cells.Self.Weight = E.Settings.Self.Weight;
     State.Sender.Bounds = E.Settings.Bounds;
     State.Directory.DrainNotice = E.Settings.Bounds.DrainNotice;
+    setEvacuationBound(State.Directory.Evacuation, E.Settings.Bounds.Evacuate,
+                       Now);
+    if (!E.Settings.Bounds.Evacuate)
+      rereadNow(State.Directory, StoreCollection::Evacuations, Now);
     for (const Address &Seed : State.Settings.Seeds)
       addPeer(State.Cells, {Seed, {}, 0}, Now);
   }
@@ -272,14 +301,21 @@
   }
 
   void operator()(const PingArrived &E) {
+    recordPeer();
     applyPing(State.Cells, E, ownReport(State, Now), Now, Out);
     stopCancelledJobs(E.Message.From.Endpoint, E.Message.CancelledJobs);
     if (State.Cells.ClaimsDue)
       updateOwnCells();
   }
   void operator()(const PingAnswered &E) {
+    if (E.Reply)
+      recordPeer();
     if (applyPong(State.Cells, E, Now, Out))
       State.Sender.PlacementDue = true;
+    auto P = State.Cells.Peers.find(E.Endpoint);
+    if (E.Reply && E.Reply->Evacuation && P != State.Cells.Peers.end())
+      applyPeerEvacuation(State.Directory.Evacuation, *E.Reply->Evacuation,
+                          P->second.LastConfirmation, Out);
     if (E.Reply)
       stopCancelledJobs(E.Endpoint, E.Reply->CancelledJobs);
     if (E.Reply)
@@ -337,7 +373,26 @@
     applyLeaseRenewal(State.Directory, E, Now);
   }
 
+  /// Reads the evacuations anew after a pause of this process.
+  void noticePause() {
+    if (State.LastEvent != SteadyTime{} && Now - State.LastEvent >= ReturnPause)
+      readEvacuationsAnew();
+  }
+
 private:
+  void recordPeer() {
+    if (recordPeerMessage(State.Directory.Evacuation, Now))
+      readEvacuationsAnew();
+  }
+
+  void readEvacuationsAnew() {
+    if (!State.Directory.Evacuation.Bound)
+      return;
+    awaitEvacuationRead(State.Directory.Evacuation, Now, Out);
+    rereadNow(State.Directory, StoreCollection::Evacuations, Now);
+    advanceDirectory(State.Directory, Now, Out);
+  }
+
   Duration grace() const { return State.Settings.Bounds.Grace; }
 
   bool isOpenHere(const JobId &Id) const {
@@ -378,7 +433,8 @@
     if (!Source || Wait)
       return;
     State.Directory.NextSnapshotRequest = Now + SnapshotPeriod;
-    Out.push_back(FetchSnapshot{*Source});
+    Out.push_back(
+        FetchSnapshot{*Source, State.Directory.Evacuation.Bound.has_value()});
   }
 
   /// Reads of the list depend on whether this instance uses upstreams, which
@@ -547,6 +603,8 @@
   State.LastEvent = Now;
   State.Sender.Bounds = State.Settings.Bounds;
   State.Directory.DrainNotice = State.Settings.Bounds.DrainNotice;
+  setEvacuationBound(State.Directory.Evacuation, State.Settings.Bounds.Evacuate,
+                     Now);
   for (const Address &Seed : State.Settings.Seeds)
     addPeer(State.Cells, {Seed, {}, 0}, Now);
   return State;
@@ -555,7 +613,12 @@
 InstanceEffects reduce(FleetInstance &State, const InstanceEvent &E) {
   InstanceEffects Pending;
   InstanceEffects Out;
-  std::visit(Router{State, E.Now, E.Wall, Pending}, E.Body);
+  Router Handler{State, E.Now, E.Wall, Pending};
+  Handler.noticePause();
+  updateEvacuation(State, E.Now);
+  std::visit(Handler, E.Body);
+  updateEvacuation(State, E.Now);
+  returnWithheldJobs(State.Sender, E.Now, Pending);
   returnStrandedJobs(State.Sender, E.Now, Pending);
   while (deliverLocally(State, E.Now, Pending, Out)) {
   }
@@ -581,7 +644,7 @@
 
 bool isReady(const FleetInstance &State, SteadyTime Now) {
   return !State.DrainStarted && State.Directory.Configuration &&
-         !availableSenders(State.Cells, Now).empty();
+         !reachableSenders(State.Cells, Now).empty();
 }
 
 } // namespace snipeshunt
--- a/src/rpc/cell_codec.cpp
+++ b/src/rpc/cell_codec.cpp
@@ -10,6 +10,8 @@
 
 constexpr size_t MaxClaims = 1024;
 constexpr size_t MaxListLength = 20000;
+// Deployments have a few data centres. The list is in each answer to a ping.
+constexpr size_t MaxEvacuatedCentres = 256;
 constexpr size_t MaxSpecBytes = 1 << 20;
 // Largest processor time in a load, which is a sum over upstreams.
 constexpr int64_t MaxLoadCpu = int64_t{1} << 40;
@@ -98,8 +100,9 @@
 }
 
 template <typename Id>
-void readIds(ObjectReader &Reader, const char *Name, std::vector<Id> &Out) {
-  readList(Reader, Name, MaxListLength, Out,
+void readIds(ObjectReader &Reader, const char *Name, std::vector<Id> &Out,
+             size_t MaxLength = MaxListLength) {
+  readList(Reader, Name, MaxLength, Out,
            [Name](const Json::Value &V) -> Result<Id> {
              if (std::string Text; readId(V, Text))
                return Id{std::move(Text)};
@@ -355,6 +358,38 @@
                    std::to_string(MaxQueriedOpenJobs)};
 }
 
+Json::Value encodeEvacuation(const EvacuationSet &Set) {
+  Json::Value V(Json::objectValue);
+  V["revision"] = Json::UInt64(Set.Revision.Value);
+  V["centres"] = Json::Value(Json::arrayValue);
+  for (const DataCentre &Centre : Set.Centres)
+    V["centres"].append(Centre.Value);
+  return V;
+}
+
+/// Writes the evacuated data centres, if they are to be sent. Longer lists than
+/// the receiver accepts are left out.
+void writeEvacuation(Json::Value &V, const std::optional<EvacuationSet> &Set) {
+  if (Set && Set->Centres.size() <= MaxEvacuatedCentres)
+    V["evacuation"] = encodeEvacuation(*Set);
+}
+
+void readEvacuation(ObjectReader &Reader, std::optional<EvacuationSet> &Out) {
+  const Json::Value *Value = Reader.optionalObject("evacuation");
+  if (!Value)
+    return;
+  ObjectReader Inner(*Value, "evacuation");
+  std::vector<DataCentre> Centres;
+  EvacuationSet Set;
+  Inner.unsignedId("revision", Set.Revision.Value);
+  readIds(Inner, "centres", Centres, MaxEvacuatedCentres);
+  Set.Centres.insert(Centres.begin(), Centres.end());
+  if (std::optional<Error> Problem = Inner.finish())
+    Reader.fail(*Problem);
+  else
+    Out = std::move(Set);
+}
+
 } // namespace
 
 Json::Value encodePing(const PeerPing &Message) {
@@ -402,6 +437,7 @@
   if (!Message.CancelledJobs.empty())
     V["cancelled"] =
         encodeList(Message.CancelledJobs, encodeReference<CancelledJob>);
+  writeEvacuation(V, Message.Evacuation);
   return V;
 }
 
@@ -422,6 +458,7 @@
   if (Reader.has("cancelled"))
     readList(Reader, "cancelled", MaxListLength, Message.CancelledJobs,
              decodeCancelled);
+  readEvacuation(Reader, Message.Evacuation);
   return finishReading(Reader, std::move(Message));
 }
 
@@ -432,6 +469,7 @@
     V["routes"] = encodeList(Message.Configuration->Routes, encodeRoute);
   }
   V["upstreams"] = encodeList(Message.Upstreams, encodeUpstream);
+  writeEvacuation(V, Message.Evacuation);
   return V;
 }
 
@@ -446,6 +484,7 @@
   }
   readList(Reader, "upstreams", MaxListLength, Message.Upstreams,
            decodeUpstream);
+  readEvacuation(Reader, Message.Evacuation);
   return finishReading(Reader, std::move(Message));
 }
 
--- a/src/rpc/rpc_codec.cpp
+++ b/src/rpc/rpc_codec.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr const char *WantsEvacuationParameter = "wants_evacuation";
+
 constexpr size_t MaxBatchTasks = 20000;
 constexpr size_t MaxMembers = 1024;
 constexpr size_t MaxDocumentBytes = 1 << 20;
@@ -133,15 +135,23 @@
 } // namespace
 
 std::string encodeRpcRequest(const std::string &Method,
-                             const Json::Value &Message) {
+                             const Json::Value &Message, bool WantsEvacuation) {
   Json::Value V(Json::objectValue);
   V["jsonrpc"] = "2.0";
   V["id"] = 1;
   V["method"] = Method;
   V["params"]["message"] = Message;
+  if (WantsEvacuation)
+    V["params"][WantsEvacuationParameter] = true;
   return writeJson(V);
 }
 
+bool wantsEvacuation(const Json::Value &Parameters) {
+  return Parameters.isObject() &&
+         Parameters[WantsEvacuationParameter].isBool() &&
+         Parameters[WantsEvacuationParameter].asBool();
+}
+
 Result<Json::Value> decodeRpcResponse(std::string_view Text) {
   Result<Json::Value> Parsed = parseJson(Text);
   if (failed(Parsed))
--- a/src/rpc/rpc_codec.h
+++ b/src/rpc/rpc_codec.h
@@ -19,9 +19,14 @@
 namespace snipeshunt {
 
 /// Returns the text of a JSON-RPC request with \p Message as its only
-/// parameter.
+/// parameter. \p WantsEvacuation adds one, which earlier versions ignore; they
+/// would reject an unknown field in \p Message or in the response to it.
 std::string encodeRpcRequest(const std::string &Method,
-                             const Json::Value &Message);
+                             const Json::Value &Message,
+                             bool WantsEvacuation = false);
+/// Returns true if the parameters of a request say that the response may
+/// contain the evacuated data centres.
+bool wantsEvacuation(const Json::Value &Parameters);
 /// Returns the result in the text of a JSON-RPC response, or an error if the
 /// peer rejected the request.
 Result<Json::Value> decodeRpcResponse(std::string_view Text);
--- a/src/rpc/rpc_server.cpp
+++ b/src/rpc/rpc_server.cpp
@@ -37,7 +37,7 @@
     Transport.SetHandler(Handler.get());
   }
 
-  void bind(const std::string &Name, Method Function) {
+  void bind(const std::string &Name, ParameterMethod Function) {
     Methods[Name] = std::move(Function);
     jsonrpc::Procedure Described(Name, jsonrpc::PARAMS_BY_NAME,
                                  jsonrpc::JSON_OBJECT, "message",
@@ -47,13 +47,13 @@
 
   void HandleMethodCall(jsonrpc::Procedure &Called, const Json::Value &Input,
                         Json::Value &Output) override {
-    Output = Methods[Called.GetProcedureName()](Input["message"]);
+    Output = Methods[Called.GetProcedureName()](Input["message"], Input);
   }
   void HandleNotificationCall(jsonrpc::Procedure &,
                               const Json::Value &) override {}
 
 private:
-  std::map<std::string, Method> Methods;
+  std::map<std::string, ParameterMethod> Methods;
   std::unique_ptr<jsonrpc::IProtocolHandler> Handler;
 };
 
@@ -64,6 +64,13 @@
 RpcServer::~RpcServer() = default;
 
 void RpcServer::bind(const std::string &Name, Method Function) {
+  Methods->bind(Name, [Function = std::move(Function)](
+                          const Json::Value &Message, const Json::Value &) {
+    return Function(Message);
+  });
+}
+
+void RpcServer::bind(const std::string &Name, ParameterMethod Function) {
   Methods->bind(Name, std::move(Function));
 }
 
--- a/src/rpc/rpc_server.h
+++ b/src/rpc/rpc_server.h
@@ -15,12 +15,16 @@
 public:
   /// Receives the parameter `message` and returns the result.
   using Method = std::function<Json::Value(const Json::Value &)>;
+  /// Receives all parameters besides.
+  using ParameterMethod = std::function<Json::Value(
+      const Json::Value &Message, const Json::Value &Parameters)>;
 
   RpcServer();
   ~RpcServer();
 
   /// Registers the method \p Name.
   void bind(const std::string &Name, Method Function);
+  void bind(const std::string &Name, ParameterMethod Function);
   /// Handles the text of one request and returns the text of the response.
   std::string handle(const std::string &Request);
 
--- a/src/runtime/cell_daemon.cpp
+++ b/src/runtime/cell_daemon.cpp
@@ -4,6 +4,7 @@
 #include "cells/cell_table.h"
 #include "core/json_func.h"
 #include "daemon/log.h"
+#include "directory/evacuation_cmd.h"
 #include "http/http_address.h"
 #include "rpc/cell_codec.h"
 #include "rpc/rpc_codec.h"
@@ -162,17 +163,23 @@
 }
 
 void CellDaemon::registerPeerHandlers() {
-  Rpc.bind("cell.ping", [this](const Json::Value &Message) {
-    Result<PeerPing> Decoded = decodePing(Message);
-    if (failed(Decoded))
-      return encodeRpcError(errorOf(Decoded));
-    PongReply = Json::Value(Json::objectValue);
-    dispatch(PingArrived{{}, std::move(valueOf(Decoded))});
-    return std::move(PongReply);
-  });
-  Rpc.bind("cell.snapshot", [this](const Json::Value &) {
-    return encodeSnapshot(
-        {State.Directory.Configuration, State.Directory.Upstreams});
+  Rpc.bind("cell.ping",
+           [this](const Json::Value &Message, const Json::Value &Parameters) {
+             Result<PeerPing> Decoded = decodePing(Message);
+             if (failed(Decoded))
+               return encodeRpcError(errorOf(Decoded));
+             valueOf(Decoded).WantsEvacuation = wantsEvacuation(Parameters);
+             PongReply = Json::Value(Json::objectValue);
+             dispatch(PingArrived{{}, std::move(valueOf(Decoded))});
+             return std::move(PongReply);
+           });
+  Rpc.bind("cell.snapshot", [this](const Json::Value &,
+                                   const Json::Value &Parameters) {
+    SnapshotFetched Snapshot{State.Directory.Configuration,
+                             State.Directory.Upstreams, std::nullopt};
+    if (wantsEvacuation(Parameters))
+      Snapshot.Evacuation = evacuationForPeers(State.Directory.Evacuation);
+    return encodeSnapshot(Snapshot);
   });
   Rpc.bind("cell.results", [this](const Json::Value &Message) {
     Result<ResultQuery> Decoded = decodeResultQuery(Message);
@@ -252,7 +259,8 @@
   Call.Target = E.Endpoint;
   Call.Method = "POST";
   Call.Path = "/rpc";
-  Call.Body = encodeRpcRequest("cell.ping", encodePing(E.Message));
+  Call.Body = encodeRpcRequest("cell.ping", encodePing(E.Message),
+                               E.Message.WantsEvacuation);
   Call.Timeout = PingTimeout;
   Address Endpoint = E.Endpoint;
   PingClient.send(
@@ -280,7 +288,8 @@
   Call.Target = E.Endpoint;
   Call.Method = "POST";
   Call.Path = "/rpc";
-  Call.Body = encodeRpcRequest("cell.snapshot", Json::Value(Json::objectValue));
+  Call.Body = encodeRpcRequest("cell.snapshot", Json::Value(Json::objectValue),
+                               E.WantsEvacuation);
   Call.Timeout = PingTimeout;
   JobClient.send(std::move(Call), [this](const HttpOutcome &Outcome) {
     const auto *Answer = std::get_if<HttpReply>(&Outcome);
--- a/src/runtime/cell_metrics.cpp
+++ b/src/runtime/cell_metrics.cpp
@@ -44,6 +44,24 @@
   return Ok{};
 }
 
+void CellMetrics::setEvacuationMetrics() {
+  const FleetInstance &State = Owner.state();
+  if (!State.Directory.Evacuation.Bound)
+    return;
+  const std::set<DataCentre> &Evacuated = State.Cells.Evacuated;
+  // Ended evacuations stay on the page as 0.
+  EvacuationsShown.insert(Evacuated.begin(), Evacuated.end());
+  EvacuationsShown.insert(State.Settings.Self.Centre);
+  for (const DataCentre &Centre : EvacuationsShown)
+    Values.setGauge("evacuated", "1 while no task is started there.",
+                    "data_centre", Centre.Value,
+                    Evacuated.count(Centre) ? 1 : 0);
+  Values.setCounter("starts_withheld_total",
+                    "Tasks not started here because of an evacuation, or "
+                    "before the evacuations were known.",
+                    State.Sender.Counts.StartsWithheld);
+}
+
 std::string CellMetrics::text() {
   const FleetInstance &State = Owner.state();
   const EntryCounters &E = State.Entry.Counts;
@@ -123,6 +141,7 @@
   Values.setGauge("store_unreadable_records",
                   "Records of the store that were skipped in the last reads.",
                   static_cast<double>(unreadableRecords(State.Directory)));
+  setEvacuationMetrics();
   Values.setGauge("ready", "1 if callers should be sent here.",
                   Owner.ready() ? 1 : 0);
   return Values.text();
--- a/src/runtime/cell_metrics.h
+++ b/src/runtime/cell_metrics.h
@@ -5,6 +5,8 @@
 #include "daemon/metric_registry.h"
 #include "runtime/cell_daemon.h"
 
+#include <set>
+
 namespace snipeshunt {
 
 /// Serves `/metrics` on the address `metrics` of the settings.
@@ -17,10 +19,13 @@
 private:
   /// Updates all values and returns them in the format of Prometheus.
   std::string text();
+  /// Updates the values about evacuations, if the settings have a bound.
+  void setEvacuationMetrics();
 
   CellDaemon &Owner;
   HttpServer Server;
   MetricRegistry Values;
+  std::set<DataCentre> EvacuationsShown; ///< With a value of `evacuated`.
 };
 
 } // namespace snipeshunt
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+constexpr const char *EvacuatedReason = "its data centre is evacuated";
+constexpr const char *PausedReason =
+    "starts are withheld until the evacuated data centres are known";
 constexpr const char *CrashReason =
     "upstreams crashed under one of its tasks in an earlier submission";
 
@@ -103,7 +106,8 @@
          std::any_of(State.Upstreams.begin(), State.Upstreams.end(),
                      [&](const auto &Entry) {
                        const SenderUpstream &U = Entry.second;
-                       return U.Phase != UpstreamPhase::Fenced &&
+                       return !State.Withheld.Centres.count(U.Record.Centre) &&
+                              U.Phase != UpstreamPhase::Fenced &&
                               U.Record.Service == Order.Service &&
                               U.Record.Capacity.covers(Order.Step.PerTask);
                      });
@@ -146,10 +150,13 @@
 
 CapacityUsage measureCapacity(const SenderState &State, SteadyTime Now) {
   CapacityUsage Usage;
+  if (State.Withheld.ReturnsJobs)
+    return Usage;
   Usage.Unknown = State.UpstreamListPending;
   for (const auto &[Id, U] : State.Upstreams) {
     if (U.Phase == UpstreamPhase::Unresponsive ||
-        U.Phase == UpstreamPhase::Fenced || U.Record.Draining)
+        U.Phase == UpstreamPhase::Fenced || U.Record.Draining ||
+        State.Withheld.Centres.count(U.Record.Centre))
       continue;
     // Upstreams of a newly claimed cell count too, as they will soon be ready.
     Usage.TotalCpu += U.Record.Capacity.CpuMillis;
@@ -325,6 +332,12 @@
   if (State.Draining)
     return rejectJob(State, Order, Waiter, "sender is shutting down", true, Now,
                      Out);
+  if (State.Withheld.ReturnsJobs) {
+    State.Counts.StartsWithheld += Order.Step.Count;
+    return rejectJob(State, Order, Waiter,
+                     State.Withheld.Evacuated ? EvacuatedReason : PausedReason,
+                     true, Now, Out);
+  }
   if (!fitsAnyUpstream(State, Order))
     return rejectJob(State, Order, Waiter,
                      "no upstream of this sender fits its tasks", true, Now,
@@ -524,6 +537,25 @@
               Out);
 }
 
+void returnWithheldJobs(SenderState &State, SteadyTime Now,
+                        InstanceEffects &Out) {
+  const WithheldStarts &Withheld = State.Withheld;
+  if (!Withheld.ReturnsJobs)
+    return;
+  // A pause may end before the caller's deadline, so jobs that have run wait
+  // for that.
+  for (const JobId &Id : jobsWhere(State, [&](const SenderJob &J) {
+         return J.WaitingTasks == J.UnfinishedTasks &&
+                (Withheld.Evacuated || !J.MayHaveRun);
+       })) {
+    const SenderJob &J = State.Jobs.at(Id);
+    State.Counts.StartsWithheld += J.WaitingTasks;
+    finishJob(State, Id, J.MayHaveRun ? JobOutcome::Lost : JobOutcome::NotRun,
+              Withheld.Evacuated ? EvacuatedReason : PausedReason, Now, Out,
+              /*Moved=*/true);
+  }
+}
+
 void returnStrandedJobs(SenderState &State, SteadyTime Now,
                         InstanceEffects &Out) {
   if (!State.UpstreamsLost || State.UpstreamListPending)
--- a/src/sender/job_cmd.h
+++ b/src/sender/job_cmd.h
@@ -57,6 +57,12 @@
 void returnStrandedJobs(SenderState &State, SteadyTime Now,
                         InstanceEffects &Out);
 
+/// Ends the jobs whose unfinished tasks all wait for starts that are withheld,
+/// see `WithheldStarts::ReturnsJobs`. Those that have not run go to other
+/// senders.
+void returnWithheldJobs(SenderState &State, SteadyTime Now,
+                        InstanceEffects &Out);
+
 /// Applies the end of a run to its job: the task is done, waits again, or makes
 /// the job fail. Ignored if \p Key is not the last run of its task.
 void applyRunOutcome(SenderState &State, const UpstreamId &Upstream,
--- a/src/sender/placement_cmd.cpp
+++ b/src/sender/placement_cmd.cpp
@@ -32,9 +32,10 @@
 bool isUsable(const SenderState &State, const SenderUpstream &U,
               SteadyTime Now) {
   // A start prolongs the lease of all runs on the upstream.
-  return acceptsStarts(U, Now) && hasCurrentRecord(U) &&
-         U.UnlistedSince == SteadyTime{} && U.ClockOffset &&
-         U.UnansweredCalls == 0 && !mustLapse(State, U);
+  return acceptsStarts(U, Now) &&
+         !State.Withheld.Centres.count(U.Record.Centre) &&
+         hasCurrentRecord(U) && U.UnlistedSince == SteadyTime{} &&
+         U.ClockOffset && U.UnansweredCalls == 0 && !mustLapse(State, U);
 }
 
 /// Returns true if the present process of the upstream has the label. Its
@@ -276,7 +277,7 @@
 void startWaitingTasks(SenderState &State,
                        const std::function<bool(const SenderJob &)> &MayStart,
                        SteadyTime Now, InstanceEffects &Out) {
-  if (!State.PlacementDue)
+  if (!State.PlacementDue || State.Withheld.Paused)
     return;
   State.PlacementDue = false;
   std::optional<int64_t> Need = smallestNeed(State);
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -236,6 +236,8 @@
   uint64_t CrashesInProgress = 0;
   uint64_t CrashesPossible = 0;
   uint64_t Renewals = 0; ///< Renewal calls sent.
+  /// Tasks of jobs that were not started here because of `WithheldStarts`.
+  uint64_t StartsWithheld = 0;
   /// Upstreams looked at by placement, as a measure of its cost.
   uint64_t UpstreamsVisited = 0;
 };
@@ -266,10 +268,22 @@
   std::deque<std::pair<SteadyTime, JobId>> Order;
 };
 
+/// Starts that this sender withholds because of an evacuation, or while it does
+/// not know yet whether there is one.
+struct WithheldStarts {
+  std::set<DataCentre> Centres; ///< No task is started on their upstreams.
+  bool Paused = false;          ///< Nothing is started, jobs may wait.
+  /// Jobs of which nothing has run don't wait here: the own data centre is
+  /// evacuated, or the pause has lasted too long.
+  bool ReturnsJobs = false;
+  bool Evacuated = false; ///< The own data centre is evacuated.
+};
+
 /// State of the sender part of an instance.
 struct SenderState {
   FleetBounds Bounds; ///< From the settings.
   OfferedWork Offered;
+  WithheldStarts Withheld;
   bool Draining = false;    ///< Shutdown has begun; new jobs are rejected.
   bool PlacementDue = true; ///< A start may have become possible.
   /// Upstreams were released or fenced off, so that jobs may have none left.
--- a/tests/support/cell_world.cpp
+++ b/tests/support/cell_world.cpp
@@ -1,6 +1,8 @@
 /// \file Instances and the store of the simulated fleet of cells.
 #include "cell_world.h"
 
+#include "directory/evacuation_cmd.h"
+
 #include <algorithm>
 #include <cstdlib>
 #include <iostream>
@@ -10,6 +12,8 @@
 namespace {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(10);
+// Longest delay of the answer to a watch of the evacuations.
+constexpr Duration WatchPoll = std::chrono::milliseconds(20);
 
 template <typename... Fs> struct Overloaded : Fs... {
   using Fs::operator()...;
@@ -49,6 +53,7 @@
   FleetSettings Settings;
   Settings.Name = I.Name;
   Settings.Self = I.Record;
+  Settings.Bounds.Evacuate = EvacuationBound;
   if (SeedsOnly)
     Settings.Seeds.push_back(Instances.begin()->first);
   I.State = startInstance(Settings, {NextIncarnation++}, Now);
@@ -316,6 +321,33 @@
     Arrive();
 }
 
+void CellWorld::setEvacuated(const std::string &Centre, bool Value) {
+  if (Value)
+    Evacuated.insert({Centre});
+  else
+    Evacuated.erase({Centre});
+  EvacuationChanges[++Revision] = {{Centre}, !Value};
+}
+
+void CellWorld::watchEvacuations(const Address &From, const WatchCollection &W,
+                                 SteadyTime End) {
+  WatchAnswered Event;
+  Event.Collection = W.Collection;
+  Event.Sequence = W.Sequence;
+  Event.Revision = {Revision};
+  Event.Status = !StoreUp || CutGroup.count(From)    ? StoreStatus::Failed
+                 : W.AfterRevision.Value < Compacted ? StoreStatus::Gone
+                                                     : StoreStatus::Done;
+  for (auto It = EvacuationChanges.upper_bound(W.AfterRevision.Value);
+       It != EvacuationChanges.end(); ++It)
+    Event.Evacuations.push_back(It->second);
+  Event.Changed = !Event.Evacuations.empty();
+  if (Event.Status != StoreStatus::Done || Event.Changed || Now >= End)
+    return deliver(From, Event);
+  schedule(Now + WatchPoll,
+           [this, From, W, End] { watchEvacuations(From, W, End); });
+}
+
 std::vector<Address> CellWorld::senders() const {
   std::vector<Address> Found;
   for (const auto &[Endpoint, I] : Instances)
@@ -411,12 +443,16 @@
           [&](const ReadCollection &R) {
             if (R.Collection == StoreCollection::Upstreams && !R.AllowStale)
               ++I.UpstreamReads;
+            if (R.Collection == StoreCollection::Evacuations)
+              ++EvacuationReads;
             Store([this, R](bool Up) {
               CollectionReadAnswered Event;
               Event.Collection = R.Collection;
               Event.Sequence = R.Sequence;
               Event.Status = Up ? StoreStatus::Done : StoreStatus::Failed;
               Event.Revision = {Revision};
+              if (R.Collection == StoreCollection::Evacuations)
+                Event.Evacuated = Evacuated;
               if (R.Collection == StoreCollection::Configuration)
                 Event.Configuration = Configuration;
               if (R.Collection == StoreCollection::Upstreams)
@@ -436,6 +472,8 @@
             });
           },
           [&](const WatchCollection &W) {
+            if (W.Collection == StoreCollection::Evacuations)
+              return watchEvacuations(Self, W, Now + W.Wait);
             schedule(Now + std::chrono::milliseconds(500), [this, Self, W] {
               WatchAnswered Event;
               Event.Collection = W.Collection;
@@ -474,7 +512,11 @@
                 !areLinked(Self, F.Endpoint))
               return;
             SnapshotFetched Event{Peer->second.State.Directory.Configuration,
-                                  Peer->second.State.Directory.Upstreams};
+                                  Peer->second.State.Directory.Upstreams,
+                                  std::nullopt};
+            if (F.WantsEvacuation)
+              Event.Evacuation =
+                  evacuationForPeers(Peer->second.State.Directory.Evacuation);
             schedule(Now + Hop * 2,
                      [this, Self, Event] { deliver(Self, Event); });
           },
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -139,6 +139,18 @@
   /// like bytes that TCP sends again. Otherwise they are lost.
   void setCutsDelayMessages(bool Delay) { CutsDelayMessages = Delay; }
 
+  /// Gives instances that start later the setting `FleetBounds::Evacuate`.
+  void setEvacuationBound(std::optional<std::chrono::milliseconds> Bound) {
+    EvacuationBound = Bound;
+  }
+  /// Writes or removes the key that requests a data centre's evacuation.
+  void setEvacuated(const std::string &Centre, bool Evacuated);
+  /// Makes the store forget its changes so far: watches from an earlier
+  /// revision are answered as gone.
+  void compactStore() { Compacted = Revision; }
+  /// Returns the number of reads of the evacuations.
+  size_t evacuationReads() const { return EvacuationReads; }
+
   void setStoreUp(bool Up) { StoreUp = Up; }
   /// Sets the time that the store takes for an answer.
   void setStoreTime(Duration Time) { StoreTime = Time; }
@@ -293,6 +305,9 @@
   void sendQuery(Instance &I, const SendResultQuery &E);
   void sendQuery(Instance &I, const SendOpenJobQuery &E);
   void abandonForward(const Address &From, const AbandonForward &E);
+  /// Answers a watch of the evacuations once there are changes.
+  void watchEvacuations(const Address &From, const WatchCollection &W,
+                        SteadyTime End);
   void sendOrder(Instance &I, const StartRun &E);
   void sendOrder(Instance &I, const StopRun &E);
   void sendOrder(Instance &I, const RenewUpstream &E);
@@ -353,7 +368,12 @@
   bool StoreUp = true;
   Duration StoreTime = std::chrono::milliseconds(4);
   uint64_t NextIncarnation = 1;
-  uint64_t Revision = 1; ///< Of the store; never changes.
+  uint64_t Revision = 1; ///< Of the store; rises with the evacuations only.
+  std::optional<std::chrono::milliseconds> EvacuationBound;
+  std::set<DataCentre> Evacuated;
+  std::map<uint64_t, EvacuationChange> EvacuationChanges; ///< By revision.
+  uint64_t Compacted = 0; ///< See `compactStore`.
+  size_t EvacuationReads = 0;
   int64_t NextPort = 1;
 };
 
