--- a/src/directory/evacuation_cmd.cpp
+++ b/src/directory/evacuation_cmd.cpp
@@ -81,8 +81,7 @@
                          SteadyTime Asked, InstanceEffects &Out) {
   if (!State.Bound)
     return;
-  if (!State.Current || State.Current->Revision < Received.Revision)
-    replaceSet(State, Received, "peer", Out);
+  replaceSet(State, Received, "peer", Out);
   // After a return, the peer may have been cut off too. Its set is relied upon
   // only if the store doesn't answer, since the alternative is to start nothing
   // for the whole bound.
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -145,6 +145,8 @@
   }
   /// Writes or removes the key that requests a data centre's evacuation.
   void setEvacuated(const std::string &Centre, bool Evacuated);
+  /// Cuts the instance off from the store alone.
+  void cutFromStore(const Address &Endpoint) { StoreCuts.insert(Endpoint); }
   /// Makes the store forget its changes so far: watches from an earlier
   /// revision are answered as gone.
   void compactStore() { Compacted = Revision; }
@@ -374,6 +376,7 @@
   std::map<uint64_t, EvacuationChange> EvacuationChanges; ///< By revision.
   uint64_t Compacted = 0; ///< See `compactStore`.
   size_t EvacuationReads = 0;
+  std::set<Address> StoreCuts; ///< See `cutFromStore`.
   int64_t NextPort = 1;
 };
 
