--- a/src/directory/directory_cmd.cpp
+++ b/src/directory/directory_cmd.cpp
@@ -2,6 +2,7 @@
 #include "directory/directory_cmd.h"
 
 #include "directory/directory_table.h"
+#include "directory/evacuation_cmd.h"
 
 #include <algorithm>
 
@@ -21,6 +22,8 @@
     return "upstreams";
   case StoreCollection::Instances:
     return "instances";
+  case StoreCollection::Evacuations:
+    return "evacuations";
   }
   return "";
 }
@@ -84,19 +87,21 @@
                                 ++Reader.Sequence, OnNewConnection});
 }
 
-/// Watches anew on a new connection if the watch was sent before a call that
-/// has failed: the connections of both may have fallen silent. The watch goes
-/// on from its revision, so no version is missed and none is read again.
-void renewWatch(DirectoryState &State, SteadyTime FailedCall, SteadyTime Now,
-                InstanceEffects &Out) {
-  CollectionReader &Reader = readerOf(State, StoreCollection::Configuration);
-  if (Reader.Phase == CollectionReaderPhase::Watching &&
-      Reader.LastCall <= FailedCall)
-    startWatch(Reader, StoreCollection::Configuration,
-               /*OnNewConnection=*/true, Now, Out);
+/// Starts the watches anew on new connections that were sent before a call that
+/// has failed: the connections of both may have fallen silent. A watch goes on
+/// from its revision, so no change is missed and none is read again.
+void renewWatches(DirectoryState &State, SteadyTime FailedCall, SteadyTime Now,
+                  InstanceEffects &Out) {
+  for (StoreCollection Collection :
+       {StoreCollection::Configuration, StoreCollection::Evacuations}) {
+    CollectionReader &Reader = readerOf(State, Collection);
+    if (Reader.Phase == CollectionReaderPhase::Watching &&
+        Reader.LastCall <= FailedCall)
+      startWatch(Reader, Collection, /*OnNewConnection=*/true, Now, Out);
+  }
 }
 
-/// Returns when the last call beside the watch was sent.
+/// Returns when the last call beside the watches was sent.
 SteadyTime lastOtherCall(const DirectoryState &State) {
   SteadyTime Last = State.OwnRegistration.LastCall;
   for (const CollectionReader &Reader : State.Readers)
@@ -109,6 +114,10 @@
 void applyConfiguration(DirectoryState &State,
                         const FleetConfiguration &Received,
                         StoreRevision Revision, InstanceEffects &Out) {
+  // A peer's copy has no limits.
+  if (State.Configuration && Received.Version == State.Configuration->Version &&
+      Received.Limits)
+    State.Configuration->Limits = Received.Limits;
   // An outdated answer must not bring back an older configuration.
   if (State.Configuration && Received.Version <= State.Configuration->Version)
     return;
@@ -126,13 +135,14 @@
              : InstanceReadPeriod;
 }
 
-/// Continues after a read: starts a watch of the configuration, or schedules
-/// the next read.
+/// Continues after a read: starts a watch of the configuration or of the
+/// evacuations, or schedules the next read.
 void scheduleNext(DirectoryState &State, StoreCollection Collection,
                   SteadyTime Now, InstanceEffects &Out) {
   CollectionReader &Reader = readerOf(State, Collection);
-  if (Collection == StoreCollection::Configuration &&
-      Reader.CompletedReads > 0 && State.Configuration) {
+  if (Collection == StoreCollection::Evacuations ||
+      (Collection == StoreCollection::Configuration &&
+       Reader.CompletedReads > 0 && State.Configuration)) {
     startWatch(Reader, Collection, /*OnNewConnection=*/false, Now, Out);
     return;
   }
@@ -154,6 +164,8 @@
     return;
   if (Collection == StoreCollection::Upstreams && !wantsUpstreams(State))
     return;
+  if (Collection == StoreCollection::Evacuations && !State.Evacuation.Bound)
+    return;
   bool Stale = Collection == StoreCollection::Instances ||
                (Collection == StoreCollection::Upstreams && !State.IsSender &&
                 !Reader.NeedsCurrentRead);
@@ -194,7 +206,7 @@
   }
   for (StoreCollection Collection :
        {StoreCollection::Configuration, StoreCollection::Upstreams,
-        StoreCollection::Instances})
+        StoreCollection::Instances, StoreCollection::Evacuations})
     advanceReader(State, Collection, Now, Out);
   advanceRegistration(State, Now, Out);
 }
@@ -208,8 +220,10 @@
     return false;
   if (Event.Status != StoreStatus::Done) {
     recordFailure(Reader, Event.Collection, Now, Out);
+    if (Event.Collection == StoreCollection::Evacuations)
+      State.Evacuation.ReadFailed = true;
     if (Event.Status == StoreStatus::Failed)
-      renewWatch(State, Reader.LastCall, Now, Out);
+      renewWatches(State, Reader.LastCall, Now, Out);
     return false;
   }
   recordAnswer(Reader, Event.Collection, Out);
@@ -232,6 +246,9 @@
     applyConfiguration(State, *Event.Configuration, Event.Revision, Out);
   if (Event.Collection == StoreCollection::Upstreams)
     State.Upstreams = Event.Upstreams;
+  if (Event.Collection == StoreCollection::Evacuations)
+    applyEvacuationRead(State.Evacuation, {Event.Evacuated, Event.Revision},
+                        Out);
   scheduleNext(State, Event.Collection, Now, Out);
   return true;
 }
@@ -248,14 +265,20 @@
     return;
   }
   recordAnswer(Reader, Event.Collection, Out);
-  bool NeedsRead = Event.Status == StoreStatus::Gone ||
-                   (Event.Changed && !Event.Configuration);
+  bool IsEvacuations = Event.Collection == StoreCollection::Evacuations;
+  bool KnowsChanges = IsEvacuations ? !Event.Evacuations.empty()
+                                    : Event.Configuration.has_value();
+  bool NeedsRead =
+      Event.Status == StoreStatus::Gone || (Event.Changed && !KnowsChanges);
   if (NeedsRead) {
     startRead(Reader, Event.Collection, false, Now, Out);
     return;
   }
   if (Event.Configuration)
     applyConfiguration(State, *Event.Configuration, Event.Revision, Out);
+  if (IsEvacuations)
+    applyEvacuationChanges(State.Evacuation, Event.Evacuations, Event.Revision,
+                           Out);
   Reader.Revision = Event.Revision;
   startWatch(Reader, Event.Collection, /*OnNewConnection=*/false, Now, Out);
 }
@@ -267,7 +290,7 @@
   if (R.Phase != RegistrationPhase::Acquiring)
     return;
   if (Event.Status == StoreStatus::Failed)
-    renewWatch(State, R.LastCall, Now, Out);
+    renewWatches(State, R.LastCall, Now, Out);
   if (Event.Status != StoreStatus::Done) {
     R.Phase = RegistrationPhase::NoLease;
     R.Due = Now + MaxStoreRetryDelay;
@@ -285,7 +308,7 @@
   if (R.Phase != RegistrationPhase::Publishing)
     return;
   if (Event.Status == StoreStatus::Failed)
-    renewWatch(State, R.LastCall, Now, Out);
+    renewWatches(State, R.LastCall, Now, Out);
   bool Registered = Event.Status == StoreStatus::Done;
   R.Phase =
       Registered ? RegistrationPhase::Registered : RegistrationPhase::NoLease;
@@ -298,7 +321,7 @@
   if (R.Phase != RegistrationPhase::Renewing)
     return;
   if (Event.Status == StoreStatus::Failed)
-    renewWatch(State, R.LastCall, Now, Out);
+    renewWatches(State, R.LastCall, Now, Out);
   if (Event.Status == StoreStatus::Gone) {
     R.Phase = RegistrationPhase::NoLease;
     R.Due = Now;
@@ -341,6 +364,9 @@
                    InstanceEffects &Out) {
   if (Event.Configuration)
     applyConfiguration(State, *Event.Configuration, {}, Out);
+  // The peer may have been asked before the last return.
+  if (Event.Evacuation)
+    applyPeerEvacuation(State.Evacuation, *Event.Evacuation, SteadyTime{}, Out);
   if (!wantsUpstreams(State) || !State.Upstreams.empty() ||
       Event.Upstreams.empty())
     return;
--- a/src/directory/directory_type.h
+++ b/src/directory/directory_type.h
@@ -5,6 +5,8 @@
 
 #include "orders/order_type.h"
 
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,8 +18,20 @@
 using StoreLease = StrongId<struct StoreLeaseTag>;
 
 /// Collections in the store that an instance reads.
-enum class StoreCollection { Configuration, Upstreams, Instances };
-constexpr size_t CollectionCount = 3;
+enum class StoreCollection { Configuration, Upstreams, Instances, Evacuations };
+constexpr size_t CollectionCount = 4;
+
+/// The evacuated data centres, as the store has them at a revision.
+struct EvacuationSet {
+  std::set<DataCentre> Centres;
+  StoreRevision Revision;
+};
+
+/// Begin or end of the evacuation of a data centre.
+struct EvacuationChange {
+  DataCentre Centre;
+  bool Ended = false;
+};
 
 /// A queue of the operators' configuration, and the requests that it takes.
 struct Route {
@@ -33,10 +47,30 @@
   Duration Slack{0};
 };
 
+/// Limits inside which clients are served. The defaults are those of the
+/// platform's documentation.
+struct ClientLimits {
+  size_t MaxHeaderBytes = 16384;
+  size_t MaxBodyBytes = 262144;
+  /// From the first byte of a request to the end of its header.
+  std::chrono::milliseconds HeaderTimeout{3000};
+  std::chrono::milliseconds IdleTimeout{15000};
+
+  bool operator==(const ClientLimits &Other) const {
+    return MaxHeaderBytes == Other.MaxHeaderBytes &&
+           MaxBodyBytes == Other.MaxBodyBytes &&
+           HeaderTimeout == Other.HeaderTimeout &&
+           IdleTimeout == Other.IdleTimeout;
+  }
+};
+
 /// The operators' configuration. `Version` rises with each change.
 struct FleetConfiguration {
   uint64_t Version = 0;
   std::vector<Route> Routes;
+  /// Unset in a peer's copy: instances of earlier versions reject a snapshot
+  /// with further fields.
+  std::optional<ClientLimits> Limits;
 };
 
 /// An instance's record in the store, written by the instance itself.
@@ -90,6 +124,7 @@
 /// the store does not answer.
 struct FetchSnapshot {
   Address Endpoint;
+  bool WantsEvacuation = false; ///< See `PeerPing::WantsEvacuation`.
 };
 
 // Events.
@@ -98,6 +133,7 @@
 struct SnapshotFetched {
   std::optional<FleetConfiguration> Configuration;
   std::vector<UpstreamRecord> Upstreams;
+  std::optional<EvacuationSet> Evacuation; ///< Absent if the peer has none.
 };
 
 /// Outcome of a call to the store.
@@ -118,6 +154,7 @@
   std::optional<FleetConfiguration> Configuration;
   std::vector<UpstreamRecord> Upstreams;
   std::vector<InstanceRecord> Instances;
+  std::set<DataCentre> Evacuated;
   size_t UnreadableRecords = 0; ///< Invalid records, which were skipped.
 };
 
@@ -130,6 +167,7 @@
   bool Changed = false;   ///< At least one record has changed.
   /// The newest valid configuration among the changes.
   std::optional<FleetConfiguration> Configuration;
+  std::vector<EvacuationChange> Evacuations; ///< In the order of the changes.
 };
 
 /// A lease was granted, or the call has failed.
