sender: serve deployments with other bounds as before

Cause: withheld all starts with a max_lease_ms below 180 or a stop_timeout_ms above some 900, and for the length of a lease after a claim with a max_lease_ms of many seconds.

Change: the shortest lease of a start is at most the longest one, contactLease stays above the time that a stop takes, and a new sender assumes a lease of the length that its predecessor requests. With the platform's bounds no constant changes.

--- a/src/sender/lease_table.h
+++ b/src/sender/lease_table.h
@@ -28,10 +28,6 @@
 /// Added to `FleetBounds::StopTimeout`, in which an upstream ends runs whose
 /// lease has ended, before this process takes them for ended.
 constexpr Duration LeaseExpiryReserve = std::chrono::milliseconds(10);
-/// Shortest lease in a start. A renewal that waits for an end delays the next
-/// one by `RenewalWait`, and shorter leases could end before that.
-constexpr Duration MinStartLease = RenewalWait + std::chrono::milliseconds(20);
-
 /// Returns the longest time on the clock of this process in which an upstream's
 /// clock advances by \p Time.
 constexpr Duration onOwnClock(Duration Time) {
@@ -48,9 +44,13 @@
 }
 
 /// Time after the last contact with a job's entry by which the leases of its
-/// runs end. The runs have then ended before the caller's next submission.
+/// runs end. The runs have then ended before the caller's next submission,
+/// unless `FleetBounds::StopTimeout` is above 90 ms: the lease still has to
+/// outlast the stop of a job whose entry is silent.
 constexpr Duration contactLease(const FleetBounds &Bounds) {
-  return CallerRetryTime - Bounds.StopTimeout - ContactReserve;
+  return std::max<Duration>(CallerRetryTime - Bounds.StopTimeout -
+                                ContactReserve,
+                            EntryTimeout + CellTickPeriod + OrderTimeout);
 }
 
 /// Longest lease that is requested, on the upstream's clock. It is below
@@ -61,6 +61,13 @@
       Bounds.MaxLease, onUpstreamClock(contactLease(Bounds) - UsualContactAge));
 }
 
+/// Shortest lease in a start. A renewal that waits for an end delays the next
+/// one by `RenewalWait`, and shorter leases could end before that.
+constexpr Duration minStartLease(const FleetBounds &Bounds) {
+  return std::min<Duration>(RenewalWait + std::chrono::milliseconds(20),
+                            longestLease(Bounds));
+}
+
 // The stop of a job whose entry is silent, with one time-out, comes before the
 // end of its lease, which would end the other runs of the upstream too.
 static_assert(EntryTimeout + CellTickPeriod + OrderTimeout <
--- a/src/sender/placement_cmd.cpp
+++ b/src/sender/placement_cmd.cpp
@@ -112,8 +112,9 @@
                  const PlacementPass &Pass, SteadyTime LastContact,
                  SteadyTime Now) {
   if (!outlastsContact(State, U, LastContact) &&
-      grantableLease(State, U, Pass.LastContact, Now) >= MinStartLease &&
-      leaseFor(State, LastContact, Now) >= MinStartLease)
+      grantableLease(State, U, Pass.LastContact, Now) >=
+          minStartLease(State.Bounds) &&
+      leaseFor(State, LastContact, Now) >= minStartLease(State.Bounds))
     return true;
   // The next message of the entry may allow it, and no other event does.
   State.PlacementDue = true;
--- a/src/sender/upstream_cmd.cpp
+++ b/src/sender/upstream_cmd.cpp
@@ -686,7 +686,7 @@
   // An earlier sender may have renewed the lease until this one's renewal
   // fenced it off.
   if (U->Phase == UpstreamPhase::Syncing)
-    recordLease(*U, State.Bounds, State.Bounds.MaxLease, Now);
+    recordLease(*U, State.Bounds, longestLease(State.Bounds), Now);
   applyRunningReports(State, *U, Report.Running, Now, Out);
   stopStalledRuns(State, *U, Now, Out);
   U->NextRenewal = Now;
--- a/tests/cell_lease_test.cpp
+++ b/tests/cell_lease_test.cpp
@@ -202,3 +202,25 @@
     EXPECT_EQ(World.caller(Other).Answer->Status, AnswerStatus::Done);
   }
 }
+
+// Guards against a deployment that is not served because its settings leave no
+// time for a lease, or assume a long one of an earlier sender: the shortest and
+// the longest `max_lease_ms`, the longest `stop_timeout_ms`.
+TEST(CellLeaseContact, UnusualBoundsAreServed) {
+  FleetBounds Short, Long, Slow;
+  Short.MaxLease = milliseconds(100);
+  Long.MaxLease = milliseconds(60000);
+  Slow.StopTimeout = milliseconds(10000);
+  for (const FleetBounds &Bounds : {Short, Long, Slow}) {
+    CellWorld World;
+    World.setBounds(Bounds);
+    World.addUpstream({"up-a", "centre-a"});
+    World.addInstance("sender-a", "centre-a", 0.6);
+    Address Entry = World.addInstance("entry", "centre-a", 0.2);
+    World.run(seconds(2));
+    size_t Job = World.submit(Entry, "a", 1, milliseconds(50));
+    World.run(seconds(1));
+    ASSERT_TRUE(World.caller(Job).Answer);
+    EXPECT_EQ(World.caller(Job).Answer->Status, AnswerStatus::Done);
+  }
+}
--- a/tests/support/cell_world.cpp
+++ b/tests/support/cell_world.cpp
@@ -49,6 +49,7 @@
   FleetSettings Settings;
   Settings.Name = I.Name;
   Settings.Self = I.Record;
+  Settings.Bounds = Bounds;
   if (SeedsOnly)
     Settings.Seeds.push_back(Instances.begin()->first);
   I.State = startInstance(Settings, {NextIncarnation++}, Now);
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -92,6 +92,8 @@
   /// Instances added later have the first one as their only seed, and the store
   /// lists an instance only some time after its start.
   void setSeedsOnly(bool Only) { SeedsOnly = Only; }
+  /// Instances added later have these bounds in their settings.
+  void setBounds(const FleetBounds &To) { Bounds = To; }
 
   /// Advances the clock by \p Time and handles all events due by then.
   void run(Duration Time);
@@ -355,6 +357,7 @@
   std::vector<std::function<void()>> DelayedMessages;
   FleetConfiguration Configuration;
   bool SeedsOnly = false; ///< See `setSeedsOnly`.
+  FleetBounds Bounds;
   bool StoreUp = true;
   Duration StoreTime = std::chrono::milliseconds(4);
   uint64_t NextIncarnation = 1;
