--- a/tests/support/cell_world.cpp
+++ b/tests/support/cell_world.cpp
@@ -53,6 +53,7 @@
   FleetSettings Settings;
   Settings.Name = I.Name;
   Settings.Self = I.Record;
+  Settings.Bounds = Bounds;
   Settings.Bounds.Evacuate = EvacuationBound;
   if (SeedsOnly)
     Settings.Seeds.push_back(Instances.begin()->first);
