tests: follow an evacuation from the key to the runners

A fleet of processes obeys the key through the store's stand-in, and serves the jobs elsewhere. Decoder and codec keep the set, and earlier versions accept the request for it.

--- a/src/standins/cell_fleet.cpp
+++ b/src/standins/cell_fleet.cpp
@@ -1,6 +1,7 @@
 /// \file Test fleet of cells: real instances and stand-ins for the platform.
 #include "standins/cell_fleet.h"
 
+#include "core/base64_func.h"
 #include "core/scope_guard.h"
 
 #include <arpa/inet.h>
@@ -161,7 +162,10 @@
        << ReadyEndpoints[I].Value << R"(","peers":")" << PeersLinks[I].Value
        << R"(","peers_listen":")" << Peers[I].Value << R"(","metrics":")"
        << Metrics[I].Value << R"(","store":")" << StoreLinks[I].Value
-       << R"(","seeds":[")" << PeersLinks[0].Value << R"("]})";
+       << R"(","seeds":[")" << PeersLinks[0].Value << R"("])";
+  if (Options.Evacuate)
+    File << R"(,"bounds":{"evacuate_ms":)" << Options.Evacuate->count() << "}";
+  File << "}";
   File.close();
   if (!File)
     return Error{ErrorKind::Unavailable, "can't write " + settings(I),
@@ -252,6 +256,19 @@
   return Call;
 }
 
+bool CellFleet::setEvacuated(const std::string &Centre, bool Evacuated) const {
+  std::string Key = "op/evacuate/" + Centre;
+  HttpCall Call;
+  Call.Target = Store;
+  Call.Method = "POST";
+  Call.Path = "/snipeshunt/kv-txn";
+  Call.Body = Evacuated ? R"({"writes":[{"key":")" + Key + R"(","value":")" +
+                              encodeBase64("{}") + R"("}],"remove":[]})"
+                        : R"({"writes":[],"remove":[")" + Key + R"("]})";
+  Call.Timeout = AnswerMargin;
+  return replyOf(callOnce(std::move(Call))).Status == 200;
+}
+
 std::string CellFleet::metrics(size_t I) const {
   Result<std::string> Text = getText(Metrics[I], "/metrics");
   return failed(Text) ? errorOf(Text).Message : valueOf(Text);
--- a/src/standins/cell_fleet.h
+++ b/src/standins/cell_fleet.h
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
   size_t Centres = 1;    ///< Number of data centres, `dc1`, `dc2`, ...
   size_t Runners = 4;    ///< Number of stand-in runners over all data centres.
   bool KeepWorkDir = false; ///< Keep settings and logs on destruction.
+  /// `bounds.evacuate_ms` of the instances; absent: not set.
+  std::optional<std::chrono::milliseconds> Evacuate;
 };
 
 /// One start or end of a run, as printed by the stand-in runners. All runners
@@ -99,6 +102,9 @@
   /// Sends a `GET` request to the caller endpoint of instance \p I.
   HttpReply get(size_t I, const std::string &Path,
                 const std::string &Host = "jobs.example") const;
+  /// Writes or removes the key that requests the evacuation of \p Centre.
+  /// Returns true if the store acknowledges it.
+  bool setEvacuated(const std::string &Centre, bool Evacuated) const;
   /// Returns the metrics page of instance \p I, or the error message.
   std::string metrics(size_t I) const;
 
--- a/tests/cell_codec_malformed_test.cpp
+++ b/tests/cell_codec_malformed_test.cpp
@@ -64,12 +64,14 @@
   Pong.UpstreamsInUse = {{"up-1"}};
   Pong.KnownInstances = {Sender};
   Pong.CancelledJobs = {{{"job-2"}, 8}};
+  Pong.Evacuation = EvacuationSet{{{"a"}, {"b"}}, {12}};
   SnapshotFetched Snapshot;
   Snapshot.Configuration.emplace();
   Snapshot.Configuration->Version = 3;
   Snapshot.Configuration->Routes.push_back(
       {"q", "h", "/p/", {"service"}, 1, 3, 1.6, milliseconds(60)});
   Snapshot.Upstreams = {someUpstream()};
+  Snapshot.Evacuation = Pong.Evacuation;
   JobResult Result{
       JobOutcome::NotRun,         "reason", milliseconds(1200), true, true,
       {milliseconds(12), 1, 2, 3}};
--- a/tests/cell_codec_test.cpp
+++ b/tests/cell_codec_test.cpp
@@ -268,3 +268,54 @@
   std::string Ping = encodeRpcRequest("cell.ping", encodePing({}));
   EXPECT_FALSE(failed(decodeRpcResponse(Earlier.handle(Ping))));
 }
+
+// Guards against instances that don't learn of an evacuation from their peers.
+TEST(CellCodecTest, PongAndSnapshotKeepTheEvacuations) {
+  PeerPong Pong;
+  Pong.From = Instance;
+  EXPECT_FALSE(encodePong(Pong).isMember("evacuation"));
+  EXPECT_FALSE(encodeSnapshot({}).isMember("evacuation"));
+  Pong.Evacuation = EvacuationSet{{{"a"}, {"b"}}, {12}};
+  SnapshotFetched Snapshot;
+  Snapshot.Evacuation = Pong.Evacuation;
+  for (const auto &Received :
+       {decoded(decodePong(encodePong(Pong))).Evacuation,
+        decoded(decodeSnapshot(encodeSnapshot(Snapshot))).Evacuation}) {
+    ASSERT_TRUE(Received);
+    EXPECT_EQ(Received->Centres, Pong.Evacuation->Centres);
+    EXPECT_EQ(Received->Revision, Pong.Evacuation->Revision);
+  }
+  // Another writer's thousands of keys must not cost an instance its peers.
+  for (int I = 0; I < 300; ++I)
+    Pong.Evacuation->Centres.insert({"c" + std::to_string(I)});
+  EXPECT_FALSE(decoded(decodePong(encodePong(Pong))).Evacuation);
+}
+
+// Guards against a request for the evacuations that earlier versions reject,
+// and against an answer with them to an instance that has not asked.
+TEST(CellCodecTest, EvacuationsAreAskedForBesideTheMessage) {
+  RpcServer Earlier;
+  bool Decoded = false;
+  Earlier.bind("cell.ping", [&Decoded](const Json::Value &Message) {
+    Decoded = !failed(decodePing(Message));
+    return Json::Value(Json::objectValue);
+  });
+  RpcServer Later;
+  bool Wanted = false;
+  Later.bind("cell.ping",
+             [&Wanted](const Json::Value &, const Json::Value &Parameters) {
+               Wanted = wantsEvacuation(Parameters);
+               return Json::Value(Json::objectValue);
+             });
+  PeerPing Ping;
+  Ping.From = Instance;
+  for (bool Wants : {true, false}) {
+    std::string Request =
+        encodeRpcRequest("cell.ping", encodePing(Ping), Wants);
+    Decoded = false;
+    EXPECT_FALSE(failed(decodeRpcResponse(Earlier.handle(Request))));
+    EXPECT_TRUE(Decoded);
+    Later.handle(Request);
+    EXPECT_EQ(Wanted, Wants);
+  }
+}
--- a/tests/store_decoder_test.cpp
+++ b/tests/store_decoder_test.cpp
@@ -379,6 +379,35 @@
   }
 }
 
+// Guards against an evacuation that is missed, or does not end: of which the
+// key has another value, is deleted, or comes beside odd ones.
+TEST(StoreDecoder, EvacuationsAreReadFromTheirKeys) {
+  StoreRead Read(StoreCollection::Evacuations);
+  ASSERT_TRUE(Read.add(
+      answer({item("op/evacuate/a", "{}"), item("op/evacuate/b", "odd"),
+              item("op/evacuate/", "{}"),
+              item("op/evacuate/" + std::string(257, 'a'), "{}"), "7"})));
+  EXPECT_EQ(Read.Answer.Evacuated, (std::set<DataCentre>{{"a"}, {"b"}}));
+  EXPECT_EQ(Read.Answer.UnreadableRecords, 3U);
+  auto Watch = [&](const std::vector<std::string> &Events) {
+    WatchAnswered Out;
+    Out.Collection = StoreCollection::Evacuations;
+    EXPECT_TRUE(Read.Decoder.addChanges(answer(Events, false, "events"), Out));
+    return Out;
+  };
+  std::string Deleted =
+      R"({"key":"op/evacuate/a","revision":8,"deleted":true})";
+  WatchAnswered Changes = Watch({item("op/evacuate/b", "{}"), Deleted});
+  ASSERT_EQ(Changes.Evacuations.size(), 2U);
+  EXPECT_FALSE(Changes.Evacuations[0].Ended);
+  EXPECT_EQ(Changes.Evacuations[1].Centre, DataCentre{"a"});
+  EXPECT_TRUE(Changes.Evacuations[1].Ended);
+  // A change that can't be read leads to a read of the collection.
+  WatchAnswered Odd = Watch({Deleted, "7"});
+  EXPECT_TRUE(Odd.Changed && Odd.Evacuations.empty());
+  EXPECT_FALSE(Watch({item("op/evacuate/", "{}")}).Changed);
+}
+
 // Guards against an order that reaches another upstream than the one named: a
 // header loses white space at its ends and control characters, so the order
 // would name the upstream whose entry was copied under such a key.
