runtime: limit connections and memory of clients and of peers

The descriptor limit of 30,000 was above that of the smallest machines, 3,075, and the ports of peers and metrics had none. Nothing limited the memory of all connections, nor that of jobs being served: 300 jobs with bodies of 250 KB took 3.1 times their size.

Callers, load balancer and metrics collectors share one ConnectionTable, peers have another. Their connections are limited to a half and a quarter of the process's own descriptor limit less 200 for files, so that connections to peers, upstreams and the store stay possible; their memory to 24 MiB and 12 MiB. The settings `limits` lower the connections and set the memory.

--- a/src/runtime/cell_daemon.cpp
+++ b/src/runtime/cell_daemon.cpp
@@ -7,6 +7,7 @@
 #include "http/http_address.h"
 #include "rpc/cell_codec.h"
 #include "rpc/rpc_codec.h"
+#include "runtime/descriptor_func.h"
 
 #include <csignal>
 #include <random>
@@ -38,8 +39,9 @@
 HttpServerLimits peerLimits() {
   HttpServerLimits Limits;
   Limits.Timeout = PeerTimeout;
-  // Only instances of this fleet connect here, so the number of connections is
-  // not limited.
+  // A peer sends a whole request at once; it may be paused meanwhile.
+  Limits.HeaderTimeout = PeerTimeout;
+  // The table of the connections limits their number.
   Limits.DescriptorCheckPeriod = {};
   return Limits;
 }
@@ -88,7 +90,10 @@
     : Loop(Loop), TimeSource(TimeSource),
       State(startInstance(std::move(Settings), drawIncarnation(),
                           TimeSource.steadyNow())),
-      Server(Loop, peerLimits()), PingClient(Loop, clientOptions(1)),
+      ClientConnections(Loop, clientConnectionLimits(State.Settings.Limits)),
+      PeerConnections(Loop, peerConnectionLimits(State.Settings.Limits)),
+      Server(Loop, peerLimits(), PeerConnections),
+      PingClient(Loop, clientOptions(1)),
       JobClient(Loop, clientOptions(MaxJobConnections)),
       QueryClient(Loop, clientOptions(1)), TickTimer(Loop,
                                                      [this] {
--- a/src/runtime/cell_daemon.h
+++ b/src/runtime/cell_daemon.h
@@ -34,6 +34,10 @@
   EventLoop &loop() { return Loop; }
   const Clock &clock() const { return TimeSource; }
   const FleetInstance &state() const { return State; }
+  /// Connections of callers, the load balancer and metrics collectors.
+  ConnectionTable &clientConnections() { return ClientConnections; }
+  /// Connections of other instances.
+  ConnectionTable &peerConnections() { return PeerConnections; }
   /// One signal for each type of effect, emitted by `dispatch`.
   SignalTable<InstanceEffect> &effects() { return Effects; }
   /// Returns true if the load balancer should send callers to this instance.
@@ -69,6 +73,8 @@
   const Clock &TimeSource;
   FleetInstance State;
   SignalTable<InstanceEffect> Effects;
+  ConnectionTable ClientConnections;
+  ConnectionTable PeerConnections;
   HttpServer Server; ///< For requests of peers.
   HttpClient PingClient;
   HttpClient JobClient; ///< For jobs and snapshots.
--- a/src/runtime/cell_metrics.cpp
+++ b/src/runtime/cell_metrics.cpp
@@ -9,10 +9,13 @@
 
 namespace {
 
+// Far longer than a collector takes.
+constexpr std::chrono::seconds HeaderTimeout{15};
+
 HttpServerLimits metricsLimits() {
   HttpServerLimits Limits;
-  // Only the operators' metrics collector connects here, so the number of
-  // connections is not limited.
+  Limits.HeaderTimeout = HeaderTimeout;
+  // The table of the connections limits their number.
   Limits.DescriptorCheckPeriod = {};
   return Limits;
 }
@@ -20,7 +23,8 @@
 } // namespace
 
 CellMetrics::CellMetrics(CellDaemon &Owner)
-    : Owner(Owner), Server(Owner.loop(), metricsLimits()) {
+    : Owner(Owner),
+      Server(Owner.loop(), metricsLimits(), Owner.clientConnections()) {
   Server.HandlerFailed.connect(sigc::ptr_fun(CellDaemon::logHandlerFailure));
   Server.RequestReceived.connect([this](const HttpRequest &Request) {
     if (Request.Path != "/metrics")
@@ -123,9 +127,33 @@
   Values.setGauge("store_unreadable_records",
                   "Records of the store that were skipped in the last reads.",
                   static_cast<double>(unreadableRecords(State.Directory)));
+  addConnections("client_", Owner.clientConnections());
+  addConnections("peer_", Owner.peerConnections());
   Values.setGauge("ready", "1 if callers should be sent here.",
                   Owner.ready() ? 1 : 0);
   return Values.text();
 }
 
+void CellMetrics::addConnections(const std::string &Prefix,
+                                 const ConnectionTable &Table) {
+  const ConnectionCounts &C = Table.counts();
+  Values.setGauge(Prefix + "connections", "Open incoming connections.",
+                  static_cast<double>(Table.connections()));
+  Values.setGauge(Prefix + "buffered_bytes",
+                  "Memory that their requests and responses take, estimated.",
+                  static_cast<double>(Table.bytes()));
+  Values.setCounter(Prefix + "closed_header_timeout_total",
+                    "Connections closed because a header took too long.",
+                    C.HeaderTimeouts);
+  Values.setCounter(Prefix + "closed_connection_limit_total",
+                    "Connections closed for newer ones at the limit.",
+                    C.OutOfRoom);
+  Values.setCounter(Prefix + "closed_memory_limit_total",
+                    "Connections closed because they held too many bytes.",
+                    C.OutOfMemory);
+  Values.setCounter(Prefix + "rejected_memory_limit_total",
+                    "Requests answered with 503 because of their size.",
+                    C.Rejected);
+}
+
 } // namespace snipeshunt
--- a/src/runtime/cell_metrics.h
+++ b/src/runtime/cell_metrics.h
@@ -17,6 +17,8 @@
 private:
   /// Updates all values and returns them in the format of Prometheus.
   std::string text();
+  /// Updates the values of incoming connections.
+  void addConnections(const std::string &Prefix, const ConnectionTable &Table);
 
   CellDaemon &Owner;
   HttpServer Server;
--- a/src/settings/fleet_settings.cpp
+++ b/src/settings/fleet_settings.cpp
@@ -10,6 +10,11 @@
 constexpr size_t MaxName = 128;
 constexpr size_t MaxSeeds = 64;
 constexpr double MaxWeight = 1024;
+// The smallest value leaves room for a request of the largest size.
+constexpr int64_t MinBufferedBytes = 1 << 20;
+constexpr int64_t MaxBufferedBytes = int64_t(1) << 36;
+constexpr int64_t MinConnections = 16;
+constexpr int64_t MaxConnections = 1000000;
 
 void readTime(ObjectReader &Reader, const char *Name,
               std::chrono::milliseconds &Out, int64_t Min, int64_t Max) {
@@ -34,6 +39,28 @@
     Top.fail(*Problem);
 }
 
+void readSize(ObjectReader &Reader, const char *Name, size_t &Out, int64_t Min,
+              int64_t Max) {
+  auto Value = static_cast<int64_t>(Out);
+  Reader.optionalInteger(Name, Value, Min, Max);
+  Out = static_cast<size_t>(Value);
+}
+
+void readLimits(ObjectReader &Top, FleetLimits &Out) {
+  const Json::Value *Object = Top.optionalObject("limits");
+  if (!Object)
+    return;
+  ObjectReader Reader(*Object, "limits");
+  readSize(Reader, "max_connections", Out.MaxConnections, MinConnections,
+           MaxConnections);
+  readSize(Reader, "max_peer_connections", Out.MaxPeerConnections,
+           MinConnections, MaxConnections);
+  readSize(Reader, "max_buffered_bytes", Out.MaxBufferedBytes, MinBufferedBytes,
+           MaxBufferedBytes);
+  if (std::optional<Error> Problem = Reader.finish())
+    Top.fail(*Problem);
+}
+
 void readSeeds(ObjectReader &Top, std::vector<Address> &Out) {
   const Json::Value *List = Top.optionalArray("seeds", MaxSeeds);
   if (!List)
@@ -66,6 +93,7 @@
   readOptionalAddress(Top, "metrics", S.Metrics);
   readSeeds(Top, S.Seeds);
   readBounds(Top, S.Bounds);
+  readLimits(Top, S.Limits);
   readLogLevel(Top, S.Level);
   if (std::optional<Error> Problem = Top.finish())
     return withFileName(std::move(*Problem), FileName);
--- a/src/settings/fleet_settings_type.h
+++ b/src/settings/fleet_settings_type.h
@@ -24,6 +24,19 @@
   Milliseconds Grace{6000};
 };
 
+/// Limits on what all clients together may occupy.
+struct FleetLimits {
+  /// Connections of callers, the load balancer and metrics collectors; 0: a
+  /// share of the descriptor limit.
+  size_t MaxConnections = 0;
+  size_t MaxPeerConnections = 0; ///< As above, for other instances.
+  /// Memory for requests and responses of the former; half of it for those of
+  /// other instances. With twice this, as `ConnectionLimits` allows, and a few
+  /// KB for each connection, an instance stays within the 120 MB of the
+  /// smallest machine.
+  size_t MaxBufferedBytes = 24 << 20;
+};
+
 /// Contents of the settings file of an instance of a fleet of cells. When the
 /// file is reloaded, only `Store`, `Seeds`, `Bounds` and the weight in `Self`
 /// are applied; other changes need a restart.
@@ -39,6 +52,7 @@
   /// Instances to ping from the start, before the store has listed any.
   std::vector<Address> Seeds;
   FleetBounds Bounds;              ///< Times that the operators guarantee.
+  FleetLimits Limits;              ///< What clients may occupy.
   LogLevel Level = LogLevel::Info; ///< Least severe messages that are logged.
 };
 
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,4 +1,5 @@
 /// \file Tests of reading the settings of a daemon of the ticket mode.
+#include "settings/fleet_settings_func.h"
 #include "settings/settings_func.h"
 #include "settings/settings_table.h"
 
@@ -186,5 +187,28 @@
   std::remove(Name.c_str());
 }
 
+// Guards against limits of a fleet instance that are not checked or not stored.
+TEST(FleetSettingsTest, ReadsLimitsWithinTheirRange) {
+  auto Parse = [](const std::string &Limits) {
+    return parseFleetSettings(
+        R"({"name":"a","data_centre":"b","front":"127.0.0.1:1",)"
+        R"("ready":"127.0.0.1:2","peers":"127.0.0.1:3","store":"127.0.0.1:4",)"
+        R"("limits":)" +
+            Limits + "}",
+        "test.json");
+  };
+  Result<FleetSettings> Read =
+      Parse(R"({"max_connections":16,"max_peer_connections":17,)"
+            R"("max_buffered_bytes":1048576})");
+  ASSERT_FALSE(failed(Read)) << errorOf(Read).Message;
+  EXPECT_EQ(valueOf(Read).Limits.MaxConnections, 16U);
+  EXPECT_EQ(valueOf(Read).Limits.MaxPeerConnections, 17U);
+  EXPECT_EQ(valueOf(Read).Limits.MaxBufferedBytes, 1048576U);
+  for (const char *Wrong :
+       {R"({"max_connections":15})", R"({"max_peer_connections":1000001})",
+        R"({"max_buffered_bytes":1048575})", R"({"unknown":1})", "[]"})
+    EXPECT_TRUE(failed(Parse(Wrong))) << Wrong;
+}
+
 } // namespace
 } // namespace snipeshunt
