--- a/src/runtime/cell_metrics.h
+++ b/src/runtime/cell_metrics.h
@@ -21,6 +21,8 @@
   std::string text();
   /// Updates the values about evacuations, if the settings have a bound.
   void setEvacuationMetrics();
+  /// Updates the values of incoming connections.
+  void addConnections(const std::string &Prefix, const ConnectionTable &Table);
 
   CellDaemon &Owner;
   HttpServer Server;
