daemon: listen on all ports before the first call

Cause: an instance dispatched its first tick, which calls peers and the store from its own address, before it listened for callers and for metrics. The system may give such a call one of these ports as its local port. The process then ends with status 1, and the connection keeps the port for 60 s of TIME_WAIT: a listener with SO_REUSEADDR is refused beside it (tried, EADDRINUSE).

Change: the servers for callers and metrics listen first.

Test: InstanceThatCannotListenMakesNoCalls failed on the code before (the store got a connection) and passes, 4 of 4 runs. Cell*, OddEntry*, Resubmission*, Rejection*, Upstream* and ProtocolPage* of the process tests: 26 of 26 pass.

--- a/src/daemon/daemon_main.cpp
+++ b/src/daemon/daemon_main.cpp
@@ -93,11 +93,13 @@
   SettingsWatch Watch(Instance, Args.SettingsFile);
   CellMetrics InstanceMetrics(Instance);
   platform::PlatformAdapter Adapter(Instance);
-  Result<Ok> Started = Instance.start();
-  if (!failed(Started))
-    Started = Adapter.Callers.start();
+  // The instance makes calls as it starts. The system could give one of them a
+  // port that is still to be listened on as its local port.
+  Result<Ok> Started = Adapter.Callers.start();
   if (!failed(Started))
     Started = InstanceMetrics.start();
+  if (!failed(Started))
+    Started = Instance.start();
   if (failed(Started))
     return reportError("instance", errorOf(Started), 1);
   Loop.run();
--- a/tests/process/cell_process_test.cpp
+++ b/tests/process/cell_process_test.cpp
@@ -1,9 +1,15 @@
 /// \file The caller and operator interfaces of a fleet of cells, on processes.
+#include "core/scope_guard.h"
+#include "http/http_address.h"
 #include "soak/link_proxy.h"
 #include "standins/cell_fleet.h"
 
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <atomic>
 #include <csignal>
@@ -95,6 +101,39 @@
   EXPECT_EQ(F.get(0, "/jobs/", "other.example").Status, 404);
 }
 
+namespace {
+
+/// Returns a socket that listens at \p Endpoint.
+int listenAt(const Address &Endpoint) {
+  HostPort Parts = valueOf(parseAddress(Endpoint));
+  sockaddr_in At{};
+  At.sin_family = AF_INET;
+  At.sin_port = htons(Parts.Port);
+  inet_pton(AF_INET, Parts.Host.c_str(), &At.sin_addr);
+  int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  EXPECT_EQ(bind(Socket, reinterpret_cast<sockaddr *>(&At), sizeof(At)), 0);
+  EXPECT_EQ(listen(Socket, 8), 0);
+  return Socket;
+}
+
+} // namespace
+
+// Guards against an instance that makes calls before it listens on all of its
+// ports: a call may get one of them as its local port, and after the process
+// has ended its connection keeps the port from the next one for a minute.
+TEST(CellProcessTest, InstanceThatCannotListenMakesNoCalls) {
+  CellFleet F(cellOptions(1, 1, 1));
+  int Taken = listenAt(F.front(0));
+  int Store = listenAt(F.store());
+  ScopeGuard Close([&] {
+    close(Taken);
+    close(Store);
+  });
+  ASSERT_FALSE(failed(F.startInstance(0)));
+  EXPECT_EQ(F.process(0).wait(std::chrono::seconds(30)), std::optional<int>(1));
+  EXPECT_EQ(accept(Store, nullptr, nullptr), -1) << F.logText("i0");
+}
+
 // Guards against a time-out with empty logs, which do not show the cause, after
 // another program has deleted the working directory of a fleet that starts.
 TEST(CellProcessTest, DeletedWorkingDirectoryIsReportedAtOnce) {
