--- a/tests/odd_record_test.cpp
+++ b/tests/odd_record_test.cpp
@@ -82,7 +82,8 @@
     InstanceEffects Out;
     acceptJob(State.Sender, Order, {{999}, /*Local=*/true}, Now, Out);
     startWaitingTasks(
-        State.Sender, [](const SenderJob &) { return true; }, Now, Out);
+        State.Sender, [](const SenderJob &) { return true; },
+        [this](const SenderJob &) { return Now; }, Now, Out);
     return static_cast<size_t>(
         std::count_if(Out.begin(), Out.end(), [](const InstanceEffect &E) {
           return std::holds_alternative<StartRun>(E);
