sender: share capacity among queues of different priority during overload

Cause: JobOrder::Priority was not used. In the order of the latest start, the queue with the least slack is the first to be late, and its jobs are rejected whatever its priority.

Change: acceptJob offers each job to the module and rejects those beyond the share of their queue, unless upstreams have room now; rankOf puts the more urgent priority first within a lateness class. During an overload the wait for the first room is taken from the expected ends of the runs, and jobs that are expected to be late are rejected. Entries don't apply a reported wait to jobs of the most urgent priority. Without differing priorities, nothing is recorded and nothing changes.

--- a/src/directory/directory_type.h
+++ b/src/directory/directory_type.h
@@ -25,7 +25,7 @@
   std::string Host;         ///< Host header of its requests.
   std::string Prefix;       ///< Start of the path of its requests.
   ServiceName Service;      ///< Runs its tasks.
-  int32_t Priority = 0;     ///< 0 is the highest; senders ignore it.
+  int32_t Priority = 0;     ///< 0 is the highest; see `RoomShares`.
   uint32_t MaxAttempts = 1; ///< Failures of one task that fail the job.
   /// The objective of a job is `Stretch` times the run time of its longest
   /// task, plus `Slack`.
--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -237,7 +237,11 @@
       continue;
     Duration Wait = expectedWait(Context, Sender, J.Order.Step);
     // Forwarding to a sender that can't start the job in time only costs time.
-    if (Wait < BestWait && Now + Wait < latestUsefulStart(J)) {
+    // The reported wait does not apply to the most urgent jobs, as those of
+    // other queues don't delay them.
+    bool Urgent =
+        Context.UrgentPriority && J.Order.Priority <= *Context.UrgentPriority;
+    if (Wait < BestWait && (Urgent || Now + Wait < latestUsefulStart(J))) {
       Best = Sender;
       BestWait = Wait;
     }
--- a/src/entry/entry_cmd.h
+++ b/src/entry/entry_cmd.h
@@ -7,6 +7,7 @@
 #include "instance/instance_effect.h"
 
 #include <functional>
+#include <optional>
 
 namespace snipeshunt {
 
@@ -18,6 +19,9 @@
   /// Load of this instance as a sender. It walks over all its jobs and
   /// upstreams, so it is called only where senders are compared.
   std::function<SenderLoad()> OwnLoad;
+  /// Priority of the jobs that overloaded senders start first; absent if all
+  /// routes have the same.
+  std::optional<int32_t> UrgentPriority;
 };
 
 /// Forwards a caller's job to the sender that is expected to start it first.
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -12,6 +12,7 @@
 #include "sender/job_cmd.h"
 #include "sender/placement_cmd.h"
 #include "sender/remote_cancel_cmd.h"
+#include "sender/room_share_cmd.h"
 #include "sender/sender_table.h"
 #include "sender/upstream_cmd.h"
 
@@ -49,7 +50,9 @@
 constexpr Duration ResumeDelay = std::chrono::milliseconds(30);
 
 EntryContext entryContext(FleetInstance &State, SteadyTime Now) {
-  return {State.Cells, [&State, Now] { return senderLoad(State.Sender, Now); }};
+  const RoomShares &Shares = State.Sender.Shares;
+  return {State.Cells, [&State, Now] { return senderLoad(State.Sender, Now); },
+          Shares.Enabled ? std::optional(Shares.TopPriority) : std::nullopt};
 }
 
 OwnReport ownReport(const FleetInstance &State, SteadyTime Now) {
@@ -110,14 +113,15 @@
 /// Passes a forwarded job to the sender, unless its caller has cancelled it at
 /// another instance.
 void acceptUnlessCancelled(SenderState &Sender, const JobOrder &Order,
-                           JobWaiter Waiter, bool MayBeLate, SteadyTime Now,
+                           JobWaiter Waiter, const DataCentre &EntryCentre,
+                           bool MayBeLate, SteadyTime Now,
                            InstanceEffects &Out) {
   // A job that is open here was submitted after the cancellation.
   if (!Sender.Jobs.count(Order.Id) &&
       isCancelledRemotely(Sender.Cancelled, Order, MayBeLate, Now))
     rejectCancelledJob(Sender, Order, Waiter, Now, Out);
   else
-    acceptJob(Sender, Order, Waiter, Now, Out);
+    acceptJob(Sender, Order, Waiter, Now, Out, EntryCentre);
 }
 
 /// Handles one event in the parts that it concerns.
@@ -138,6 +142,9 @@
     advanceDirectory(State.Directory, Now, Out);
     requestSnapshot();
     updateOwnCells();
+    const auto &Routes = State.Directory.Configuration;
+    if (Routes && Routes->Version != State.Sender.Shares.ConfigurationVersion)
+      applyRoutePriorities(State.Sender.Shares, *Routes);
     expireRuns(State.Sender, Now, Out);
     cancelAbandonedJobs(
         State.Sender,
@@ -251,6 +258,8 @@
                      (P != State.Cells.Peers.end() &&
                       P->second.UnconfirmedSince != SteadyTime{});
     acceptUnlessCancelled(State.Sender, E.Order, {E.Request, /*Local=*/false},
+                          P != State.Cells.Peers.end() ? P->second.Record.Centre
+                                                       : DataCentre{},
                           MayBeLate, Now, Out);
     auto Job = State.Sender.Jobs.find(E.Order.Id);
     if (Job == State.Sender.Jobs.end())
@@ -499,9 +508,9 @@
   for (InstanceEffect &E : Pending) {
     if (auto *Forward = std::get_if<ForwardJob>(&E);
         Forward && Forward->Sender == State.Settings.Self.Endpoint) {
-      acceptUnlessCancelled(State.Sender, Forward->Order,
-                            {Forward->Request, /*Local=*/true},
-                            /*MayBeLate=*/false, Now, From);
+      acceptUnlessCancelled(
+          State.Sender, Forward->Order, {Forward->Request, /*Local=*/true},
+          State.Cells.Self.Centre, /*MayBeLate=*/false, Now, From);
       Delivered = true;
     } else if (auto *Answer = std::get_if<AnswerJob>(&E);
                Answer && (Answer->Request.Value & LocalRequestBit)) {
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -4,10 +4,12 @@
 #include "core/duration_func.h"
 #include "sender/crash_cmd.h"
 #include "sender/estimate_func.h"
+#include "sender/room_share_cmd.h"
 #include "sender/sender_table.h"
 #include "sender/upstream_cmd.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace snipeshunt {
@@ -136,6 +138,11 @@
   return static_cast<double>(waitingCpu(J)) * toSeconds(J.ExpectedRunTime);
 }
 
+// Resolution and number of the steps in which the ends of runs are counted. Of
+// a job that waits for longer, the exact time does not matter.
+constexpr Duration EndStep = std::chrono::milliseconds(10);
+constexpr size_t EndSteps = 32;
+
 /// Capacity and use of the upstreams that are or will soon be usable.
 struct CapacityUsage {
   bool Unknown = false;   ///< The list of upstreams is being read.
@@ -144,7 +151,27 @@
   double RunningWork = 0; ///< Rest of the runs, as in `waitingWork`.
 };
 
-CapacityUsage measureCapacity(const SenderState &State, SteadyTime Now) {
+/// When capacity for tasks of one job becomes free.
+struct FreeTimes {
+  int64_t PerTask = 1;   ///< Need of a task in thousandths of a core, above 0.
+  int64_t FreeTasks = 0; ///< Tasks that could start now.
+  /// Thousandths of a core that runs free, by the step in which they are
+  /// expected to end.
+  std::array<int64_t, EndSteps> FreedCpu{};
+
+  /// Time until \p Tasks could start if no other task waited.
+  Duration timeUntilFree(int64_t Tasks) const {
+    int64_t Missing = (Tasks - FreeTasks) * PerTask;
+    size_t Step = 0;
+    while (Missing > 0 && Step < EndSteps)
+      Missing -= FreedCpu[Step++];
+    return EndStep * static_cast<int64_t>(Step);
+  }
+};
+
+/// \p Times is filled in unless it is null.
+CapacityUsage measureCapacity(const SenderState &State, SteadyTime Now,
+                              FreeTimes *Times = nullptr) {
   CapacityUsage Usage;
   Usage.Unknown = State.UpstreamListPending;
   for (const auto &[Id, U] : State.Upstreams) {
@@ -153,13 +180,19 @@
       continue;
     // Upstreams of a newly claimed cell count too, as they will soon be ready.
     Usage.TotalCpu += U.Record.Capacity.CpuMillis;
-    if (acceptsStarts(U, Now))
+    if (acceptsStarts(U, Now)) {
       Usage.FreeCpu += U.Free.CpuMillis;
+      if (Times)
+        Times->FreeTasks += U.Free.CpuMillis / Times->PerTask;
+    }
     for (const auto &[Key, Run] : U.Runs) {
       Duration Left =
           std::max(Duration::zero(), Run.ExpectedRunTime - (Now - Run.Ordered));
       Usage.RunningWork +=
           static_cast<double>(Run.Need.CpuMillis) * toSeconds(Left);
+      if (Times)
+        Times->FreedCpu[std::min<size_t>(Left / EndStep, EndSteps - 1)] +=
+            Run.Need.CpuMillis;
     }
   }
   return Usage;
@@ -198,10 +231,18 @@
                      : std::clamp(1 - Rate / Usable, MinSpareShare, 1.0);
 }
 
+/// Expected wait of a new job.
+struct ExpectedWait {
+  Duration Delay{0};
+  bool Late = false; ///< The job would miss its objective.
+  /// During an overload: capacity is free that no other job waits for.
+  bool FreeNow = false;
+};
+
 /// Expected wait of \p J behind the jobs that rank before it.
-Duration expectedDelay(const SenderState &State, const SenderJob &J,
-                       SteadyTime Now) {
-  QueueRank Own = rankOf(J, Now);
+ExpectedWait expectedWait(const SenderState &State, const SenderJob &J,
+                          SteadyTime Now) {
+  QueueRank Own = rankOf(State, J, Now);
   int64_t Cpu = 0;
   double Work = 0;
   int64_t LateCpu = 0;
@@ -209,7 +250,7 @@
   for (const auto &[Id, Other] : State.Jobs) {
     if (Other.WaitingTasks == 0)
       continue;
-    QueueRank Rank = rankOf(Other, Now);
+    QueueRank Rank = rankOf(State, Other, Now);
     if (Rank < Own) {
       Cpu += waitingCpu(Other);
       Work += waitingWork(Other);
@@ -217,13 +258,48 @@
     LateCpu += waitingCpu(Other);
     LateWork += waitingWork(Other);
   }
-  CapacityUsage Usage = measureCapacity(State, Now);
-  Duration Delay = delayBehind(Usage, Cpu, Work);
-  if (Now + Delay <= J.Objective - J.ExpectedRunTime)
-    return Delay;
+  FreeTimes Times;
+  Times.PerTask = std::max<int64_t>(1, J.Order.Step.PerTask.CpuMillis);
+  bool Overloaded = State.Shares.Overloaded;
+  CapacityUsage Usage =
+      measureCapacity(State, Now, Overloaded ? &Times : nullptr);
+  ExpectedWait Wait;
+  Wait.Delay = delayBehind(Usage, Cpu, Work);
+  auto Tasks = static_cast<int64_t>(J.WaitingTasks);
+  Wait.FreeNow = Overloaded && LateCpu + Tasks * Times.PerTask <=
+                                   Times.FreeTasks * Times.PerTask;
+  if (Overloaded && Usage.TotalCpu > 0 && Wait.Delay > Duration::zero()) {
+    // The estimate above takes the runs as one amount of work, so that a few
+    // long ones look like a wait of 100 ms for a job that needs eight of sixty
+    // slots. Its last task decides, so all of them have to be free.
+    double Usable = static_cast<double>(Usage.TotalCpu) * UsableCpuShare;
+    Wait.Delay = fromSeconds(Work / Usable) + Times.timeUntilFree(Tasks);
+  }
+  Wait.Late = Now + Wait.Delay > J.Objective - J.ExpectedRunTime;
   // A late job also waits for jobs in time that arrive after it.
-  return scaled(delayBehind(Usage, LateCpu, LateWork),
-                1 / spareShare(State, Usage, Now));
+  if (Wait.Late)
+    Wait.Delay = scaled(delayBehind(Usage, LateCpu, LateWork),
+                        1 / spareShare(State, Usage, Now));
+  return Wait;
+}
+
+/// Computes the shares of the queues anew. Called for each tick.
+void advanceShares(SenderState &State, SteadyTime Now, InstanceEffects &Out) {
+  if (!isShareUpdateDue(State.Shares, Now))
+    return;
+  ShareCapacity Capacity;
+  // Expected run times are for upstreams of average speed.
+  for (const auto &[Id, U] : State.Upstreams) {
+    if (!acceptsStarts(U, Now))
+      continue;
+    int64_t Cpu = U.Record.Capacity.CpuMillis;
+    double Speed = std::exp(-logRunTimeFactor(State.Learned, U));
+    Capacity.Total += static_cast<double>(Cpu) * Speed;
+    Capacity.Busy += static_cast<double>(Cpu - U.Free.CpuMillis) * Speed;
+  }
+  for (const auto &[Id, J] : State.Jobs)
+    Capacity.WaitingWork += waitingWork(J);
+  updateShares(State.Shares, Capacity, Now, Out);
 }
 
 /// Returns true if a job that waits for \p Delay can end by `LatestUsefulEnd`.
@@ -232,6 +308,16 @@
          J.LatestUsefulEnd;
 }
 
+/// Returns true if \p J is expected to meet its objective during an overload.
+bool meetsObjective(const SenderState &State, const SenderJob &J,
+                    const ExpectedWait &Wait, SteadyTime Now) {
+  bool Urgent = J.Order.Priority <= State.Shares.TopPriority;
+  return !Wait.Late &&
+         (Urgent ||
+          Now + Wait.Delay + scaled(J.ExpectedRunTime, LastTaskFactor) <=
+              J.Objective);
+}
+
 /// Ids of the jobs for which \p Chosen holds. They are collected first, since
 /// ending a job erases it from the table.
 template <typename Predicate>
@@ -300,7 +386,8 @@
 } // namespace
 
 void acceptJob(SenderState &State, const JobOrder &Order, JobWaiter Waiter,
-               SteadyTime Now, InstanceEffects &Out) {
+               SteadyTime Now, InstanceEffects &Out,
+               const DataCentre &EntryCentre) {
   mergeCrashes(State.Crashes, Order.Id, Order.Crashes, Now);
   auto Existing = State.Jobs.find(Order.Id);
   if (Existing != State.Jobs.end())
@@ -329,8 +416,24 @@
     return rejectJob(State, Order, Waiter,
                      "no upstream of this sender fits its tasks", true, Now,
                      Out);
-  Duration Delay = expectedDelay(State, J, Now);
-  if (!endsInTime(J, Delay, Now))
+  ExpectedWait Wait = expectedWait(State, J, Now);
+  Duration Delay = Wait.Delay;
+  // During an overload, late jobs would take capacity from jobs in time.
+  bool InTime =
+      endsInTime(J, Delay, Now) && (!State.Shares.Overloaded || Wait.FreeNow ||
+                                    meetsObjective(State, J, Wait, Now));
+  if (State.Shares.Enabled) {
+    OfferedJob Offer{Order.Queue, Order.Priority, EntryCentre, waitingWork(J)};
+    bool InShare =
+        offerJob(State.Shares, Offer, Now) != ShareDecision::BeyondShare ||
+        Wait.FreeNow;
+    recordShareOutcome(State.Shares, Offer, InTime && InShare, Now);
+    if (!InShare)
+      return rejectJob(State, Order, Waiter,
+                       "overload, its queue has used its share", true, Now,
+                       Out);
+  }
+  if (!InTime)
     return rejectJob(
         State, Order, Waiter,
         "cannot finish in time: queue_delay_ms=" +
@@ -344,7 +447,7 @@
       T.Run = Earlier->LastRun;
     J.MayHaveRun = Earlier->LastRun > 0;
   }
-  J.AdmittedLate = Now + Delay > J.Objective - J.ExpectedRunTime;
+  J.AdmittedLate = Wait.Late;
   if (!J.AdmittedLate)
     recordOfferedWork(State.Offered, J, Now);
   ++State.Counts.JobsAccepted;
@@ -493,6 +596,7 @@
   // late. Rejected jobs no longer count as a delay of the jobs behind them.
   std::vector<JobId> TooLate;
   CapacityUsage Usage = measureCapacity(State, Now);
+  advanceShares(State, Now, Out);
   double Spare = spareShare(State, Usage, Now);
   int64_t Cpu = 0;
   double Work = 0;
@@ -573,13 +677,16 @@
               Now, Out);
 }
 
-QueueRank rankOf(const SenderJob &J, SteadyTime Now) {
+QueueRank rankOf(const SenderState &State, const SenderJob &J, SteadyTime Now) {
   SteadyTime LatestStart = J.Objective - J.ExpectedRunTime;
   // Estimates are rough, so a slight delay does not lower a job's rank.
   SteadyTime Limit =
       LatestStart + scaled(J.Objective - J.Arrived, LateStartTolerance);
   bool Late = !J.Started && (J.AdmittedLate || Limit < Now);
-  return {Late ? 1 : 0, LatestStart, J.Order.Id};
+  return {Late ? 1 : 0,
+          rankPriority(State.Shares, J.Order.Priority,
+                       LatestStart < Now + LateSoonTime, J.Started),
+          LatestStart, J.Order.Id};
 }
 
 std::vector<std::pair<QueueRank, SenderJob *>> rankedQueue(SenderState &State,
@@ -587,7 +694,7 @@
   std::vector<std::pair<QueueRank, SenderJob *>> Queue;
   for (auto &[Id, J] : State.Jobs)
     if (J.WaitingTasks > 0)
-      Queue.emplace_back(rankOf(J, Now), &J);
+      Queue.emplace_back(rankOf(State, J, Now), &J);
   std::sort(Queue.begin(), Queue.end(),
             [](const auto &L, const auto &R) { return L.first < R.first; });
   return Queue;
@@ -604,7 +711,7 @@
     if (J.WaitingTasks == 0)
       continue;
     ++Load.Waiting;
-    if (rankOf(J, Now).LateClass > 0)
+    if (rankOf(State, J, Now).LateClass > 0)
       continue;
     WaitingCpu += waitingCpu(J);
     WaitingWork += waitingWork(J);
--- a/src/sender/job_cmd.h
+++ b/src/sender/job_cmd.h
@@ -17,9 +17,11 @@
 };
 
 /// Admits or rejects a job. A duplicate submission replaces the waiter of the
-/// unfinished job, or is answered with the retained result.
+/// unfinished job, or is answered with the retained result. \p EntryCentre is
+/// the data centre of its entry instance, empty if unknown.
 void acceptJob(SenderState &State, const JobOrder &Order, JobWaiter Waiter,
-               SteadyTime Now, InstanceEffects &Out);
+               SteadyTime Now, InstanceEffects &Out,
+               const DataCentre &EntryCentre = {});
 
 /// Rejects a job that its caller has cancelled at another instance.
 void rejectCancelledJob(SenderState &State, const JobOrder &Order,
@@ -71,8 +73,9 @@
                bool Moved = false);
 
 /// Sort key of a job in the queue. Jobs that can meet their objective come
-/// first, by latest start; jobs that will be late follow.
-QueueRank rankOf(const SenderJob &J, SteadyTime Now);
+/// first, by latest start; jobs that will be late follow. During an overload,
+/// the priority comes before the latest start.
+QueueRank rankOf(const SenderState &State, const SenderJob &J, SteadyTime Now);
 
 /// Jobs with waiting tasks, by `QueueRank`.
 std::vector<std::pair<QueueRank, SenderJob *>> rankedQueue(SenderState &State,
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -3,6 +3,7 @@
 #define SNIPESHUNT_SENDER_SENDER_BASE_H
 
 #include "sender/crash_base.h"
+#include "sender/room_share_base.h"
 #include "sender/sender_type.h"
 #include "settings/fleet_settings_type.h"
 
@@ -243,11 +244,12 @@
 /// Sort key of a job in the queue; the lowest is placed first.
 struct QueueRank {
   int LateClass = 0;        ///< 1 if the job will miss its objective, else 0.
+  int32_t Priority = 0;     ///< The job's during an overload, else 0.
   SteadyTime LatestStart{}; ///< Latest start that meets the objective.
   JobId Id;
   friend bool operator<(const QueueRank &L, const QueueRank &R) {
-    return std::tie(L.LateClass, L.LatestStart, L.Id) <
-           std::tie(R.LateClass, R.LatestStart, R.Id);
+    return std::tie(L.LateClass, L.Priority, L.LatestStart, L.Id) <
+           std::tie(R.LateClass, R.Priority, R.LatestStart, R.Id);
   }
 };
 
@@ -270,6 +272,7 @@
 struct SenderState {
   FleetBounds Bounds; ///< From the settings.
   OfferedWork Offered;
+  RoomShares Shares;
   bool Draining = false;    ///< Shutdown has begun; new jobs are rejected.
   bool PlacementDue = true; ///< A start may have become possible.
   /// Upstreams were released or fenced off, so that jobs may have none left.
--- a/tests/support/cell_world.cpp
+++ b/tests/support/cell_world.cpp
@@ -165,21 +165,26 @@
 size_t CellWorld::submit(const Address &Entry, const std::string &Job,
                          uint32_t Tasks, Duration TaskTime, Duration Patience,
                          int64_t CpuMillis, const std::string &Requirement) {
+  return submit(Entry, {Job, Tasks, TaskTime, TaskTime, Patience, CpuMillis,
+                        Requirement});
+}
+
+size_t CellWorld::submit(const Address &Entry, const JobSetup &Job) {
   size_t Number = Callers.size();
   Callers.push_back({Now, std::nullopt, {}});
   RequestId Request{Number + 1};
   CallerByRequest[{Entry, Request}] = Number;
-  TaskTimes[{Job}] = TaskTime;
-  TaskCpu[{Job}] = CpuMillis;
+  TaskTimes[{Job.Name}] = Job.TaskTime;
+  TaskCpu[{Job.Name}] = Job.CpuMillis;
   JobSubmitted Event;
   Event.Request = Request;
-  Event.Queue = Configuration.Routes.front();
-  Event.Job.Id = {Job};
-  Event.Job.Step.Count = Tasks;
-  Event.Job.Step.PerTask = {CpuMillis, 64, 0};
-  Event.Job.Step.Estimate = TaskTime;
-  Event.Job.Step.Requirement = Requirement;
-  Event.Patience = Patience;
+  Event.Queue = Configuration.Routes.at(Job.Route);
+  Event.Job.Id = {Job.Name};
+  Event.Job.Step.Count = Job.Tasks;
+  Event.Job.Step.PerTask = {Job.CpuMillis, 64, 0};
+  Event.Job.Step.Estimate = Job.DeclaredTime;
+  Event.Job.Step.Requirement = Job.Requirement;
+  Event.Patience = Job.Patience;
   deliver(Entry, Event);
   return Number;
 }
--- a/tests/support/cell_world.h
+++ b/tests/support/cell_world.h
@@ -92,7 +92,19 @@
   /// Advances the clock by \p Time and handles all events due by then.
   void run(Duration Time);
 
+  /// A job as its caller submits it.
+  struct JobSetup {
+    std::string Name;
+    uint32_t Tasks = 1;
+    Duration TaskTime{0};     ///< At speed 1.
+    Duration DeclaredTime{0}; ///< The caller's estimate of it.
+    Duration Patience = std::chrono::seconds(3);
+    int64_t CpuMillis = 27000;
+    std::string Requirement;
+    size_t Route = 0; ///< Index in the configuration.
+  };
   /// Submits a job to an instance; returns its number for `caller`.
+  size_t submit(const Address &Entry, const JobSetup &Job);
   size_t submit(const Address &Entry, const std::string &Job, uint32_t Tasks,
                 Duration TaskTime, Duration Patience = std::chrono::seconds(3),
                 int64_t CpuMillis = 27000, const std::string &Requirement = "");
