metrics: show shares of queues and overloads

Cause: operators can't see which queue an overloaded sender limits.

Change: a gauge while shares are in force, a count of overloads, and by queue the work that was offered, admitted and rejected during overloads and the present share. Only queues that were in an overload appear.

Result: compiles; no test reads these metrics yet.

--- a/src/daemon/metric_registry.cpp
+++ b/src/daemon/metric_registry.cpp
@@ -26,6 +26,20 @@
   Metric->Increment(static_cast<double>(Total) - Metric->Value());
 }
 
+void MetricRegistry::setCounter(const std::string &Name,
+                                const std::string &Help,
+                                const std::string &Label,
+                                const std::string &LabelValue, uint64_t Total) {
+  prometheus::Counter *&Metric = Counters[Name + "/" + LabelValue];
+  if (!Metric)
+    Metric = &prometheus::BuildCounter()
+                  .Name("snipeshunt_" + Name)
+                  .Help(Help)
+                  .Register(Registry)
+                  .Add({{Label, LabelValue}});
+  Metric->Increment(static_cast<double>(Total) - Metric->Value());
+}
+
 void MetricRegistry::setGauge(const std::string &Name, const std::string &Help,
                               double Value) {
   prometheus::Gauge *&Metric = Gauges[Name];
@@ -38,6 +52,19 @@
   Metric->Set(Value);
 }
 
+void MetricRegistry::setGauge(const std::string &Name, const std::string &Help,
+                              const std::string &Label,
+                              const std::string &LabelValue, double Value) {
+  prometheus::Gauge *&Metric = Gauges[Name + "/" + LabelValue];
+  if (!Metric)
+    Metric = &prometheus::BuildGauge()
+                  .Name("snipeshunt_" + Name)
+                  .Help(Help)
+                  .Register(Registry)
+                  .Add({{Label, LabelValue}});
+  Metric->Set(Value);
+}
+
 void MetricRegistry::observe(const std::string &Name, const std::string &Help,
                              const std::string &Label,
                              const std::string &LabelValue, double Seconds) {
--- a/src/daemon/metric_registry.h
+++ b/src/daemon/metric_registry.h
@@ -19,8 +19,16 @@
   /// Sets a counter to \p Total, which must not decrease.
   void setCounter(const std::string &Name, const std::string &Help,
                   uint64_t Total);
+  /// As above, for one value of a label.
+  void setCounter(const std::string &Name, const std::string &Help,
+                  const std::string &Label, const std::string &LabelValue,
+                  uint64_t Total);
   /// Sets a gauge to \p Value.
   void setGauge(const std::string &Name, const std::string &Help, double Value);
+  /// As above, for one value of a label.
+  void setGauge(const std::string &Name, const std::string &Help,
+                const std::string &Label, const std::string &LabelValue,
+                double Value);
   /// Adds a duration to the histogram \p Name with the given label.
   void observe(const std::string &Name, const std::string &Help,
                const std::string &Label, const std::string &LabelValue,
@@ -29,9 +37,10 @@
   std::string text() const;
 
 private:
-  prometheus::Registry Registry;                         ///< Owns the metrics.
-  std::map<std::string, prometheus::Counter *> Counters; ///< By name.
-  std::map<std::string, prometheus::Gauge *> Gauges;     ///< By name.
+  prometheus::Registry Registry; ///< Owns the metrics.
+  /// By name, or by name and label value as below.
+  std::map<std::string, prometheus::Counter *> Counters;
+  std::map<std::string, prometheus::Gauge *> Gauges; ///< As `Counters`.
   /// By name and label value, as `NAME/VALUE`.
   std::map<std::string, prometheus::Histogram *> Histograms;
 };
--- a/src/runtime/cell_metrics.cpp
+++ b/src/runtime/cell_metrics.cpp
@@ -44,6 +44,35 @@
   return Ok{};
 }
 
+void CellMetrics::setShares(const RoomShares &Shares) {
+  if (!Shares.Enabled)
+    return;
+  Values.setGauge("overload", "1 while the shares of queues are in force here.",
+                  Shares.Overloaded ? 1 : 0);
+  Values.setCounter("overloads_total", "Overloads of this sender.",
+                    Shares.Overloads);
+  for (const auto &[Name, Queue] : Shares.Queues) {
+    // There are up to a thousand queues, and few of them are ever overloaded.
+    if (Queue.OfferedTotal <= 0)
+      continue;
+    auto SetWork = [&, &Label = Name](const char *Metric, const char *Help,
+                                      double Work) {
+      Values.setCounter(Metric, Help, "queue", Label,
+                        static_cast<uint64_t>(Work));
+    };
+    SetWork("overload_offered_work_total",
+            "Work offered during overloads, in thousandths of core-seconds.",
+            Queue.OfferedTotal);
+    SetWork("overload_admitted_work_total", "Of that, admitted work.",
+            Queue.AdmittedTotal);
+    SetWork("overload_refused_work_total", "Of that, rejected work.",
+            Queue.RejectedTotal);
+    Values.setGauge("queue_share_cores",
+                    "Share of the queue in this sender's capacity.", "queue",
+                    Name, Queue.Share / 1000);
+  }
+}
+
 std::string CellMetrics::text() {
   const FleetInstance &State = Owner.state();
   const EntryCounters &E = State.Entry.Counts;
@@ -101,6 +130,7 @@
                     State.Cells.Counts.PingsSent);
   Values.setCounter("log_dropped_total", "Log lines dropped.",
                     droppedLogLines());
+  setShares(State.Sender.Shares);
   SenderLoad Load = senderLoad(State.Sender, Owner.clock().steadyNow());
   Values.setGauge("queue_delay_seconds",
                   "Expected wait of a new job at this sender.",
--- a/src/runtime/cell_metrics.h
+++ b/src/runtime/cell_metrics.h
@@ -17,6 +17,7 @@
 private:
   /// Updates all values and returns them in the format of Prometheus.
   std::string text();
+  void setShares(const RoomShares &Shares);
 
   CellDaemon &Owner;
   HttpServer Server;
