sender: learn the usable capacity from short backlogs

The usable part of the capacity was learned from backlogs of 150 ms only, and jobs were rejected that a run of 1.4 times the expected time would have made late.

Change: learn from backlogs of 30 ms; admit by the expected run time.

--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -308,16 +308,6 @@
          J.LatestUsefulEnd;
 }
 
-/// Returns true if \p J is expected to meet its objective during an overload.
-bool meetsObjective(const SenderState &State, const SenderJob &J,
-                    const ExpectedWait &Wait, SteadyTime Now) {
-  bool Urgent = J.Order.Priority <= State.Shares.TopPriority;
-  return !Wait.Late &&
-         (Urgent ||
-          Now + Wait.Delay + scaled(J.ExpectedRunTime, LastTaskFactor) <=
-              J.Objective);
-}
-
 /// Ids of the jobs for which \p Chosen holds. They are collected first, since
 /// ending a job erases it from the table.
 template <typename Predicate>
@@ -419,9 +409,8 @@
   ExpectedWait Wait = expectedWait(State, J, Now);
   Duration Delay = Wait.Delay;
   // During an overload, late jobs would take capacity from jobs in time.
-  bool InTime =
-      endsInTime(J, Delay, Now) && (!State.Shares.Overloaded || Wait.FreeNow ||
-                                    meetsObjective(State, J, Wait, Now));
+  bool InTime = endsInTime(J, Delay, Now) &&
+                (!State.Shares.Overloaded || Wait.FreeNow || !Wait.Late);
   if (State.Shares.Enabled) {
     OfferedJob Offer{Order.Queue, Order.Priority, EntryCentre, waitingWork(J)};
     bool InShare =
--- a/src/sender/room_share_cmd.cpp
+++ b/src/sender/room_share_cmd.cpp
@@ -29,6 +29,9 @@
 constexpr Duration BeginBacklog = std::chrono::milliseconds(150);
 // Backlog below which capacity is not short.
 constexpr Duration MinBacklog = std::chrono::milliseconds(10);
+// Backlog from which all that fits is taken to be in use. With 150 ms, short
+// overloads teach nothing, and shares stay too small.
+constexpr Duration LearningBacklog = std::chrono::milliseconds(30);
 // Weight of one observation of `RoomShares::UsablePart`: it follows a change of
 // the task sizes within a second.
 constexpr double UsableLearningRate = 0.1;
@@ -164,7 +167,7 @@
                                 : Duration::zero();
   if (Backlog >= MinBacklog)
     Shares.LastBusy = Now;
-  if (Backlog >= BeginBacklog) {
+  if (Backlog >= LearningBacklog) {
     // All that fits is in use while so much waits.
     Shares.UsablePart += (Capacity.Busy / Capacity.Total - Shares.UsablePart) *
                          UsableLearningRate;
--- a/src/sender/sender_table.h
+++ b/src/sender/sender_table.h
@@ -114,10 +114,6 @@
 /// A job that misses its latest start by more than this share of its objective
 /// ranks behind the jobs that can meet theirs.
 constexpr double LateStartTolerance = 0.1;
-/// Run time of a job's last task relative to the expected one, by which jobs
-/// that are not the most urgent ones are admitted during an overload: under
-/// load the last task often gets an upstream of 0.7 times the average speed.
-constexpr double LastTaskFactor = 1.4;
 /// During an overload, a job whose latest start is nearer than this ranks
 /// before others of its priority. Tasks of 900 ms wait behind up to 150 ms of
 /// work of more urgent queues.
