--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -14,6 +14,7 @@
 #include "sender/job_cmd.h"
 #include "sender/placement_cmd.h"
 #include "sender/remote_cancel_cmd.h"
+#include "sender/room_share_cmd.h"
 #include "sender/sender_table.h"
 #include "sender/upstream_cmd.h"
 
@@ -51,7 +52,9 @@
 constexpr Duration ResumeDelay = std::chrono::milliseconds(30);
 
 EntryContext entryContext(FleetInstance &State, SteadyTime Now) {
-  return {State.Cells, [&State, Now] { return senderLoad(State.Sender, Now); }};
+  const RoomShares &Shares = State.Sender.Shares;
+  return {State.Cells, [&State, Now] { return senderLoad(State.Sender, Now); },
+          Shares.Enabled ? std::optional(Shares.TopPriority) : std::nullopt};
 }
 
 OwnReport ownReport(const FleetInstance &State, SteadyTime Now) {
@@ -150,14 +153,14 @@
 
 /// Passes a forwarded job to the sender, unless its caller has cancelled it.
 void acceptUnlessCancelled(SenderState &Sender, const JobOrder &Order,
-                           JobWaiter Waiter, SteadyTime Now,
-                           InstanceEffects &Out) {
+                           JobWaiter Waiter, const DataCentre &EntryCentre,
+                           SteadyTime Now, InstanceEffects &Out) {
   // A cancellation ends an open job, so one that is open is not cancelled.
   if (!Sender.Jobs.count(Order.Id) &&
       isCancelledRemotely(Sender.Cancelled, Order.Id, Now))
     rejectCancelledJob(Sender, Order, Waiter, Now, Out);
   else
-    acceptJob(Sender, Order, Waiter, Now, Out);
+    acceptJob(Sender, Order, Waiter, Now, Out, EntryCentre);
 }
 
 /// Handles one event in the parts that it concerns.
@@ -180,6 +183,9 @@
     requestSnapshot();
     updateOwnCells();
     balanceCells();
+    const auto &Routes = State.Directory.Configuration;
+    if (Routes && Routes->Version != State.Sender.Shares.ConfigurationVersion)
+      applyRoutePriorities(State.Sender.Shares, *Routes);
     expireRuns(State.Sender, Now, Out);
     cancelAbandonedJobs(
         State.Sender,
@@ -299,6 +305,8 @@
       confirmJob(P->second);
     }
     acceptUnlessCancelled(State.Sender, E.Order, {E.Request, /*Local=*/false},
+                          P != State.Cells.Peers.end() ? P->second.Record.Centre
+                                                       : DataCentre{},
                           Now, Out);
     auto Job = State.Sender.Jobs.find(E.Order.Id);
     if (Job == State.Sender.Jobs.end())
@@ -615,7 +623,8 @@
     if (auto *Forward = std::get_if<ForwardJob>(&E);
         Forward && Forward->Sender == State.Settings.Self.Endpoint) {
       acceptUnlessCancelled(State.Sender, Forward->Order,
-                            {Forward->Request, /*Local=*/true}, Now, From);
+                            {Forward->Request, /*Local=*/true},
+                            State.Cells.Self.Centre, Now, From);
       Delivered = true;
     } else if (auto *Answer = std::get_if<AnswerJob>(&E);
                Answer && (Answer->Request.Value & LocalRequestBit)) {
--- a/src/sender/sender_table.h
+++ b/src/sender/sender_table.h
@@ -109,6 +109,10 @@
 /// A job that misses its latest start by more than this share of its objective
 /// ranks behind the jobs that can meet theirs.
 constexpr double LateStartTolerance = 0.1;
+/// During an overload, a job whose latest start is nearer than this ranks
+/// before others of its priority. Tasks of 900 ms wait behind up to 150 ms of
+/// work of more urgent queues.
+constexpr Duration LateSoonTime = std::chrono::milliseconds(200);
 /// Expected delay at a sender without usable upstreams.
 constexpr Duration NoUpstreamDelay = std::chrono::seconds(10);
 /// Minimum weight of one observation in learned factors.
