--- a/tests/cell_load_shares_test.cpp
+++ b/tests/cell_load_shares_test.cpp
@@ -205,11 +205,18 @@
   // The floor is a tenth of the capacity; some admitted jobs are late.
   for (size_t K = 0; K < Kinds.size(); ++K)
     EXPECT_GE(With.During[K].Work / (5 * Seeds) / Capacity, 0.1) << K;
-  EXPECT_GE(With.During[3].WorkInTime / (5 * Seeds) / Capacity, 0.82);
   for (size_t K = 0; K < Kinds.size(); ++K) {
     EXPECT_GE(credit(With.Before[K]), credit(Without.Before[K]) - 0.01) << K;
     EXPECT_GE(credit(With.After[K]), credit(Without.After[K]) - 0.02) << K;
   }
 }
+
+// Guards against capacity that an overload wastes on jobs that end late. The
+// bound is the one that docs/design/work-plan.md requires.
+TEST_P(CellLoadSharesTest, WorkInTimeFillsTheCapacity) {
+  BurstOutcomes With = playBurst(GetParam(), true);
+  EXPECT_GE(With.During[3].WorkInTime / (5 * Seeds) / Capacity, 0.85);
+}
+
 INSTANTIATE_TEST_SUITE_P(Bursts, CellLoadSharesTest,
                          ::testing::Values(1.3, 2.0, 2.6));
