http, entry: state 'not run' of a rejected submission only if it is true

Cause: a submission above the limits of memory or of open requests was answered with 503 before it was read, also if the job was open or an earlier submission of it may have started tasks.

Evidence: UnreadRejection.JobThatMayHaveRunIsNotAnsweredAsNotRun and HttpLimitsTest.RejectionIsAnsweredByItsUser, both of new functions.

--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -329,6 +329,13 @@
 
 } // namespace
 
+AnswerStatus unreadRejection(const EntryState &State, const JobId &Job,
+                             SteadyTime Now) {
+  return State.ByJob.count(Job) || mayHaveRunEarlier(State, Job, Now)
+             ? AnswerStatus::Lost
+             : AnswerStatus::NotRun;
+}
+
 void submitJob(EntryState &State, const EntryContext &Context,
                const JobSubmitted &Event, SteadyTime Now,
                InstanceEffects &Out) {
--- a/src/entry/entry_cmd.h
+++ b/src/entry/entry_cmd.h
@@ -24,6 +24,12 @@
   std::optional<int32_t> UrgentPriority;
 };
 
+/// Returns how a submission is answered that is rejected unread: as not run, or
+/// as lost if the job is open here or an earlier submission may have started
+/// tasks.
+AnswerStatus unreadRejection(const EntryState &State, const JobId &Job,
+                             SteadyTime Now);
+
 /// Forwards a caller's job to the sender that is expected to start it first.
 /// A job that is open already is not started again; its answer goes to the new
 /// request.
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -117,8 +117,8 @@
   return Body;
 }
 
-/// Reads the parts of \p Request, apart from its number.
-HttpRequest readRequest(evhttp_request *Request) {
+/// Reads the parts of \p Request, apart from its number and its body.
+HttpRequest readHead(evhttp_request *Request) {
   HttpRequest Out;
   Out.Method = methodName(evhttp_request_get_command(Request));
   const evhttp_uri *Uri = evhttp_request_get_evhttp_uri(Request);
@@ -141,7 +141,6 @@
                              &Port);
   if (Remote)
     Out.RemoteIp = Remote;
-  Out.Body = bodyOf(Request);
   return Out;
 }
 
@@ -376,6 +375,20 @@
   Socket = nullptr;
 }
 
+void HttpServer::reject(evhttp_request *Request) {
+  HttpReply Reply{503, "{}"};
+  if (RejectionReply)
+    Reply = RejectionReply(readHead(Request));
+  evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
+  evhttp_add_header(Headers, "Connection", "close");
+  evhttp_add_header(Headers, "Content-Type", Reply.ContentType.c_str());
+  for (const auto &[Name, Value] : Reply.Headers)
+    evhttp_add_header(Headers, Name.c_str(), Value.c_str());
+  evbuffer_add(evhttp_request_get_output_buffer(Request), Reply.Body.data(),
+               Reply.Body.size());
+  evhttp_send_reply(Request, Reply.Status, nullptr, nullptr);
+}
+
 void HttpServer::handle(evhttp_request *Request) {
   evhttp_connection *Connection = evhttp_request_get_connection(Request);
   auto Found = Connections.find(Connection);
@@ -392,17 +405,16 @@
   Table.setHeld(C, inputSize(C));
   limitReadAhead(C, true);
   if (Open.size() >= Limits.MaxOpenRequests) {
-    evhttp_send_error(Request, 503, "too many open requests");
-    return;
+    return reject(Request);
   }
   size_t Body = BodyCopies *
                 evbuffer_get_length(evhttp_request_get_input_buffer(Request));
   if (Table.mustReject(Body)) {
     Table.countRejected();
-    evhttp_send_error(Request, 503, "out of memory for requests");
-    return;
+    return reject(Request);
   }
-  HttpRequest Out = readRequest(Request);
+  HttpRequest Out = readHead(Request);
+  Out.Body = bodyOf(Request);
   // The request may have waited in the socket while its client gave up. The
   // client may have sent it to another instance since.
   if (hasDisconnected(Connection)) {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -9,6 +9,7 @@
 
 #include <sigc++/sigc++.h>
 
+#include <functional>
 #include <memory>
 #include <unordered_map>
 
@@ -84,6 +85,9 @@
   sigc::signal<void(const std::string &)> HandlerFailed;
   /// Emitted when the client of an unanswered request has disconnected.
   sigc::signal<void(RequestId)> RequestClosed;
+  /// Returns the answer to a request that a limit rejects, which has no body
+  /// here; 503 if it is unset. The connection is closed after it.
+  std::function<HttpReply(const HttpRequest &)> RejectionReply;
 
 private:
   struct HttpDeleter {
@@ -115,6 +119,8 @@
   static void limitReadAhead(HttpConnection &C, bool Limit);
   /// Called by evhttp when the answer to a request has been written.
   static void handleWritten(evhttp_request *Request, void *Arg);
+  /// Answers \p Request with `RejectionReply`.
+  void reject(evhttp_request *Request);
   /// Called by evhttp for each complete request.
   void handle(evhttp_request *Request);
   /// Passes \p Request to the handlers of \p Signal.
--- a/tests/cell_resubmission_test.cpp
+++ b/tests/cell_resubmission_test.cpp
@@ -1,5 +1,6 @@
 /// \file Jobs that are submitted again after their outcome became unknown and
 /// are rejected then, on a fake clock.
+#include "entry/entry_cmd.h"
 #include "entry/started_cmd.h"
 #include "support/cell_world.h"
 
@@ -271,3 +272,21 @@
   EXPECT_EQ(Record.Jobs.size(), 2U);
   EXPECT_TRUE(mayHaveStarted(Record, {"job-19999"}, Now));
 }
+
+// Guards against a submission that is rejected unread with the statement that
+// the job has not run, though an earlier submission of it has started tasks.
+TEST(UnreadRejection, JobThatMayHaveRunIsNotAnsweredAsNotRun) {
+  CellWorld World;
+  World.addUpstream({"up-1"});
+  Address Entry = World.addInstance("entry", "centre-a");
+  World.run(seconds(1));
+  World.submit(Entry, "done", 1, milliseconds(10));
+  World.run(seconds(1));
+  World.submit(Entry, "open", 1, milliseconds(500));
+  World.run(milliseconds(50));
+  const EntryState &State = World.state(Entry).Entry;
+  for (const char *Job : {"done", "open"})
+    EXPECT_EQ(unreadRejection(State, {Job}, World.now()), AnswerStatus::Lost)
+        << Job;
+  EXPECT_EQ(unreadRejection(State, {"new"}, World.now()), AnswerStatus::NotRun);
+}
--- a/tests/http_limits_test.cpp
+++ b/tests/http_limits_test.cpp
@@ -159,6 +159,20 @@
   EXPECT_EQ(Table->connections(), 0U);
 }
 
+// Guards against a rejection that states that a job has not run though an
+// earlier submission of it may have: the server's user decides the status.
+TEST_F(HttpLimitsTest, RejectionIsAnsweredByItsUser) {
+  ConnectionLimits Limits;
+  Limits.MaxBytes = 80000;
+  start(Limits);
+  Server->RejectionReply = [](const HttpRequest &Request) {
+    return HttpReply{Request.Method == "POST" ? 502 : 500, Request.Body};
+  };
+  std::string Answer = exchange(connect(), post(30000, 30000));
+  EXPECT_EQ(Answer.substr(0, 12), "HTTP/1.1 502");
+  EXPECT_NE(Answer.find("Connection: close"), std::string::npos);
+}
+
 // Guards against limits of a configuration that only new connections get.
 TEST_F(HttpLimitsTest, NewRequestLimitsApplyToOpenConnections) {
   start({});
