tests: render the optional section of the settings template

Change: the test renders the template with and without the field, and both results have to be valid settings.

Evidence: CellProcessTest.TemplateOfTheDeployFileGivesValidSettings passes.

--- a/tests/process/cell_process_test.cpp
+++ b/tests/process/cell_process_test.cpp
@@ -67,7 +67,8 @@
   // The first instance is the sender, so each job has a connection to it.
   EXPECT_TRUE(Fleet::waitUntil(
       [&] { return openDescriptors(F, 1) > Before + PeakJobs; },
-      std::chrono::seconds(30)));
+      std::chrono::seconds(30)))
+      << F.allLogs();
   for (std::thread &T : Callers)
     T.join();
   std::this_thread::sleep_for(std::chrono::seconds(4));
@@ -299,9 +300,24 @@
   EXPECT_EQ(F.submit(0, jobId(1), 2, 20).Status, 200);
 }
 
+/// Renders the section \p Name of \p Text once if \p Present, and not at all
+/// otherwise.
+void renderSection(std::string &Text, const std::string &Name, bool Present) {
+  std::string Begin = "{{#" + Name + "}}";
+  std::string End = "{{/" + Name + "}}";
+  size_t From = Text.find(Begin);
+  size_t To = Text.find(End);
+  ASSERT_NE(From, std::string::npos);
+  ASSERT_NE(To, std::string::npos);
+  if (!Present)
+    Text.erase(From, To + End.size() - From);
+  else
+    Text.erase(To, End.size()).erase(From, Begin.size());
+}
+
 /// Returns the settings template with all placeholders replaced as the platform
-/// replaces them.
-std::string renderTemplate() {
+/// replaces them, with or without its optional fields.
+std::string renderTemplate(bool HasOptionalFields) {
   std::ifstream File(std::string(SOURCE_DIR) +
                      "/deploy/settings.json.template");
   std::stringstream Text;
@@ -321,7 +337,9 @@
       {"{{bounds.max_hold_ms|json}}", "1000"},
       {"{{bounds.stop_timeout_ms|json}}", "50"},
       {"{{bounds.drain_ms|json}}", "2000"},
-      {"{{bounds.grace_s|json}}", "6"}};
+      {"{{bounds.grace_s|json}}", "6"},
+      {"{{bounds.evacuate_ms|json}}", "5000"}};
+  renderSection(Rendered, "bounds.evacuate_ms", HasOptionalFields);
   for (const auto &[Name, Value] : Fields)
     for (size_t At; (At = Rendered.find(Name)) != std::string::npos;)
       Rendered.replace(At, strlen(Name), Value);
@@ -342,10 +360,13 @@
 // Guards against a template that yields settings which the daemon rejects.
 TEST(CellProcessTest, TemplateOfTheDeployFileGivesValidSettings) {
   CellFleet F(cellOptions(1, 1, 0));
-  std::string Text = renderTemplate();
-  EXPECT_EQ(Text.find("{{"), std::string::npos) << Text;
-  std::ofstream(F.settings(0)) << Text;
-  EXPECT_EQ(checkSettings(F), std::optional<int>(0)) << F.logText("check");
+  for (bool HasOptionalFields : {false, true}) {
+    std::string Text = renderTemplate(HasOptionalFields);
+    EXPECT_EQ(Text.find("{{"), std::string::npos) << Text;
+    EXPECT_EQ(Text.find("evacuate_ms") != std::string::npos, HasOptionalFields);
+    std::ofstream(F.settings(0)) << Text;
+    EXPECT_EQ(checkSettings(F), std::optional<int>(0)) << F.logText("check");
+  }
 }
 
 // Guards against invalid settings being accepted.
