--- a/src/cells/cell_base.h
+++ b/src/cells/cell_base.h
@@ -123,9 +123,6 @@
   std::map<CellId, SteadyTime> ClaimAfter;
   /// Since when cells of the own data centre have had no reachable sender.
   std::map<CellId, SteadyTime> UnservedSince;
-  /// Senders that the upstreams of the own data centre are spread over while
-  /// enough instances are there.
-  uint32_t WantedSenders = 1;
   size_t OwnUpstreams = 0; ///< Upstreams of the own data centre.
   /// No ping is due before. Changed by `pingBy` and `sendPings` only.
   SteadyTime NextPingScan{};
--- a/src/cells/cell_cmd.cpp
+++ b/src/cells/cell_cmd.cpp
@@ -3,10 +3,12 @@
 
 #include "cells/cell_table.h"
 #include "cells/peer_func.h"
+#include "cells/share_func.h"
 
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace snipeshunt {
@@ -137,16 +139,19 @@
     return;
   size_t Stronger = 0;
   size_t Senders = State.Claims.empty() ? 0 : 1;
+  std::vector<double> Weights{State.Self.Weight};
   for (const auto &[Endpoint, P] : State.Peers) {
     if (!isInOwnCentre(State, P) || !isWorking(State, P, Now))
       continue;
+    Weights.push_back(P.Record.Weight);
     Senders += P.Claims.empty() ? 0 : 1;
     Stronger += std::tie(State.Self.Weight, Endpoint) <
                         std::tie(P.Record.Weight, State.Self.Endpoint)
                     ? 1
                     : 0;
   }
-  Senders = std::max<size_t>(Senders, State.WantedSenders);
+  std::sort(Weights.begin(), Weights.end(), std::greater<>());
+  Senders = std::max(Senders, senderCount(Weights, State.OwnUpstreams));
   size_t Limit = std::max(MinStandbys, StandbysPerSender * Senders);
   State.IsStandby = Stronger < (State.IsStandby ? Limit + Limit / 2 : Limit);
 }
--- a/src/cells/claim_cmd.cpp
+++ b/src/cells/claim_cmd.cpp
@@ -103,32 +103,32 @@
   return Ranked;
 }
 
+std::vector<double> weightsOf(const std::vector<Candidate> &Ranked) {
+  std::vector<double> Weights(Ranked.size());
+  std::transform(Ranked.begin(), Ranked.end(), Weights.begin(),
+                 [](const Candidate &C) { return C.Weight; });
+  return Weights;
+}
+
 /// Returns true if this instance has more upstreams than its processor suffices
 /// for.
 bool hasTooManyUpstreams(const CellState &State,
-                         const std::vector<Candidate> &Ranked) {
-  bool Differ = Ranked.front().Weight != Ranked.back().Weight;
-  double Limit = Differ ? State.Self.Weight * UpstreamsPerCore
-                        : MaxEqualShareFactor * UpstreamsPerSender;
+                         const std::vector<double> &Weights) {
+  double Limit = haveDifferentProcessors(Weights)
+                     ? State.Self.Weight * UpstreamsPerCore
+                     : MaxEqualShareFactor * UpstreamsPerSender;
   return static_cast<double>(State.Claims.size() * State.OwnUpstreams) >
          Limit * CellsPerCentre;
 }
 
-std::vector<uint32_t> sharesOf(const CellState &State,
-                               const std::vector<Candidate> &Ranked) {
-  std::vector<double> Weights(Ranked.size());
-  std::transform(Ranked.begin(), Ranked.end(), Weights.begin(),
-                 [](const Candidate &C) { return C.Weight; });
-  return cellShares(Weights, State.OwnUpstreams);
-}
-
 /// Returns the rank of the candidate that is to claim each of \p Unserved
 /// cells: those with fewer cells than their share first, then the others in
 /// turn.
 std::vector<size_t> assignCells(const CellState &State,
                                 const std::vector<Candidate> &Ranked,
                                 size_t Unserved) {
-  std::vector<uint32_t> Shares = sharesOf(State, Ranked);
+  std::vector<uint32_t> Shares =
+      cellShares(weightsOf(Ranked), State.OwnUpstreams);
   std::vector<size_t> Assigned;
   for (size_t I = 0; I < Ranked.size(); ++I)
     for (size_t N = Ranked[I].Claimed; N < Shares[I]; ++N)
@@ -281,9 +281,10 @@
       !unservedCells(State, Now).empty())
     return {};
   std::vector<Candidate> Ranked = rankCandidates(State, Now);
-  if (!hasTooManyUpstreams(State, Ranked))
+  std::vector<double> Weights = weightsOf(Ranked);
+  if (!hasTooManyUpstreams(State, Weights))
     return {};
-  std::vector<uint32_t> Shares = sharesOf(State, Ranked);
+  std::vector<uint32_t> Shares = cellShares(Weights, State.OwnUpstreams);
   size_t Surplus = 0;
   size_t Missing = 0;
   for (size_t I = 0; I < Ranked.size(); ++I) {
--- a/src/cells/claim_cmd.h
+++ b/src/cells/claim_cmd.h
@@ -20,10 +20,9 @@
                           InstanceEffects &Out);
 
 /// Returns the claimed cells that are to be handed to other instances, because
-/// its processor doesn't suffice for them and others have less than their
-/// share. Empty while a cell of
-/// the data centre is unserved or a sender there is not reachable. Called with
-/// each tick.
+/// the processor of this one doesn't suffice for them and others have less than
+/// their share. Empty while a cell of the data centre is unserved or a sender
+/// there is not reachable. Called with each tick.
 std::vector<CellId> surplusCells(CellState &State, SteadyTime Now);
 
 /// Releases a cell for another instance and tells the peers.
--- a/src/cells/share_func.cpp
+++ b/src/cells/share_func.cpp
@@ -9,32 +9,30 @@
 
 namespace snipeshunt {
 
-namespace {
+bool haveDifferentProcessors(const std::vector<double> &Weights) {
+  return Weights.front() != Weights.back() && Weights.front() > 0;
+}
 
-/// Returns how many of the instances serve \p Upstreams upstreams. Few senders
-/// see more of the free capacity each, so no more are taken than needed.
 size_t senderCount(const std::vector<double> &Weights, size_t Upstreams) {
-  bool Differ = Weights.front() != Weights.back() && Weights.front() > 0;
-  if (!Differ)
-    return (Upstreams + UpstreamsPerSender - 1) / UpstreamsPerSender;
-  double Needed = static_cast<double>(Upstreams) / UpstreamsPerCore;
   size_t Count = 0;
-  double Cores = 0;
-  while (Count < Weights.size() && Cores < Needed)
-    Cores += Weights[Count++];
-  return Count;
+  if (haveDifferentProcessors(Weights)) {
+    double Needed = static_cast<double>(Upstreams) / UpstreamsPerCore;
+    double Cores = 0;
+    while (Count < Weights.size() && Cores < Needed)
+      Cores += Weights[Count++];
+  } else {
+    Count = (Upstreams + UpstreamsPerSender - 1) / UpstreamsPerSender;
+  }
+  return std::clamp<size_t>(Count, 1,
+                            std::min<size_t>(Weights.size(), CellsPerCentre));
 }
 
-} // namespace
-
 std::vector<uint32_t> cellShares(const std::vector<double> &Weights,
                                  size_t Upstreams) {
   std::vector<uint32_t> Shares(Weights.size());
   if (Weights.empty())
     return Shares;
-  size_t Count =
-      std::clamp<size_t>(senderCount(Weights, Upstreams), 1,
-                         std::min<size_t>(Weights.size(), CellsPerCentre));
+  size_t Count = senderCount(Weights, Upstreams);
   auto End = Weights.begin() + static_cast<std::ptrdiff_t>(Count);
   double Total = std::accumulate(Weights.begin(), End, 0.0);
   // The share of each instance ends at the rounded sum of the weights so far,
--- a/src/cells/share_func.h
+++ b/src/cells/share_func.h
@@ -8,13 +8,22 @@
 
 namespace snipeshunt {
 
-/// Returns the number of cells for each of the instances with \p Weights, which
-/// are sorted by falling weight. They serve \p Upstreams upstreams. The numbers
-/// add up to `CellsPerCentre`; the last instances may get none.
+/// Returns true if the processors of the instances differ. \p Weights are
+/// sorted by falling weight; weights of 0 are unknown.
+bool haveDifferentProcessors(const std::vector<double> &Weights);
+
+/// Returns how many of the instances with \p Weights, which are sorted by
+/// falling weight, serve \p Upstreams upstreams. Few senders see more of the
+/// free capacity each, so no more are taken than needed.
 ///
-/// If the weights differ, the fewest instances are chosen whose processors
-/// suffice, and they share in proportion to their weights. Otherwise each one
-/// gets about `UpstreamsPerSender` upstreams.
+/// If the processors differ, these are the fewest whose processors suffice.
+/// Otherwise each one gets about `UpstreamsPerSender` upstreams.
+size_t senderCount(const std::vector<double> &Weights, size_t Upstreams);
+
+/// Returns the number of cells for each of the instances with \p Weights, which
+/// are sorted by falling weight. They serve \p Upstreams upstreams. The first
+/// `senderCount` instances share the cells in proportion to their weights; the
+/// numbers add up to `CellsPerCentre`.
 std::vector<uint32_t> cellShares(const std::vector<double> &Weights,
                                  size_t Upstreams);
 
--- a/src/directory/directory_type.h
+++ b/src/directory/directory_type.h
@@ -39,7 +39,7 @@
   std::string Host;         ///< Host header of its requests.
   std::string Prefix;       ///< Start of the path of its requests.
   ServiceName Service;      ///< Runs its tasks.
-  int32_t Priority = 0;     ///< 0 is the highest; see `RoomShares`.
+  int32_t Priority = 0;     ///< 0 is the highest; see `QueueShares`.
   uint32_t MaxAttempts = 1; ///< Failures of one task that fail the job.
   /// The objective of a job is `Stretch` times the run time of its longest
   /// task, plus `Slack`.
--- a/src/entry/entry_cmd.cpp
+++ b/src/entry/entry_cmd.cpp
@@ -38,140 +38,12 @@
 // Retry pause for jobs rejected without an available sender. There is one again
 // after about a second.
 constexpr Duration NoSenderRetry = std::chrono::seconds(2);
-// Retry pause while it is not known whether a job is open. The cells of a
-// failed sender are acquired by another instance in about a second.
-constexpr Duration UnknownRetry = std::chrono::seconds(1);
 constexpr const char *NoSender = "no sender is available";
 constexpr const char *AllEvacuated = "all data centres are evacuated";
-// Time after which the result of a job is asked for: its objective, within
-// these limits. The answers of most jobs come earlier, so most jobs cost no
-// query; a wrong estimate does not delay it for longer than the upper limit.
-constexpr Duration MinQueryAge = std::chrono::milliseconds(500);
-constexpr Duration MaxQueryAge = std::chrono::milliseconds(2000);
-// Period of result queries to a sender that has overdue jobs.
-constexpr Duration QueryPeriod = std::chrono::milliseconds(500);
-// Limit on the jobs in a query. Only the oldest open ones of a sender are asked
-// for. The limit is below the number of connections to a sender, so that all of
-// them have been sent and none still waits for a connection.
-constexpr size_t MaxQueriedJobs = 64;
-// A job that its sender does not have is lost, if the sender says so twice with
-// this pause and this long after the job was sent. A first reply can overtake
-// the job, or the answer that rejects it.
-constexpr Duration MissingPause = std::chrono::milliseconds(200);
-constexpr Duration MinMissingAge = std::chrono::milliseconds(1000);
-
-void logJob(InstanceEffects &Out, const JobId &Id, std::string Message) {
-  Out.push_back(LogDecision{DecisionPart::Entry, Id.Value, std::move(Message),
-                            /*Frequent=*/true});
-}
-
-void answerCaller(const EntryState &State, RequestId Caller,
-                  AnswerStatus Status, Duration RetryAfter,
-                  InstanceEffects &Out, Duration Took = Duration::zero()) {
-  AnswerCaller Effect;
-  Effect.Request = Caller;
-  Effect.Status = Status;
-  Effect.RetryAfter = std::chrono::ceil<std::chrono::seconds>(RetryAfter);
-  Effect.Close = State.Draining;
-  Effect.Took = Took;
-  Out.push_back(Effect);
-}
-
-void count(EntryCounters &Counts, AnswerStatus Status) {
-  switch (Status) {
-  case AnswerStatus::Done:
-    ++Counts.Done;
-    break;
-  case AnswerStatus::Failed:
-    ++Counts.Failed;
-    break;
-  case AnswerStatus::NotRun:
-    ++Counts.Rejected;
-    break;
-  case AnswerStatus::Expired:
-    ++Counts.Expired;
-    break;
-  case AnswerStatus::Cancelled:
-    ++Counts.Cancelled;
-    break;
-  default:
-    ++Counts.Lost;
-    break;
-  }
-}
-
-/// Removes a job from the open jobs of its sender. A sender with open jobs is
-/// pinged more often.
-void eraseOpenJob(const EntryContext &Context, const EntryJob &J) {
-  auto P = Context.Cells.Peers.find(J.Sender);
-  if (P != Context.Cells.Peers.end())
-    P->second.OpenJobs.erase(J.Order.Number);
-}
-
-/// Removes a job and returns it; returns nullopt if there is none.
-std::optional<EntryJob>
-removeJob(EntryState &State, const EntryContext &Context, RequestId Forward) {
-  auto It = State.Jobs.find(Forward);
-  if (It == State.Jobs.end())
-    return std::nullopt;
-  EntryJob J = std::move(It->second);
-  State.Jobs.erase(It);
-  State.ByCaller.erase(J.Caller);
-  State.ByJob.erase(J.Order.Id);
-  eraseOpenJob(Context, J);
-  return J;
-}
-
-/// Records that the outcome of \p J is unknown, if it may have been run: by its
-/// present sender, or for an earlier submission.
-void recordIfUnresolved(EntryState &State, const EntryJob &J, SteadyTime Now) {
-  if (J.MayHaveRun || !J.Sender.Value.empty())
-    recordStartedJob(State.Unresolved, J.Order.Id, Now);
-}
-
-/// Returns true if an earlier submission of the job may have started tasks.
-bool mayHaveRunEarlier(const EntryState &State, const JobId &Job,
-                       SteadyTime Now) {
-  return mayHaveStarted(State.Unresolved, Job, Now) ||
-         mayHaveStarted(State.Answered, Job, Now);
-}
-
-/// Removes a job, answers its caller and logs any status but `Done`. A
-/// rejection is answered as lost if an earlier submission may have started
-/// tasks, and a loss as cancelled if a caller has cancelled the job: the
-/// answers to a loss ask for another submission, which would start the job
-/// again. \p RetryAfter is for the caller, \p Reason for the log.
-void endJob(EntryState &State, const EntryContext &Context, RequestId Forward,
-            AnswerStatus Status, Duration RetryAfter, std::string Reason,
-            SteadyTime Now, InstanceEffects &Out) {
-  std::optional<EntryJob> J = removeJob(State, Context, Forward);
-  if (!J)
-    return;
-  if (Status == AnswerStatus::NotRun && J->MayHaveRun) {
-    Status = AnswerStatus::Lost;
-    Reason += ", an earlier submission may have run";
-  }
-  if (J->Cancelled &&
-      (Status == AnswerStatus::Lost || Status == AnswerStatus::Expired))
-    Status = AnswerStatus::Cancelled;
-  if (Status == AnswerStatus::Lost || Status == AnswerStatus::Expired ||
-      Status == AnswerStatus::Cancelled)
-    recordIfUnresolved(State, *J, Now);
-  else if (Status != AnswerStatus::NotRun)
-    recordStartedJob(State.Answered, J->Order.Id, Now);
-  count(State.Counts, Status);
-  if (Status != AnswerStatus::Done)
-    logJob(Out, J->Order.Id,
-           std::string("answered verdict=") + answerStatusName(Status) +
-               " queue=" + J->Order.Queue + " sender=" + J->Sender.Value +
-               " took_ms=" + std::to_string(toMilliseconds(Now - J->Arrived)) +
-               " reason=\"" + Reason + "\"");
-  answerCaller(State, J->Caller, Status, RetryAfter, Out, Now - J->Arrived);
-}
 
 /// Returns the expected time until a sender starts the whole job.
-Duration expectedWait(const EntryContext &Context, const Address &Sender,
-                      const StepDemand &Step) {
+Duration expectedWaitAt(const EntryContext &Context, const Address &Sender,
+                        const StepDemand &Step) {
   auto Peer = Context.Cells.Peers.find(Sender);
   bool Own = Peer == Context.Cells.Peers.end();
   SenderLoad Load = Own ? Context.OwnLoad() : Peer->second.Load;
@@ -183,18 +55,8 @@
   return IsRemote ? Wait + RemoteCentrePenalty : Wait;
 }
 
-Duration objectiveOf(const JobOrder &Order) {
-  return scaled(Order.Step.Estimate, Order.Stretch) + Order.Slack;
-}
-
-/// Returns the time from which the result of a job is asked for.
-SteadyTime queryTime(const EntryJob &J) {
-  return J.Forwarded +
-         std::clamp(objectiveOf(J.Order), MinQueryAge, MaxQueryAge);
-}
-
 /// Returns the latest start with which the job, by its declared run time, ends
-/// before its deadline and within `LateLimit` times its objective.
+/// before its deadline and within `MaxLatenessFactor` times its objective.
 SteadyTime latestUsefulStart(const EntryJob &J) {
   Duration Useful = scaled(objectiveOf(J.Order), MaxLatenessFactor);
   return std::min(J.Deadline, J.Arrived + Useful) - J.Order.Step.Estimate;
@@ -245,7 +107,7 @@
   for (const Address &Sender : availableSenders(Context.Cells, Now)) {
     if (J.SendersAsked.count(Sender))
       continue;
-    Duration Wait = expectedWait(Context, Sender, J.Order.Step);
+    Duration Wait = expectedWaitAt(Context, Sender, J.Order.Step);
     // Forwarding to a sender that can't start the job in time only costs time.
     // The reported wait does not apply to the most urgent jobs, as those of
     // other queues don't delay them.
@@ -288,52 +150,10 @@
            Now, Out);
 }
 
-/// Answers a job that is not to be forwarded. \p Reason is for the log.
-void rejectUnforwarded(EntryState &State, const JobSubmitted &Event,
-                       Duration RetryAfter, const std::string &Reason,
-                       SteadyTime Now, InstanceEffects &Out) {
-  bool MayHaveRun = mayHaveRunEarlier(State, Event.Job.Id, Now);
-  if (MayHaveRun)
-    recordStartedJob(State.Unresolved, Event.Job.Id, Now);
-  AnswerStatus Status = MayHaveRun ? AnswerStatus::Lost : AnswerStatus::NotRun;
-  count(State.Counts, Status);
-  logJob(Out, Event.Job.Id,
-         std::string("rejected before any start") +
-             (MayHaveRun ? ", an earlier submission may have run: " : ": ") +
-             Reason);
-  answerCaller(State, Event.Request, Status, RetryAfter, Out);
-}
-
-/// Makes the pings to a job's sender carry its cancellation; the next one is
-/// due at once, or when the present one has been answered.
-void cancelAtSender(const EntryContext &Context, const EntryJob &J,
-                    SteadyTime Now) {
-  auto P = Context.Cells.Peers.find(J.Sender);
-  if (P == Context.Cells.Peers.end())
-    return;
-  P->second.CancelledJobs[J.Order.Id] = {J.Order.Number, Now};
-  pingBy(Context.Cells, P->second, Now);
-}
-
-/// Cancels a job whose answer is no longer awaited. The sender notices the end
-/// of the connection at once; the ping is for links that lose that. \p Silent
-/// is for `AbandonForward`.
-void abandonAtSender(const EntryContext &Context, const EntryJob &J,
-                     RequestId Forward, SteadyTime Now, InstanceEffects &Out,
-                     bool Silent = false) {
-  if (J.Sender.Value.empty() || J.Sender == Context.Cells.Self.Endpoint)
-    return;
-  cancelAtSender(Context, J, Now);
-  Out.push_back(AbandonForward{J.Sender, Forward, Silent});
-}
-
 } // namespace
 
-AnswerStatus unreadRejection(const EntryState &State, const JobId &Job,
-                             SteadyTime Now) {
-  return State.ByJob.count(Job) || mayHaveRunEarlier(State, Job, Now)
-             ? AnswerStatus::Lost
-             : AnswerStatus::NotRun;
+Duration objectiveOf(const JobOrder &Order) {
+  return scaled(Order.Step.Estimate, Order.Stretch) + Order.Slack;
 }
 
 void submitJob(EntryState &State, const EntryContext &Context,
@@ -347,7 +167,7 @@
   auto Existing = State.ByJob.find(Event.Job.Id);
   if (Existing != State.ByJob.end()) {
     EntryJob &J = State.Jobs.at(Existing->second);
-    logJob(Out, Event.Job.Id,
+    logJob(Out, DecisionPart::Entry, Event.Job.Id,
            "submitted again while it is open; the new request gets the result");
     answerCaller(State, J.Caller, AnswerStatus::Lost, Duration::zero(), Out);
     State.ByCaller.erase(J.Caller);
@@ -384,22 +204,6 @@
   forwardOrWait(State, Context, Forward, NoSenderRetry, NoSender, Now, Out);
 }
 
-bool answerCancelledJob(EntryState &State, const JobSubmitted &Event,
-                        SteadyTime Now, InstanceEffects &Out) {
-  // An open job is stopped by its cancellation, and the answer then goes to the
-  // last submission. The sender of an ended one may have its result.
-  if (State.ByJob.count(Event.Job.Id) ||
-      mayHaveStarted(State.Answered, Event.Job.Id, Now))
-    return false;
-  ++State.Counts.Submitted;
-  count(State.Counts, AnswerStatus::Cancelled);
-  logJob(Out, Event.Job.Id,
-         "submitted again after its cancellation, not started");
-  answerCaller(State, Event.Request, AnswerStatus::Cancelled, Duration::zero(),
-               Out);
-  return true;
-}
-
 void cancelJob(EntryState &State, const EntryContext &Context, const JobId &Id,
                SteadyTime Now, InstanceEffects &Out) {
   // A forwarded job stays open: the sender answers the forward once it has
@@ -413,13 +217,6 @@
     cancelAtSender(Context, J, Now);
 }
 
-void answerAbout(const EntryState &State, RequestId Caller, AnswerStatus Status,
-                 InstanceEffects &Out) {
-  answerCaller(
-      State, Caller, Status,
-      Status == AnswerStatus::Unknown ? UnknownRetry : Duration::zero(), Out);
-}
-
 std::optional<RequestId> dropCaller(EntryState &State,
                                     const EntryContext &Context,
                                     RequestId Caller, SteadyTime Now,
@@ -433,7 +230,7 @@
     return std::nullopt;
   ++State.Counts.Disconnected;
   recordIfUnresolved(State, *J, Now);
-  logJob(Out, J->Order.Id,
+  logJob(Out, DecisionPart::Entry, J->Order.Id,
          "caller disconnected after_ms=" +
              std::to_string(toMilliseconds(Now - J->Arrived)) +
              ", sender=" + J->Sender.Value + " cancels the job");
@@ -503,70 +300,6 @@
   }
 }
 
-void queryResults(const EntryState &State, const EntryContext &Context,
-                  SteadyTime Now, InstanceEffects &Out) {
-  std::map<Address, std::vector<JobReference>> Overdue;
-  for (const auto &[Forward, J] : State.Jobs) {
-    auto P = Context.Cells.Peers.find(J.Sender);
-    if (P != Context.Cells.Peers.end() && Now >= P->second.NextResultQuery &&
-        Now >= queryTime(J))
-      Overdue[J.Sender].push_back({J.Order.Id, J.Order.Number});
-  }
-  for (auto &[Sender, Jobs] : Overdue) {
-    Peer &P = Context.Cells.Peers.at(Sender);
-    if (P.OpenJobs.size() > MaxQueriedJobs) {
-      uint64_t End = *std::next(P.OpenJobs.begin(), MaxQueriedJobs);
-      Jobs.erase(
-          std::remove_if(Jobs.begin(), Jobs.end(),
-                         [End](const auto &Job) { return Job.Number >= End; }),
-          Jobs.end());
-    }
-    if (Jobs.empty())
-      continue;
-    P.NextResultQuery = Now + QueryPeriod;
-    Out.push_back(
-        SendResultQuery{Sender,
-                        {Context.Cells.Self.Endpoint, Context.Cells.Incarnation,
-                         std::move(Jobs)}});
-  }
-}
-
-void applyResultReply(EntryState &State, const EntryContext &Context,
-                      const ResultQueryAnswered &Event, SteadyTime Now,
-                      InstanceEffects &Out) {
-  for (const ClosedJob &Closed : Event.Reply.Jobs) {
-    auto It = std::find_if(State.Jobs.begin(), State.Jobs.end(),
-                           [&](const auto &Entry) {
-                             return Entry.second.Sender == Event.Sender &&
-                                    Entry.second.Order.Number == Closed.Number;
-                           });
-    // The answer has arrived since, or the job was abandoned.
-    if (It == State.Jobs.end())
-      continue;
-    RequestId Forward = It->first;
-    EntryJob &J = It->second;
-    if (Closed.Result) {
-      ++State.Counts.Fetched;
-      logJob(Out, J.Order.Id,
-             "the answer of sender=" + Event.Sender.Value +
-                 " was lost, its result was fetched after_ms=" +
-                 std::to_string(toMilliseconds(Now - J.Forwarded)));
-      Out.push_back(AbandonForward{Event.Sender, Forward, /*Silent=*/true});
-      applyForwardAnswer(State, Context, {Event.Sender, Forward, Closed.Result},
-                         Now, Out);
-      continue;
-    }
-    if (J.MissingSince == SteadyTime{})
-      J.MissingSince = Now;
-    if (Now - J.MissingSince < MissingPause ||
-        Now - J.Forwarded < MinMissingAge)
-      continue;
-    abandonAtSender(Context, J, Forward, Now, Out, /*Silent=*/true);
-    endJob(State, Context, Forward, AnswerStatus::Lost, Duration::zero(),
-           "the sender has neither the job nor its result", Now, Out);
-  }
-}
-
 std::vector<RequestId> endAllJobs(EntryState &State,
                                   const EntryContext &Context, SteadyTime Now,
                                   InstanceEffects &Out) {
--- a/src/entry/open_job_cmd.cpp
+++ b/src/entry/open_job_cmd.cpp
@@ -3,7 +3,7 @@
 
 #include "cells/cell_table.h"
 #include "cells/peer_func.h"
-#include "sender/remote_cancel_cmd.h"
+#include "sender/caller_cancel_cmd.h"
 
 #include <algorithm>
 
--- a/src/instance/instance_effect.h
+++ b/src/instance/instance_effect.h
@@ -41,6 +41,13 @@
 
 using InstanceEffects = std::vector<InstanceEffect>;
 
+/// Logs a decision on a job, as one of the lines that are dropped under load.
+inline void logJob(InstanceEffects &Out, DecisionPart Part, const JobId &Id,
+                   std::string Message) {
+  Out.push_back(
+      LogDecision{Part, Id.Value, std::move(Message), /*Frequent=*/true});
+}
+
 } // namespace snipeshunt
 
 #endif // SNIPESHUNT_INSTANCE_INSTANCE_EFFECT_H
--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -11,10 +11,22 @@
 #include "directory/evacuation_table.h"
 #include "entry/entry_cmd.h"
 #include "entry/open_job_cmd.h"
+#include "entry/result_query_cmd.h"
+#include "instance/balance_cmd.h"
+#include "instance/drain_cmd.h"
+#include "instance/entry_contact_func.h"
+#include "instance/fence_cmd.h"
+#include "instance/instance_func.h"
+#include "instance/withheld_cmd.h"
+#include "sender/admission_cmd.h"
+#include "sender/caller_cancel_cmd.h"
+#include "sender/capacity_func.h"
 #include "sender/job_cmd.h"
 #include "sender/placement_cmd.h"
-#include "sender/remote_cancel_cmd.h"
-#include "sender/room_share_cmd.h"
+#include "sender/queue_func.h"
+#include "sender/queue_share_cmd.h"
+#include "sender/renewal_cmd.h"
+#include "sender/result_cmd.h"
 #include "sender/sender_table.h"
 #include "sender/upstream_cmd.h"
 
@@ -27,36 +39,10 @@
 
 namespace {
 
-// Shortest shutdown. The load balancer needs two failed readiness checks, one
-// second apart, to send callers elsewhere.
-constexpr Duration MinDrainTime = std::chrono::milliseconds(2500);
-// Time between the last answer and the end of the process. The event loop
-// writes answers to their connections after the reducer has returned them, and
-// slow callers need several round trips.
-constexpr Duration AnswerFlushTime = std::chrono::milliseconds(300);
-// Time before SIGKILL at which the process ends by itself.
-constexpr Duration KillMargin = std::chrono::milliseconds(300);
-// Time before the end of the process at which the callers of open jobs are told
-// that these are lost. Writing the answers takes a few milliseconds.
-constexpr Duration LastAnswerTime = std::chrono::milliseconds(100);
-// Orders that are rejected within this time after a claim show that its token
-// is too low. The cell is claimed again with a higher token after this time,
-// unless the claim of another sender has arrived by then.
-constexpr Duration FenceGrace = std::chrono::milliseconds(300);
-// Added to a token that was too low; equals about 17 minutes of clock
-// difference between two senders.
-constexpr uint64_t TokenIncrement = uint64_t{1} << 30;
-
 // Time after a pause of this process within which the messages that have
 // arrived meanwhile are read.
 constexpr Duration ResumeDelay = std::chrono::milliseconds(30);
 
-EntryContext entryContext(FleetInstance &State, SteadyTime Now) {
-  const RoomShares &Shares = State.Sender.Shares;
-  return {State.Cells, [&State, Now] { return senderLoad(State.Sender, Now); },
-          Shares.Enabled ? std::optional(Shares.TopPriority) : std::nullopt};
-}
-
 OwnReport ownReport(const FleetInstance &State, SteadyTime Now) {
   OwnReport Report;
   Report.Load = senderLoad(State.Sender, Now);
@@ -68,29 +54,11 @@
   return Report;
 }
 
-/// Makes the sender and the entry obey the known evacuations.
-void updateEvacuation(FleetInstance &State, SteadyTime Now) {
-  const EvacuationState &Known = State.Directory.Evacuation;
-  if (!Known.Bound && !State.Cells.WantsEvacuation)
-    return;
-  State.Cells.WantsEvacuation = Known.Bound.has_value();
-  std::set<DataCentre> Centres;
-  if (Known.Current)
-    Centres = Known.Current->Centres;
-  applyEvacuatedCentres(State.Cells, Centres, Now);
-  WithheldStarts &Withheld = State.Sender.Withheld;
-  std::optional<SteadyTime> PausedSince = startsPausedSince(Known, Now);
-  if (Withheld.Paused != PausedSince.has_value() || Withheld.Centres != Centres)
-    State.Sender.PlacementDue = true;
-  Withheld.Paused = PausedSince.has_value();
-  Withheld.Evacuated = Centres.count(State.Settings.Self.Centre) != 0;
-  Withheld.ReturnsJobs = Withheld.Evacuated ||
-                         (PausedSince && Now - *PausedSince >= MaxStartPause);
-  Withheld.Centres = std::move(Centres);
-}
-
-void logInstance(InstanceEffects &Out, std::string Message) {
-  Out.push_back(LogDecision{DecisionPart::Instance, "", std::move(Message)});
+void countOwnUpstreams(FleetInstance &State) {
+  const DataCentre &Own = State.Settings.Self.Centre;
+  State.Cells.OwnUpstreams = static_cast<size_t>(std::count_if(
+      State.Directory.Upstreams.begin(), State.Directory.Upstreams.end(),
+      [&](const UpstreamRecord &E) { return E.Centre == Own; }));
 }
 
 void applyListedUpstreams(FleetInstance &State, bool Complete, SteadyTime Now,
@@ -99,65 +67,13 @@
                  cellOf, Complete, Now, Out);
 }
 
-void updateWantedSenders(FleetInstance &State) {
-  const DataCentre &Own = State.Settings.Self.Centre;
-  auto Count = static_cast<size_t>(std::count_if(
-      State.Directory.Upstreams.begin(), State.Directory.Upstreams.end(),
-      [&](const UpstreamRecord &E) { return E.Centre == Own; }));
-  State.Cells.OwnUpstreams = Count;
-  size_t Wanted = (Count + UpstreamsPerSender - 1) / UpstreamsPerSender;
-  State.Cells.WantedSenders =
-      static_cast<uint32_t>(std::clamp<size_t>(Wanted, 1, CellsPerCentre));
-}
-
-/// Returns true if the entry of a job no longer awaits it: it is
-/// unknown, was replaced by another process, reports so, or has sent neither
-/// the job nor a ping for `EntryTimeout`. Other jobs that it sends do not
-/// count: it goes on forwarding them for a time after it has given up earlier
-/// ones.
-bool isAbandonedByEntry(const CellState &Cells, const SenderJob &J,
-                        SteadyTime Now) {
-  const JobOrder &Order = J.Order;
-  auto P = Cells.Peers.find(Order.Entry);
-  if (P == Cells.Peers.end())
-    return true;
-  return P->second.Incarnation != Order.Incarnation ||
-         Order.Number < P->second.OldestAwaitedJob ||
-         Now - std::max(P->second.LastPingRaw, J.Received) >= EntryTimeout;
-}
-
-/// Returns a time at which the entry of a job still awaited it, the last one
-/// that is known; zero if it no longer does. A job of this instance's own entry
-/// can't outlast that unnoticed.
-SteadyTime lastContact(const CellState &Cells, const SenderJob &J,
-                       SteadyTime Now) {
-  if (J.Waiter.Local)
-    return Now;
-  if (isAbandonedByEntry(Cells, J, Now))
-    return {};
-  const Peer &P = Cells.Peers.at(J.Order.Entry);
-  // A job that came late may have been given up before.
-  SteadyTime Received =
-      J.ConfirmSince == SteadyTime{} ? J.ReceivedBound : SteadyTime{};
-  return std::max({P.LastPingBound, P.LastConfirmation, Received});
-}
-
-/// Returns true if the entry of a job is confirmed to await it.
-bool isAwaitedByEntry(const CellState &Cells, const SenderJob &J,
-                      SteadyTime Now) {
-  auto P = Cells.Peers.find(J.Order.Entry);
-  return P != Cells.Peers.end() && P->second.UnconfirmedSince == SteadyTime{} &&
-         P->second.LastConfirmation >= J.ConfirmSince &&
-         !isAbandonedByEntry(Cells, J, Now);
-}
-
 /// Passes a forwarded job to the sender, unless its caller has cancelled it.
 void acceptUnlessCancelled(SenderState &Sender, const JobOrder &Order,
                            JobWaiter Waiter, const DataCentre &EntryCentre,
                            SteadyTime Now, InstanceEffects &Out) {
   // A cancellation ends an open job, so one that is open is not cancelled.
   if (!Sender.Jobs.count(Order.Id) &&
-      isCancelledRemotely(Sender.Cancelled, Order.Id, Now))
+      isCancelledByCaller(Sender.Cancelled, Order.Id, Now))
     rejectCancelledJob(Sender, Order, Waiter, Now, Out);
   else
     acceptJob(Sender, Order, Waiter, Now, Out, EntryCentre);
@@ -182,7 +98,7 @@
     advanceEvacuation(State.Directory.Evacuation, Now, Out);
     requestSnapshot();
     updateOwnCells();
-    balanceCells();
+    balanceCells(State.Cells, State.Sender, Now, Out);
     const auto &Routes = State.Directory.Configuration;
     if (Routes && Routes->Version != State.Sender.Shares.ConfigurationVersion)
       applyRoutePriorities(State.Sender.Shares, *Routes);
@@ -193,28 +109,19 @@
           return isAbandonedByEntry(State.Cells, J, Now);
         },
         Now, Out);
+    advanceShares(State.Sender, Now, Out);
     expireSenderJobs(State.Sender, Now, Out);
     expireEntryJobs(State.Entry, entryContext(State, Now), Now, Out);
     queryResults(State.Entry, entryContext(State, Now), Now, Out);
     advanceQuestions(State.Entry, State.Cells, grace(), Now, Out);
     // Pauses of starts on upstreams end without an event.
     State.Sender.PlacementDue = true;
-    advanceDrain();
+    advanceDrain(State, Now, Out);
   }
 
   void operator()(const ShutdownRequested &) {
-    if (State.DrainStarted)
-      return;
-    State.DrainStarted = Now;
-    State.Cells.Draining = true;
-    State.Sender.Draining = true;
-    State.Entry.Draining = true;
-    logInstance(Out, "shutdown started, jobs_here=" +
-                         std::to_string(State.Sender.Jobs.size()) +
-                         " callers=" + std::to_string(State.Entry.Jobs.size()));
-    returnWaitingJobs(State.Sender, Now, Out);
-    withdrawRegistration(State.Directory, Out);
-    schedulePingsNow(State.Cells, Now);
+    if (!State.DrainStarted)
+      beginDrain(State, Now, Out);
   }
 
   void operator()(const SettingsChanged &E) {
@@ -235,7 +142,7 @@
   }
 
   void operator()(const JobSubmitted &E) {
-    if (isCancelledRemotely(State.Sender.Cancelled, E.Job.Id, Now) &&
+    if (isCancelledByCaller(State.Sender.Cancelled, E.Job.Id, Now) &&
         answerCancelledJob(State.Entry, E, Now, Out))
       return;
     submitJob(State.Entry, entryContext(State, Now), E, Now, Out);
@@ -247,7 +154,7 @@
               grace(), Now, Out);
   }
   void operator()(const JobCancelled &E) {
-    recordRemoteCancel(State.Sender.Cancelled, E.Id, Now);
+    recordCallerCancel(State.Sender.Cancelled, E.Id, Now);
     if (cancelHere(E.Id)) {
       announceCancel(State.Entry, State.Cells, E.Id, grace(), Now, Out);
       return answerAbout(State.Entry, E.Request, AnswerStatus::Cancelled, Out);
@@ -260,7 +167,7 @@
     for (uint32_t I = 0; I < E.Query.Jobs.size(); ++I) {
       const QueriedJob &Job = E.Query.Jobs[I];
       if (Job.Cancel)
-        recordRemoteCancel(State.Sender.Cancelled, Job.Id, Now);
+        recordCallerCancel(State.Sender.Cancelled, Job.Id, Now);
       if (Job.Cancel ? cancelHere(Job.Id) : isOpenHere(Job.Id))
         Reply.Open.push_back(I);
     }
@@ -360,17 +267,20 @@
   void operator()(const StartAnswered &E) {
     std::optional<CellId> Fenced;
     applyStartAnswer(State.Sender, E, Now, Fenced, Out);
-    handleFence(Fenced);
+    if (Fenced)
+      releaseFencedCell(State, *Fenced, Now, Out);
   }
   void operator()(const StopAnswered &E) {
     std::optional<CellId> Fenced;
     applyStopAnswer(State.Sender, E, Now, Fenced, Out);
-    handleFence(Fenced);
+    if (Fenced)
+      releaseFencedCell(State, *Fenced, Now, Out);
   }
   void operator()(const RenewalAnswered &E) {
     std::optional<CellId> Fenced;
     applyRenewal(State.Sender, E, Now, Fenced, Out);
-    handleFence(Fenced);
+    if (Fenced)
+      releaseFencedCell(State, *Fenced, Now, Out);
   }
 
   void operator()(const CollectionReadAnswered &E) {
@@ -385,7 +295,7 @@
       applyListedInstances(State.Cells, E.Instances, Now);
     if (E.Collection != StoreCollection::Upstreams)
       return;
-    updateWantedSenders(State);
+    countOwnUpstreams(State);
     applyListedUpstreams(State, State.Directory.IsSender, Now, Out);
   }
   void operator()(const WatchAnswered &E) {
@@ -399,7 +309,7 @@
   }
   void operator()(const SnapshotFetched &E) {
     applySnapshot(State.Directory, E, Out);
-    updateWantedSenders(State);
+    countOwnUpstreams(State);
   }
   void operator()(const LeaseRenewalAnswered &E) {
     applyLeaseRenewal(State.Directory, E, Now, Out);
@@ -492,41 +402,6 @@
     advanceDirectory(State.Directory, Now, Out);
   }
 
-  /// Hands cells to instances that have fewer than their share: those where
-  /// nothing runs at once, of the others one at a time.
-  void balanceCells() {
-    std::optional<CellId> &Leaving = State.Cells.LeavingCell;
-    if (Leaving && !State.Cells.Claims.count(*Leaving))
-      Leaving.reset();
-    if (Leaving && closeCell(State.Sender, *Leaving)) {
-      giveCell(*Leaving);
-      Leaving.reset();
-      return;
-    }
-    if (Leaving && Now - State.Cells.LeavingSince >= MaxLeavingTime) {
-      reopenCell(State.Sender, *Leaving);
-      Leaving.reset();
-      State.Cells.NextBalance = Now + BalanceRetryPause;
-    }
-    if (Leaving)
-      return;
-    for (const CellId &Cell : surplusCells(State.Cells, Now)) {
-      if (closeCell(State.Sender, Cell)) {
-        giveCell(Cell);
-      } else if (!Leaving) {
-        Leaving = Cell;
-        State.Cells.LeavingSince = Now;
-      } else {
-        reopenCell(State.Sender, Cell);
-      }
-    }
-  }
-
-  void giveCell(const CellId &Cell) {
-    handOverCell(State.Cells, Cell, Now, Out);
-    releaseCell(State.Sender, Cell, Now, Out);
-  }
-
   /// Asks the entry instance \p P whether it still awaits a job that arrives,
   /// if the job is not to be started without that.
   void confirmJob(Peer &P) {
@@ -554,61 +429,6 @@
                 "cancelled by its entry", Now, Out);
     }
   }
-
-  void handleFence(const std::optional<CellId> &Fenced) {
-    if (!Fenced)
-      return;
-    auto Claim = State.Cells.Claims.find(*Fenced);
-    if (Claim == State.Cells.Claims.end())
-      return;
-    bool New = Now - Claim->second.Since < FenceGrace;
-    logInstance(Out, "orders rejected for a higher fencing token in cell=" +
-                         cellText(*Fenced) +
-                         " token=" + std::to_string(Claim->second.Token.Value) +
-                         (New ? ", claiming it again with a higher token"
-                              : ", released to a newer sender"));
-    FencingToken Token = Claim->second.Token;
-    releaseClaim(State.Cells, *Fenced, Now);
-    if (New) {
-      // Tokens contain the wall clock, and the last sender's clock was ahead of
-      // the one here.
-      State.Cells.HighestToken[*Fenced].Value = Token.Value + TokenIncrement;
-      State.Cells.ClaimAfter[*Fenced] = Now + FenceGrace;
-    }
-    releaseCell(State.Sender, *Fenced, Now, Out);
-  }
-
-  /// Answers the callers whose jobs outlast this process.
-  void endOpenJobs() {
-    for (RequestId Forward :
-         endAllJobs(State.Entry, entryContext(State, Now), Now, Out))
-      abandonJob(State.Sender, {Forward, /*Local=*/true}, Now, Out);
-    endQuestions(State.Entry, Out);
-  }
-
-  void advanceDrain() {
-    if (!State.DrainStarted || State.Stopped)
-      return;
-    Duration Passed = Now - *State.DrainStarted;
-    // Callers keep sending on open connections, which are closed with the next
-    // answer.
-    State.Entry.Closing = Passed >= MinDrainTime;
-    if (!State.Entry.Jobs.empty() || !State.Sender.Jobs.empty() ||
-        !State.Entry.Elsewhere.Questions.empty())
-      State.LastBusy = Now;
-    bool Idle =
-        Passed >= MinDrainTime && Now - State.LastBusy >= AnswerFlushTime;
-    Duration Left = Duration(State.Settings.Bounds.Grace) - KillMargin - Passed;
-    if (!Idle && Left > Duration::zero()) {
-      if (Left <= LastAnswerTime)
-        endOpenJobs();
-      return;
-    }
-    State.Stopped = true;
-    logInstance(Out, "process ends after its shutdown, unanswered callers=" +
-                         std::to_string(State.Entry.Jobs.size()));
-    Out.push_back(StopProcess{});
-  }
 };
 
 /// Delivers forwards and answers between this instance's own entry and sender,
--- a/src/runtime/cell_daemon.cpp
+++ b/src/runtime/cell_daemon.cpp
@@ -7,6 +7,7 @@
 #include "directory/evacuation_cmd.h"
 #include "http/http_address.h"
 #include "rpc/cell_codec.h"
+#include "rpc/job_codec.h"
 #include "rpc/rpc_codec.h"
 #include "runtime/descriptor_func.h"
 
--- a/src/runtime/cell_metrics.cpp
+++ b/src/runtime/cell_metrics.cpp
@@ -3,7 +3,7 @@
 
 #include "daemon/log.h"
 #include "directory/directory_cmd.h"
-#include "sender/job_cmd.h"
+#include "sender/capacity_func.h"
 
 namespace snipeshunt {
 
@@ -66,7 +66,7 @@
                     State.Sender.Counts.StartsWithheld);
 }
 
-void CellMetrics::setShares(const RoomShares &Shares) {
+void CellMetrics::setShares(const QueueShares &Shares) {
   if (!Shares.Enabled)
     return;
   Values.setGauge("overload", "1 while the shares of queues are in force here.",
--- a/src/runtime/cell_metrics.h
+++ b/src/runtime/cell_metrics.h
@@ -23,7 +23,7 @@
   void setEvacuationMetrics();
   /// Updates the values of incoming connections.
   void addConnections(const std::string &Prefix, const ConnectionTable &Table);
-  void setShares(const RoomShares &Shares);
+  void setShares(const QueueShares &Shares);
 
   CellDaemon &Owner;
   HttpServer Server;
--- a/src/sender/remote_cancel_cmd.h
+++ b/src/sender/caller_cancel_cmd.h
@@ -1,7 +1,7 @@
 /// \file Record of the jobs that callers have cancelled, here or at other
 /// instances.
-#ifndef SNIPESHUNT_SENDER_REMOTE_CANCEL_CMD_H
-#define SNIPESHUNT_SENDER_REMOTE_CANCEL_CMD_H
+#ifndef SNIPESHUNT_SENDER_CALLER_CANCEL_CMD_H
+#define SNIPESHUNT_SENDER_CALLER_CANCEL_CMD_H
 
 #include "sender/sender_base.h"
 
@@ -17,13 +17,13 @@
 
 /// Records that a caller has cancelled a job, so that submissions and forwards
 /// of it that arrive later are not started.
-void recordRemoteCancel(RemoteCancels &Record, const JobId &Job,
+void recordCallerCancel(CallerCancels &Record, const JobId &Job,
                         SteadyTime Now);
 
 /// Returns true if the job was cancelled within `CancelledJobRetention`.
-bool isCancelledRemotely(const RemoteCancels &Record, const JobId &Job,
+bool isCancelledByCaller(const CallerCancels &Record, const JobId &Job,
                          SteadyTime Now);
 
 } // namespace snipeshunt
 
-#endif // SNIPESHUNT_SENDER_REMOTE_CANCEL_CMD_H
+#endif // SNIPESHUNT_SENDER_CALLER_CANCEL_CMD_H
--- a/src/sender/job_cmd.h
+++ b/src/sender/job_cmd.h
@@ -16,18 +16,8 @@
   Aborted, ///< Ended or not started without the task's fault.
 };
 
-/// Admits or rejects a job. A duplicate submission replaces the waiter of the
-/// unfinished job, or is answered with the retained result. \p EntryCentre is
-/// the data centre of its entry instance, empty if unknown.
-void acceptJob(SenderState &State, const JobOrder &Order, JobWaiter Waiter,
-               SteadyTime Now, InstanceEffects &Out,
-               const DataCentre &EntryCentre = {});
-
-/// Answers a job that its caller has cancelled: with the result, if it had
-/// ended before, and as cancelled otherwise.
-void rejectCancelledJob(SenderState &State, const JobOrder &Order,
-                        const JobWaiter &Waiter, SteadyTime Now,
-                        InstanceEffects &Out);
+/// Reason for which jobs are rejected or ended, see `WithheldStarts`.
+const char *withheldReason(const WithheldStarts &Withheld);
 
 /// Ends a job as lost, since its waiter no longer awaits it. Called when the
 /// caller cancels or disconnects, or the entry closes the connection.
@@ -41,10 +31,6 @@
     const std::function<bool(const SenderJob &)> &IsOrphaned, SteadyTime Now,
     InstanceEffects &Out);
 
-/// Answers a result query from the retained results. Starts nothing.
-ResultReply answerResultQuery(const SenderState &State,
-                              const ResultQuery &Query, SteadyTime Now);
-
 /// Ends started jobs whose deadline has passed, and rejects waiting jobs that
 /// can't finish while an answer is of use. Called on each tick.
 void expireSenderJobs(SenderState &State, SteadyTime Now, InstanceEffects &Out);
@@ -79,22 +65,6 @@
                const std::string &Reason, SteadyTime Now, InstanceEffects &Out,
                bool Moved = false);
 
-/// Sort key of a job in the queue. Jobs that can meet their objective come
-/// first, by latest start; jobs that will be late follow. During an overload,
-/// the priority comes before the latest start.
-QueueRank rankOf(const SenderState &State, const SenderJob &J, SteadyTime Now);
-
-/// Jobs with waiting tasks, by `QueueRank`.
-std::vector<std::pair<QueueRank, SenderJob *>> rankedQueue(SenderState &State,
-                                                           SteadyTime Now);
-
-/// Load of this sender, as it applies to a new job that can still meet its
-/// objective.
-SenderLoad senderLoad(const SenderState &State, SteadyTime Now);
-
-/// Number of jobs in \p Queue that have not started.
-uint64_t countWaitingJobs(const SenderState &State, const std::string &Queue);
-
 } // namespace snipeshunt
 
 #endif // SNIPESHUNT_SENDER_JOB_CMD_H
--- a/src/sender/placement_cmd.cpp
+++ b/src/sender/placement_cmd.cpp
@@ -4,8 +4,8 @@
 #include "core/duration_func.h"
 #include "sender/estimate_func.h"
 #include "sender/forecast.h"
-#include "sender/job_cmd.h"
 #include "sender/lease_table.h"
+#include "sender/queue_func.h"
 #include "sender/sender_table.h"
 #include "sender/upstream_cmd.h"
 
@@ -71,6 +71,7 @@
   SenderUpstream *Upstream;
   /// Run time there relative to an upstream of average speed.
   double RunFactor;
+  Duration Lease; ///< `grantableLease` for its present runs.
 };
 
 /// Returns the processors that the smallest waiting task needs, or nothing if
@@ -84,17 +85,23 @@
   return Smallest;
 }
 
-/// Returns the upstreams that accept starts and have \p Need processors free,
-/// in thousandths. Most are full under load, so that the tasks of the queue are
-/// compared with few.
+/// Returns the upstreams that accept starts, have \p Need processors free, in
+/// thousandths, and whose present runs allow a lease that is long enough. Most
+/// are full under load, so that the tasks of the queue are compared with few.
 std::vector<StartableUpstream>
-startableUpstreams(SenderState &State, int64_t Need, SteadyTime Now) {
+startableUpstreams(SenderState &State, int64_t Need,
+                   const ContactLookup &LastContact, SteadyTime Now) {
   std::vector<StartableUpstream> Found;
   State.Counts.UpstreamsVisited += State.Upstreams.size();
-  for (auto &[Id, U] : State.Upstreams)
-    if (U.Free.CpuMillis >= Need && !(U.Probing && !U.Runs.empty()) &&
-        isUsable(State, U, Now))
-      Found.push_back({&U, std::exp(logRunTimeFactor(State.Learned, U))});
+  for (auto &[Id, U] : State.Upstreams) {
+    if (U.Free.CpuMillis < Need || (U.Probing && !U.Runs.empty()) ||
+        !isUsable(State, U, Now))
+      continue;
+    Duration Lease = grantableLease(State, U, LastContact, Now);
+    if (Lease >= minStartLease(State.Bounds))
+      Found.push_back(
+          {&U, std::exp(logRunTimeFactor(State.Learned, U)), Lease});
+  }
   return Found;
 }
 
@@ -107,56 +114,42 @@
   std::optional<SlotForecast> Forecast; ///< Made when a task first needs it.
 };
 
-/// Returns true if the lease on \p U allows the start of a run of a job with
-/// this last contact. If not, the job's entry is silent, or a lease was granted
-/// for other runs whose entries were heard from later.
-bool leaseAllows(SenderState &State, const SenderUpstream &U,
-                 const PlacementPass &Pass, SteadyTime LastContact,
+/// Returns true if runs of a job with this last contact get a lease that is
+/// long enough. The entry of the job is silent otherwise.
+bool allowsStart(const SenderState &State, SteadyTime LastContact,
                  SteadyTime Now) {
-  if (!outlastsContact(State, U, LastContact) &&
-      grantableLease(State, U, Pass.LastContact, Now) >=
-          minStartLease(State.Bounds) &&
-      leaseFor(State, LastContact, Now) >= minStartLease(State.Bounds))
-    return true;
-  // The next message of the entry may allow it, and no other event does.
-  State.PlacementDue = true;
-  return false;
+  return leaseFor(State, LastContact, Now) >= minStartLease(State.Bounds);
 }
 
 /// Returns the upstream on which the task is expected to end first, or null.
-/// \p Expected is set to its run time there.
-SenderUpstream *chooseUpstream(SenderState &State, const SenderJob &J,
-                               const SenderTask &T, Duration TypicalRunTime,
-                               const PlacementPass &Pass, SteadyTime Now,
-                               Duration &Expected) {
+/// \p Contact is the last contact with the entry of the job.
+StartableUpstream *chooseUpstream(SenderState &State, const SenderJob &J,
+                                  const SenderTask &T, PlacementPass &Pass,
+                                  SteadyTime Contact) {
   State.Counts.UpstreamsVisited += Pass.Startable.size();
-  SteadyTime Contact = Pass.LastContact(J);
-  SenderUpstream *Best = nullptr;
-  double BestFactor = 0;
-  for (const StartableUpstream &S : Pass.Startable) {
-    SenderUpstream &U = *S.Upstream;
+  StartableUpstream *Best = nullptr;
+  for (StartableUpstream &S : Pass.Startable) {
+    const SenderUpstream &U = *S.Upstream;
     if (!U.Free.covers(J.Order.Step.PerTask) ||
         (U.Probing && !U.Runs.empty()) || !fitsTask(U, J.Order, T) ||
-        !leaseAllows(State, U, Pass, Contact, Now))
+        outlastsContact(State, U, Contact))
       continue;
     bool Better = !Best;
     if (Best) {
-      double Ratio = S.RunFactor / BestFactor;
+      double Ratio = S.RunFactor / Best->RunFactor;
       bool Similar = Ratio < SimilarityFactor && Ratio > 1 / SimilarityFactor;
-      Better = Similar ? U.Free.CpuMillis < Best->Free.CpuMillis : Ratio < 1;
-    }
-    if (Better) {
-      Best = &U;
-      BestFactor = S.RunFactor;
+      Better = Similar ? U.Free.CpuMillis < Best->Upstream->Free.CpuMillis
+                       : Ratio < 1;
     }
+    if (Better)
+      Best = &S;
   }
-  Expected = scaled(TypicalRunTime, BestFactor);
   return Best;
 }
 
 /// Starts a waiting task on \p U.
 void startTask(SenderState &State, SenderJob &J, uint32_t Index,
-               SenderUpstream &U, Duration Expected, const PlacementPass &Pass,
+               SenderUpstream &U, Duration Expected, Duration Lease,
                SteadyTime Now, InstanceEffects &Out) {
   SenderTask &T = J.Tasks[Index];
   T.State = SenderTaskState::Started;
@@ -166,8 +159,6 @@
   J.Started = true;
   ++State.Counts.RunsStarted;
   RunKey Key{J.Order.Id, 0, Index, T.Run};
-  Duration Lease = std::min(grantableLease(State, U, Pass.LastContact, Now),
-                            leaseFor(State, Pass.LastContact(J), Now));
   orderStart(U, J, Key, Expected, Lease, State.Bounds, Now, Out);
   U.Runs.at(Key).Exclusive = T.Crashes > 0;
 }
@@ -185,15 +176,15 @@
 /// first. Null if no upstream fits the task.
 SenderUpstream *chooseExclusively(SenderState &State, const SenderJob &J,
                                   const SenderTask &T,
-                                  const PlacementPass &Pass, SteadyTime Now) {
+                                  const PlacementPass &Pass, SteadyTime Contact,
+                                  SteadyTime Now) {
   State.Counts.UpstreamsVisited += State.Upstreams.size();
-  SteadyTime Contact = Pass.LastContact(J);
   SenderUpstream *Best = nullptr;
   std::pair<Duration, double> BestCost;
   for (auto &[Id, U] : State.Upstreams) {
     if (!isUsable(State, U, Now) || Pass.Reserved.count(Id) ||
         !U.Record.Capacity.covers(J.Order.Step.PerTask) ||
-        !fitsTask(U, J.Order, T) || !leaseAllows(State, U, Pass, Contact, Now))
+        !fitsTask(U, J.Order, T) || outlastsContact(State, U, Contact))
       continue;
     std::pair<Duration, double> Cost{timeUntilFree(U, Now),
                                      logRunTimeFactor(State.Learned, U)};
@@ -209,20 +200,21 @@
 /// runs. Under load there is none, so one is reserved, on which nothing is
 /// started until its runs have ended.
 void startSuspectedTask(SenderState &State, SenderJob &J, uint32_t Index,
-                        PlacementPass &Pass, SteadyTime Now,
+                        PlacementPass &Pass, SteadyTime Contact, SteadyTime Now,
                         InstanceEffects &Out) {
   SenderTask &T = J.Tasks[Index];
-  SenderUpstream *U = chooseExclusively(State, J, T, Pass, Now);
+  SenderUpstream *U = chooseExclusively(State, J, T, Pass, Contact, Now);
   if (!U && T.AvoidedUpstreams.size() + 1 >= State.Upstreams.size()) {
     T.AvoidedUpstreams.clear();
-    U = chooseExclusively(State, J, T, Pass, Now);
+    U = chooseExclusively(State, J, T, Pass, Contact, Now);
   }
   if (!U)
     return;
   if (U->Runs.empty()) {
     Duration Expected = scaled(typicalRunTime(State.Learned, J.Order),
                                std::exp(logRunTimeFactor(State.Learned, *U)));
-    startTask(State, J, Index, *U, Expected, Pass, Now, Out);
+    startTask(State, J, Index, *U, Expected, leaseFor(State, Contact, Now), Now,
+              Out);
   } else if (Pass.Reserved.size() <
              std::max<size_t>(1,
                               State.Upstreams.size() / UpstreamsPerReserved)) {
@@ -241,10 +233,13 @@
     if (!J->HasSuspectedTasks)
       continue;
     Any = true;
+    SteadyTime Contact = Pass.LastContact(*J);
+    if (!allowsStart(State, Contact, Now))
+      continue;
     for (uint32_t Index = 0; Index < J->Tasks.size(); ++Index)
       if (J->Tasks[Index].State == SenderTaskState::Waiting &&
           J->Tasks[Index].Crashes > 0)
-        startSuspectedTask(State, *J, Index, Pass, Now, Out);
+        startSuspectedTask(State, *J, Index, Pass, Contact, Now, Out);
   }
   if (!Any)
     return;
@@ -261,28 +256,30 @@
 /// that fits only on a slow upstream may wait for a faster one instead.
 void startJobTasks(SenderState &State, SenderJob &J, PlacementPass &Pass,
                    SteadyTime Now, InstanceEffects &Out) {
+  SteadyTime Contact = Pass.LastContact(J);
+  if (!allowsStart(State, Contact, Now))
+    return;
   Duration Typical = typicalRunTime(State.Learned, J.Order);
   for (uint32_t Index = 0; Index < J.Tasks.size() && J.WaitingTasks > 0;
        ++Index) {
     SenderTask &T = J.Tasks[Index];
     if (T.State != SenderTaskState::Waiting || T.Crashes > 0)
       continue;
-    Duration Expected{0};
-    SenderUpstream *U =
-        chooseUpstream(State, J, T, Typical, Pass, Now, Expected);
-    if (!U && !T.AvoidedUpstreams.empty() &&
+    StartableUpstream *Chosen = chooseUpstream(State, J, T, Pass, Contact);
+    if (!Chosen && !T.AvoidedUpstreams.empty() &&
         T.AvoidedUpstreams.size() + 1 >= State.Upstreams.size()) {
       // It avoids all upstreams but at most one; a retry on any beats none.
       T.AvoidedUpstreams.clear();
-      U = chooseUpstream(State, J, T, Typical, Pass, Now, Expected);
+      Chosen = chooseUpstream(State, J, T, Pass, Contact);
     }
-    if (!U) {
+    if (!Chosen) {
       // The other tasks of the job have the same needs, so they fit nowhere
       // either, unless on upstreams that this task avoids.
       if (T.AvoidedUpstreams.empty())
         return;
       continue;
     }
+    Duration Expected = scaled(Typical, Chosen->RunFactor);
     if (!Pass.Forecast)
       Pass.Forecast.emplace(State, Now);
     if (Pass.Forecast->reserveEarlierSlot(
@@ -292,7 +289,9 @@
                      fitsTask(Other, J.Order, T);
             }))
       continue;
-    startTask(State, J, Index, *U, Expected, Pass, Now, Out);
+    Chosen->Lease = std::min(Chosen->Lease, leaseFor(State, Contact, Now));
+    startTask(State, J, Index, *Chosen->Upstream, Expected, Chosen->Lease, Now,
+              Out);
   }
 }
 
@@ -309,7 +308,7 @@
   if (!Need)
     return;
   PlacementPass Pass{LastContact, {}, {}, {}};
-  Pass.Startable = startableUpstreams(State, *Need, Now);
+  Pass.Startable = startableUpstreams(State, *Need, LastContact, Now);
   if (Pass.Startable.empty())
     return;
   std::vector<SenderJob *> Queue;
--- a/src/sender/placement_cmd.h
+++ b/src/sender/placement_cmd.h
@@ -3,8 +3,7 @@
 #define SNIPESHUNT_SENDER_PLACEMENT_CMD_H
 
 #include "instance/instance_effect.h"
-#include "sender/sender_base.h"
-#include "sender/upstream_cmd.h"
+#include "sender/lease_cmd.h"
 
 #include <functional>
 
--- a/src/sender/room_share_base.h
+++ b/src/sender/queue_share_base.h
@@ -1,9 +1,9 @@
 /// \file State of the shares of queues in a sender's capacity.
-#ifndef SNIPESHUNT_SENDER_ROOM_SHARE_BASE_H
-#define SNIPESHUNT_SENDER_ROOM_SHARE_BASE_H
+#ifndef SNIPESHUNT_SENDER_QUEUE_SHARE_BASE_H
+#define SNIPESHUNT_SENDER_QUEUE_SHARE_BASE_H
 
-#include "core/clock.h"
-#include "sender/room_share_type.h"
+#include "core/decaying_sum_func.h"
+#include "sender/queue_share_type.h"
 
 #include <array>
 #include <map>
@@ -11,19 +11,10 @@
 
 namespace snipeshunt {
 
-/// Exponentially decaying sum. In a steady state it is the rate times the time
-/// constant.
-struct DecayingSum {
-  double Value = 0; ///< At `Updated`.
-  SteadyTime Updated{};
-};
-
 /// Work of the jobs of a queue, in thousandths of core-seconds.
 struct QueueShare {
   int32_t Priority = 0; ///< Of its last job.
   DecayingSum Offered;
-  DecayingSum Admitted;
-  DecayingSum Rejected;
   double Share = 0; ///< Work a second, as computed last.
   /// Part of the offered work that the share covers, 1 at most.
   double AdmittedPart = 1;
@@ -40,7 +31,7 @@
 };
 
 /// Shares of all queues. Empty unless `Enabled`.
-struct RoomShares {
+struct QueueShares {
   bool Enabled = false;              ///< Routes differ in priority.
   uint64_t ConfigurationVersion = 0; ///< That the priorities are from.
   int32_t TopPriority = 0;           ///< Of the most urgent route.
@@ -57,4 +48,4 @@
 
 } // namespace snipeshunt
 
-#endif // SNIPESHUNT_SENDER_ROOM_SHARE_BASE_H
+#endif // SNIPESHUNT_SENDER_QUEUE_SHARE_BASE_H
--- a/src/sender/room_share_cmd.cpp
+++ b/src/sender/queue_share_cmd.cpp
@@ -1,5 +1,5 @@
 /// \file Shares of queues in a sender's capacity during overload.
-#include "sender/room_share_cmd.h"
+#include "sender/queue_share_cmd.h"
 
 #include "core/duration_func.h"
 
@@ -32,14 +32,15 @@
 // Backlog from which all that fits is taken to be in use. With 150 ms, short
 // overloads teach nothing, and shares stay too small.
 constexpr Duration LearningBacklog = std::chrono::milliseconds(30);
-// Weight of one observation of `RoomShares::UsablePart`: it follows a change of
-// the task sizes within a second.
+// Weight of one observation of `QueueShares::UsablePart`: it follows a change
+// of the task sizes within a second.
 constexpr double UsableLearningRate = 0.1;
-// Limit below `RoomShares::UsablePart`: with tasks of just over half of an
+// Limit below `QueueShares::UsablePart`: with tasks of just over half of an
 // upstream, about half of the capacity stays unused.
 constexpr double MinUsablePart = 0.4;
-// Limit on the credit of a group, in jobs of the present size, so that a group
-// neither saves up credit nor pays for free capacity that it has used long ago.
+// Limit on the credit of a group, in jobs of the present size, in either
+// direction: neither a pause of the group nor its use of free capacity changes
+// its part for longer than a few jobs.
 constexpr double MaxCreditJobs = 2;
 // Step of the estimated quantiles of job sizes, relative to their value.
 constexpr double QuantileStep = 0.05;
@@ -47,11 +48,6 @@
 // and gets no floor.
 constexpr double MinOfferedRate = 1;
 
-void add(DecayingSum &Sum, double Work, SteadyTime Now) {
-  Sum.Value = decayedValue(Sum, Now) + Work;
-  Sum.Updated = Now;
-}
-
 /// Moves an estimate of the quantile \p Share by one sample.
 void updateQuantile(double &Estimate, double Share, double Sample) {
   if (Estimate == 0)
@@ -69,10 +65,6 @@
   return Queue.Credits[Job.Centre][sizeClass(Queue, Job.Work)];
 }
 
-double rateOf(const DecayingSum &Sum, SteadyTime Now) {
-  return decayedValue(Sum, Now) / ShareDecaySeconds;
-}
-
 /// A queue's rate of offered work, in the computation of shares.
 struct Demand {
   QueueShare *Queue;
@@ -110,7 +102,7 @@
 }
 
 /// Forgets what the shares were distributed by.
-void endOverload(RoomShares &Shares) {
+void endOverload(QueueShares &Shares) {
   Shares.Overloaded = false;
   for (auto &[Name, Queue] : Shares.Queues)
     Queue.Credits.clear();
@@ -118,15 +110,11 @@
 
 } // namespace
 
-double decayedValue(const DecayingSum &Sum, SteadyTime Now) {
-  return Sum.Value *
-         std::exp(-toSeconds(Now - Sum.Updated) / ShareDecaySeconds);
-}
-
-void applyRoutePriorities(RoomShares &Shares,
+void applyRoutePriorities(QueueShares &Shares,
                           const FleetConfiguration &Configuration) {
   const std::vector<Route> &Routes = Configuration.Routes;
-  // Counters of queues that are gone must not pile up over the years.
+  // Queue names come and go with the configuration, so the table would grow
+  // without a limit.
   for (auto It = Shares.Queues.begin(); It != Shares.Queues.end();)
     It = std::any_of(Routes.begin(), Routes.end(),
                      [&](const Route &R) { return R.Name == It->first; })
@@ -144,11 +132,11 @@
     Shares.TopPriority = std::min(Shares.TopPriority, R.Priority);
 }
 
-bool isShareUpdateDue(const RoomShares &Shares, SteadyTime Now) {
+bool isShareUpdateDue(const QueueShares &Shares, SteadyTime Now) {
   return Shares.Enabled && Now >= Shares.NextUpdate;
 }
 
-int32_t rankPriority(const RoomShares &Shares, int32_t Priority, bool LateSoon,
+int32_t rankPriority(const QueueShares &Shares, int32_t Priority, bool LateSoon,
                      bool Started) {
   if (!Shares.Overloaded)
     return 0;
@@ -159,7 +147,7 @@
   return LateSoon ? Top + 1 : Priority;
 }
 
-void updateShares(RoomShares &Shares, const ShareCapacity &Capacity,
+void updateShares(QueueShares &Shares, const ShareCapacity &Capacity,
                   SteadyTime Now, InstanceEffects &Out) {
   Shares.NextUpdate = Now + SharePeriod;
   double Usable = Capacity.Total * Shares.UsablePart;
@@ -176,7 +164,8 @@
   std::vector<Demand> Demands;
   double Offered = 0;
   for (auto &[Name, Queue] : Shares.Queues) {
-    double Rate = rateOf(Queue.Offered, Now);
+    double Rate =
+        decayedValue(Queue.Offered, Now, ShareDecaySeconds) / ShareDecaySeconds;
     Queue.Share = Rate;
     Queue.AdmittedPart = 1;
     if (Rate < MinOfferedRate)
@@ -205,30 +194,27 @@
   Out.push_back(LogDecision{DecisionPart::Sender, "", std::move(Text)});
 }
 
-ShareDecision offerJob(RoomShares &Shares, const OfferedJob &Job,
-                       SteadyTime Now) {
+bool offerJob(QueueShares &Shares, const OfferedJob &Job, SteadyTime Now) {
   QueueShare &Queue = Shares.Queues[Job.Queue];
   Queue.Priority = Job.Priority;
-  add(Queue.Offered, Job.Work, Now);
+  addDecaying(Queue.Offered, Job.Work, Now, ShareDecaySeconds);
   updateQuantile(Queue.LargestTenth, 0.9, Job.Work);
   updateQuantile(Queue.LargestThird, 0.7, Job.Work);
   if (!Shares.Overloaded)
-    return ShareDecision::Unlimited;
+    return true;
   Queue.OfferedTotal += Job.Work;
   double &Credit = creditOf(Queue, Job);
   Credit = std::min(Credit + Job.Work * Queue.AdmittedPart,
                     Job.Work * MaxCreditJobs);
   // Half of the work rounds the admitted number of equal jobs to the nearest.
-  return Credit >= Job.Work / 2 ? ShareDecision::WithinShare
-                                : ShareDecision::BeyondShare;
+  return Credit >= Job.Work / 2;
 }
 
-void recordShareOutcome(RoomShares &Shares, const OfferedJob &Job,
-                        bool Admitted, SteadyTime Now) {
-  QueueShare &Queue = Shares.Queues[Job.Queue];
-  add(Admitted ? Queue.Admitted : Queue.Rejected, Job.Work, Now);
+void recordShareOutcome(QueueShares &Shares, const OfferedJob &Job,
+                        bool Admitted) {
   if (!Shares.Overloaded)
     return;
+  QueueShare &Queue = Shares.Queues[Job.Queue];
   (Admitted ? Queue.AdmittedTotal : Queue.RejectedTotal) += Job.Work;
   if (!Admitted)
     return;
--- a/src/sender/room_share_cmd.h
+++ b/src/sender/queue_share_cmd.h
@@ -1,16 +1,16 @@
 /// \file Shares of queues in a sender's capacity during overload.
-#ifndef SNIPESHUNT_SENDER_ROOM_SHARE_CMD_H
-#define SNIPESHUNT_SENDER_ROOM_SHARE_CMD_H
+#ifndef SNIPESHUNT_SENDER_QUEUE_SHARE_CMD_H
+#define SNIPESHUNT_SENDER_QUEUE_SHARE_CMD_H
 
 #include "directory/directory_type.h"
 #include "instance/instance_effect.h"
-#include "sender/room_share_base.h"
+#include "sender/queue_share_base.h"
 
 namespace snipeshunt {
 
 /// Switches the shares on if routes of \p Configuration differ in priority, and
 /// off otherwise.
-void applyRoutePriorities(RoomShares &Shares,
+void applyRoutePriorities(QueueShares &Shares,
                           const FleetConfiguration &Configuration);
 
 /// Capacity of a sender, as far as the shares depend on it.
@@ -21,31 +21,28 @@
 };
 
 /// Returns true if `updateShares` is due.
-bool isShareUpdateDue(const RoomShares &Shares, SteadyTime Now);
+bool isShareUpdateDue(const QueueShares &Shares, SteadyTime Now);
 
 /// Begins or ends the overload and computes the shares anew.
-void updateShares(RoomShares &Shares, const ShareCapacity &Capacity,
+void updateShares(QueueShares &Shares, const ShareCapacity &Capacity,
                   SteadyTime Now, InstanceEffects &Out);
 
-/// Records the offer of a job and decides whether its queue's share covers it.
-/// `recordShareOutcome` must follow.
-ShareDecision offerJob(RoomShares &Shares, const OfferedJob &Job,
-                       SteadyTime Now);
+/// Records the offer of a job. Returns true if its queue's share covers it,
+/// always so without an overload; otherwise it may run only on capacity that no
+/// job waits for. `recordShareOutcome` must follow.
+bool offerJob(QueueShares &Shares, const OfferedJob &Job, SteadyTime Now);
 
 /// Records whether a job that was offered is admitted.
-void recordShareOutcome(RoomShares &Shares, const OfferedJob &Job,
-                        bool Admitted, SteadyTime Now);
-
-/// Returns the sum decayed to \p Now.
-double decayedValue(const DecayingSum &Sum, SteadyTime Now);
+void recordShareOutcome(QueueShares &Shares, const OfferedJob &Job,
+                        bool Admitted);
 
 /// Returns the priority by which a job ranks: the same for all jobs without an
 /// overload. \p LateSoon is set if it must start soon to meet its objective;
 /// then it ranks right behind the most urgent jobs, and among them if tasks of
 /// it have been started, whose work would be lost.
-int32_t rankPriority(const RoomShares &Shares, int32_t Priority, bool LateSoon,
+int32_t rankPriority(const QueueShares &Shares, int32_t Priority, bool LateSoon,
                      bool Started);
 
 } // namespace snipeshunt
 
-#endif // SNIPESHUNT_SENDER_ROOM_SHARE_CMD_H
+#endif // SNIPESHUNT_SENDER_QUEUE_SHARE_CMD_H
--- a/src/sender/room_share_type.h
+++ b/src/sender/queue_share_type.h
@@ -1,6 +1,6 @@
 /// \file Capacity that queues may use while a sender is overloaded.
-#ifndef SNIPESHUNT_SENDER_ROOM_SHARE_TYPE_H
-#define SNIPESHUNT_SENDER_ROOM_SHARE_TYPE_H
+#ifndef SNIPESHUNT_SENDER_QUEUE_SHARE_TYPE_H
+#define SNIPESHUNT_SENDER_QUEUE_SHARE_TYPE_H
 
 #include "core/id_type.h"
 
@@ -22,13 +22,6 @@
   double Work = 0;      ///< In thousandths of core-seconds.
 };
 
-/// Decision about a job's admission by the share of its queue.
-enum class ShareDecision {
-  Unlimited,   ///< No overload; nothing was recorded beyond the offer.
-  WithinShare, ///< The queue's share covers it.
-  BeyondShare, ///< It may run only on capacity that nobody waits for.
-};
-
 } // namespace snipeshunt
 
-#endif // SNIPESHUNT_SENDER_ROOM_SHARE_TYPE_H
+#endif // SNIPESHUNT_SENDER_QUEUE_SHARE_TYPE_H
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -3,7 +3,7 @@
 #define SNIPESHUNT_SENDER_SENDER_BASE_H
 
 #include "sender/crash_base.h"
-#include "sender/room_share_base.h"
+#include "sender/queue_share_base.h"
 #include "sender/sender_type.h"
 #include "settings/fleet_settings_type.h"
 
@@ -259,16 +259,9 @@
   }
 };
 
-/// Exponentially decaying sum of the work of jobs that were admitted in time.
-/// It measures the rate at which such work arrives.
-struct OfferedWork {
-  double Work = 0;      ///< At `Updated`, in thousandths of core-seconds.
-  SteadyTime Updated{}; ///< When a job was last added.
-};
-
 /// Jobs that callers have cancelled, here or at other instances. Their number
 /// and age are limited.
-struct RemoteCancels {
+struct CallerCancels {
   std::unordered_map<JobId, SteadyTime> Jobs; ///< When each arrived last.
   /// Jobs by arrival, oldest first; those that arrived again are outdated.
   std::deque<std::pair<SteadyTime, JobId>> Order;
@@ -288,9 +281,11 @@
 /// State of the sender part of an instance.
 struct SenderState {
   FleetBounds Bounds; ///< From the settings.
-  OfferedWork Offered;
+  /// Work of the jobs that were admitted in time, in thousandths of
+  /// core-seconds. It measures the rate at which such work arrives.
+  DecayingSum Offered;
   WithheldStarts Withheld;
-  RoomShares Shares;
+  QueueShares Shares;
   bool Draining = false;    ///< Shutdown has begun; new jobs are rejected.
   bool PlacementDue = true; ///< A start may have become possible.
   /// Upstreams were released or fenced off, so that jobs may have none left.
@@ -314,7 +309,7 @@
   /// Retained results by end of the job, oldest first.
   std::deque<std::pair<SteadyTime, JobId>> RetainedResultOrder;
   CrashHistory Crashes;
-  RemoteCancels Cancelled;
+  CallerCancels Cancelled;
   LearnedTimes Learned;
   SenderCounters Counts;
 };
--- a/src/sender/upstream_cmd.h
+++ b/src/sender/upstream_cmd.h
@@ -4,12 +4,16 @@
 
 #include "cells/cell_base.h"
 #include "instance/instance_effect.h"
+#include "sender/job_cmd.h"
 #include "sender/sender_base.h"
 
 #include <functional>
 
 namespace snipeshunt {
 
+/// Reason for the end of jobs whose runs this sender can no longer track.
+constexpr const char *ClaimLostReason = "the claim to its cell was lost";
+
 /// Applies a list of upstreams: adds and updates those whose cell, given by
 /// \p CellOf, is among \p Claims, and updates those of released cells that this
 /// sender still uses. If \p Complete, upstreams that stay unlisted for
@@ -33,56 +37,26 @@
 void releaseCell(SenderState &State, const CellId &Cell, SteadyTime Now,
                  InstanceEffects &Out);
 
-/// Stops starts on the upstreams of a cell that goes to another sender, or
-/// allows them again. Returns true if nothing runs or is being started there.
-bool closeCell(SenderState &State, const CellId &Cell);
-void reopenCell(SenderState &State, const CellId &Cell);
-
-/// Returns a time at which the entry of a job still awaited it, the last one
-/// that is known.
-using ContactLookup = std::function<SteadyTime(const SenderJob &)>;
+/// Withholds starts on the upstreams of a cell that is to go to another sender,
+/// or allows them again.
+void setCellLeaving(SenderState &State, const CellId &Cell, bool Leaving);
 
-/// Sends the renewals and stops that are due. \p HeldByPredecessor returns true
-/// if a predecessor still uses an upstream. Called after each event.
-void renewUpstreams(
-    SenderState &State,
-    const std::function<bool(const UpstreamId &)> &HeldByPredecessor,
-    const ContactLookup &LastContact, SteadyTime Now, InstanceEffects &Out);
+/// Returns true if no run is on the upstreams of a cell, and none of an earlier
+/// sender is still to be stopped there.
+bool isCellIdle(const SenderState &State, const CellId &Cell);
 
 /// Ends runs whose lease has certainly expired. Called on each tick.
 void expireRuns(SenderState &State, SteadyTime Now, InstanceEffects &Out);
 
-/// Apply the answer to an order, or its failure. Answers to orders under an
-/// earlier token are ignored. \p FencedCell is set to the cell of the upstream
-/// if that accepts only a newer sender's orders.
+/// Apply the answer to a start or a stop, or its failure. Answers to orders
+/// under an earlier token are ignored. \p FencedCell is set to the cell of the
+/// upstream if that accepts only a newer sender's orders.
 void applyStartAnswer(SenderState &State, const StartAnswered &Event,
                       SteadyTime Now, std::optional<CellId> &FencedCell,
                       InstanceEffects &Out);
 void applyStopAnswer(SenderState &State, const StopAnswered &Event,
                      SteadyTime Now, std::optional<CellId> &FencedCell,
                      InstanceEffects &Out);
-void applyRenewal(SenderState &State, const RenewalAnswered &Event,
-                  SteadyTime Now, std::optional<CellId> &FencedCell,
-                  InstanceEffects &Out);
-
-/// Returns true if the lease of \p U must not be prolonged, because a run on it
-/// has to end and no stop of it has been accepted.
-bool mustLapse(const SenderState &State, const SenderUpstream &U);
-
-/// Returns the longest lease, on the upstream's clock, that the runs on \p U
-/// allow: no run may outlast the last contact with its entry by
-/// `contactLease`. Not positive if there is none.
-Duration grantableLease(const SenderState &State, const SenderUpstream &U,
-                        const ContactLookup &LastContact, SteadyTime Now);
-
-/// Returns the longest lease that a run of a job with this last contact allows.
-Duration leaseFor(const SenderState &State, SteadyTime LastContact,
-                  SteadyTime Now);
-
-/// Returns true if a lease that was granted for other runs on \p U may outlast
-/// the last contact with a job's entry by `contactLease`.
-bool outlastsContact(const SenderState &State, const SenderUpstream &U,
-                     SteadyTime LastContact);
 
 /// Orders the start of a run on \p U, with a lease of length \p Lease, and
 /// reserves its resources. \p Expected is the expected run time on \p U.
@@ -94,6 +68,22 @@
 void orderStop(SenderUpstream &U, SenderRun &Run, SteadyTime Now,
                InstanceEffects &Out);
 
+/// Removes a run from its upstream and applies its outcome to its job.
+/// \p Rejected: the upstream has not accepted the start and will not carry it
+/// out.
+void finishRun(SenderState &State, SenderUpstream &U, const RunKey &Key,
+               RunOutcome Outcome, SteadyTime Now, InstanceEffects &Out,
+               bool Rejected = false);
+
+/// Returns the upstream, or null if it is unknown or has another token.
+SenderUpstream *findUpstream(SenderState &State, const UpstreamId &Id,
+                             FencingToken Token);
+
+/// Marks \p U as fenced off and reports its cell, once: a second report could
+/// release a claim that was made since.
+void recordFencing(SenderState &State, SenderUpstream &U,
+                   std::optional<CellId> &FencedCell);
+
 /// Logs a decision on an upstream.
 void logUpstream(InstanceEffects &Out, const SenderUpstream &U,
                  std::string Message);
@@ -110,6 +100,16 @@
 void recordFailure(SenderUpstream &U, const JobId &Job, SteadyTime Now,
                    InstanceEffects &Out);
 
+/// Counts a call without an answer and schedules the next one. \p NothingSent:
+/// the call has not left this process, so the upstream is unreachable.
+void recordNoAnswer(SenderState &State, SenderUpstream &U, bool NothingSent,
+                    SteadyTime Now, InstanceEffects &Out);
+
+/// Records a crash if the answer to an order shows that the process of \p U has
+/// ended.
+void checkProcess(SenderState &State, SenderUpstream &U, OrderStatus Status,
+                  SteadyTime Now, InstanceEffects &Out);
+
 /// Schedules a read of the upstream's lists, before which nothing is started.
 void beginSync(SenderUpstream &U, SteadyTime Now);
 
--- a/src/sender/upstream_health_cmd.cpp
+++ b/src/sender/upstream_health_cmd.cpp
@@ -1,4 +1,6 @@
-/// \file Failures of upstreams, and probes of those that failed repeatedly.
+/// \file Failures and silence of upstreams, and probes of those that failed
+/// repeatedly.
+#include "sender/crash_cmd.h"
 #include "sender/sender_table.h"
 #include "sender/upstream_cmd.h"
 
@@ -40,4 +42,27 @@
   U.BlockedUntil = {};
 }
 
+void recordNoAnswer(SenderState &State, SenderUpstream &U, bool NothingSent,
+                    SteadyTime Now, InstanceEffects &Out) {
+  ++U.UnansweredCalls;
+  if (U.Phase == UpstreamPhase::Ready &&
+      (U.UnansweredCalls >= 2 || NothingSent)) {
+    U.Phase = UpstreamPhase::Unresponsive;
+    logUpstream(Out, U,
+                "is unresponsive, runs=" + std::to_string(U.Runs.size()));
+  }
+  Duration Pause = std::min<Duration>(
+      RetryDelay * (1U << std::min(U.UnansweredCalls, 4U)) / 2, MaxRetryDelay);
+  // Runs need a renewal before their lease expires, so the retry comes sooner.
+  U.NextRenewal = U.Runs.empty() ? Now + Pause : Now + RetryDelay / 3;
+}
+
+void checkProcess(SenderState &State, SenderUpstream &U, OrderStatus Status,
+                  SteadyTime Now, InstanceEffects &Out) {
+  if (Status == OrderStatus::Refused)
+    recordCrash(State, U, CrashSign::Refused, nullptr, Now, Out);
+  else if (Status == OrderStatus::OtherProcess)
+    recordCrash(State, U, CrashSign::OtherProcess, nullptr, Now, Out);
+}
+
 } // namespace snipeshunt
--- a/src/sender/upstream_list_cmd.cpp
+++ b/src/sender/upstream_list_cmd.cpp
@@ -8,6 +8,19 @@
 
 namespace snipeshunt {
 
+namespace {
+
+/// Returns true if most of the records state the start of their process. An
+/// entry of another writer among them does not decide.
+bool statesStart(const std::vector<UpstreamRecord> &List) {
+  auto Stating =
+      std::count_if(List.begin(), List.end(),
+                    [](const UpstreamRecord &R) { return R.StartedAt != 0; });
+  return Stating > 0 && 2 * static_cast<size_t>(Stating) >= List.size();
+}
+
+} // namespace
+
 void logUpstream(InstanceEffects &Out, const SenderUpstream &U,
                  std::string Message) {
   Out.push_back(
@@ -26,15 +39,6 @@
   U.NextRenewal = Now;
 }
 
-/// Returns true if most of the records state the start of their process. An
-/// entry of another writer among them does not decide.
-static bool statesStart(const std::vector<UpstreamRecord> &List) {
-  auto Stating =
-      std::count_if(List.begin(), List.end(),
-                    [](const UpstreamRecord &R) { return R.StartedAt != 0; });
-  return Stating > 0 && 2 * static_cast<size_t>(Stating) >= List.size();
-}
-
 // An upstream that states its start in its reports states it in its record as
 // well, if the others of the deployment do.
 bool lacksStart(const SenderState &State, const SenderUpstream &U,
@@ -194,28 +198,25 @@
   // The next sender of the cell stops these runs; this one can no longer track
   // them.
   for (const JobId &Id : Lost)
-    finishJob(State, Id, JobOutcome::Lost, "the claim to its cell was lost",
-              Now, Out);
+    finishJob(State, Id, JobOutcome::Lost, ClaimLostReason, Now, Out);
 }
 
-bool closeCell(SenderState &State, const CellId &Cell) {
-  bool IsIdle = true;
-  for (auto &[Id, U] : State.Upstreams) {
-    if (!(U.Cell == Cell))
-      continue;
-    U.Leaving = true;
-    // Orphaned runs are stopped, and ends acknowledged, before the next sender
-    // reads the lists.
-    IsIdle = IsIdle && U.Runs.empty() && U.OrphanedRuns.empty();
-  }
-  return IsIdle;
-}
-
-void reopenCell(SenderState &State, const CellId &Cell) {
+void setCellLeaving(SenderState &State, const CellId &Cell, bool Leaving) {
   for (auto &[Id, U] : State.Upstreams)
     if (U.Cell == Cell)
-      U.Leaving = false;
-  State.PlacementDue = true;
+      U.Leaving = Leaving;
+  if (!Leaving)
+    State.PlacementDue = true;
+}
+
+bool isCellIdle(const SenderState &State, const CellId &Cell) {
+  // The next sender would count orphaned runs as its own, so they are stopped
+  // before.
+  return std::all_of(
+      State.Upstreams.begin(), State.Upstreams.end(), [&](const auto &Item) {
+        const SenderUpstream &U = Item.second;
+        return !(U.Cell == Cell) || (U.Runs.empty() && U.OrphanedRuns.empty());
+      });
 }
 
 bool usesUpstreams(const SenderState &State) {
--- a/tests/cell_codec_malformed_test.cpp
+++ b/tests/cell_codec_malformed_test.cpp
@@ -1,6 +1,7 @@
 /// \file Tests of the messages between instances: malformed ones, and numbers
 /// that overflow or exhaust the memory.
 #include "rpc/cell_codec.h"
+#include "rpc/job_codec.h"
 #include "rpc/rpc_codec.h"
 #include "rpc/rpc_server.h"
 
--- a/tests/cell_codec_test.cpp
+++ b/tests/cell_codec_test.cpp
@@ -1,6 +1,7 @@
 /// \file Messages between instances of a fleet of cells keep every field when
 /// encoded and decoded.
 #include "rpc/cell_codec.h"
+#include "rpc/job_codec.h"
 
 #include "core/json_func.h"
 #include "rpc/rpc_codec.h"
--- a/tests/cell_crash_test.cpp
+++ b/tests/cell_crash_test.cpp
@@ -1,6 +1,6 @@
 /// \file Tasks that crash the upstreams on which they run, on a fake clock.
+#include "sender/admission_cmd.h"
 #include "sender/crash_cmd.h"
-#include "sender/job_cmd.h"
 #include "sender/sender_table.h"
 #include "support/cell_world.h"
 
--- a/tests/cell_failed_end_test.cpp
+++ b/tests/cell_failed_end_test.cpp
@@ -1,7 +1,10 @@
 /// \file Jobs are answered as failed only after `max_attempts` runs of one of
 /// their tasks that have ended as failed, on a fake clock.
 #include "platform/platform_codec.h"
+#include "sender/admission_cmd.h"
 #include "sender/job_cmd.h"
+#include "sender/renewal_cmd.h"
+#include "sender/result_cmd.h"
 #include "sender/sender_table.h"
 #include "sender/upstream_cmd.h"
 #include "support/cell_world.h"
--- a/tests/cell_handover_answer_test.cpp
+++ b/tests/cell_handover_answer_test.cpp
@@ -1,7 +1,7 @@
 /// \file Answers of jobs whose sender loses its cells before any of their tasks
 /// runs, on a fake clock.
 #include "cells/cell_table.h"
-#include "sender/job_cmd.h"
+#include "sender/admission_cmd.h"
 #include "sender/upstream_cmd.h"
 #include "support/cell_world.h"
 
--- a/tests/entry_cancel_test.cpp
+++ b/tests/entry_cancel_test.cpp
@@ -1,7 +1,7 @@
 /// \file Cancelled jobs that no sender has accepted, and jobs that are
 /// cancelled at another instance than the one that took them, on a fake clock.
 #include "instance/instance_reducer.h"
-#include "sender/remote_cancel_cmd.h"
+#include "sender/caller_cancel_cmd.h"
 #include "support/cell_world.h"
 
 #include <gtest/gtest.h>
@@ -386,7 +386,7 @@
   SteadyTime Now = World.now();
   handle(State, Now, forwardOf(World.state(Taker), milliseconds(0)));
   ASSERT_EQ(State.Sender.Jobs.size(), 1U);
-  recordRemoteCancel(State.Sender.Cancelled, {"a"}, Now);
+  recordCallerCancel(State.Sender.Cancelled, {"a"}, Now);
   JobArrived Late = forwardOf(World.state(Taker), milliseconds(0));
   Late.Request = {778};
   Late.Order.Number += 1;
@@ -552,13 +552,13 @@
 // Guards against memory that grows with the number of cancellations or with the
 // length of their ids.
 TEST_F(CancelElsewhere, RecordOfCancellationsIsBounded) {
-  RemoteCancels Record;
+  CallerCancels Record;
   for (int I = 0; I < 100000; ++I)
-    recordRemoteCancel(Record, {std::to_string(I % 50000)}, World.now());
+    recordCallerCancel(Record, {std::to_string(I % 50000)}, World.now());
   EXPECT_LE(Record.Order.size(), 16384U);
   EXPECT_LE(Record.Jobs.size(), 16384U);
   JobId Long{std::string(10000, 'x')};
-  recordRemoteCancel(Record, Long, World.now());
+  recordCallerCancel(Record, Long, World.now());
   EXPECT_EQ(Record.Jobs.count(Long), 0U);
 }
 
--- a/tests/odd_record_test.cpp
+++ b/tests/odd_record_test.cpp
@@ -4,8 +4,10 @@
 #include "cells/cell_table.h"
 #include "instance/instance_reducer.h"
 #include "rpc/cell_codec.h"
-#include "sender/job_cmd.h"
+#include "rpc/job_codec.h"
+#include "sender/admission_cmd.h"
 #include "sender/placement_cmd.h"
+#include "sender/renewal_cmd.h"
 #include "sender/upstream_cmd.h"
 #include "support/cell_world.h"
 
--- a/tests/room_share_test.cpp
+++ b/tests/queue_share_test.cpp
@@ -1,5 +1,5 @@
 /// \file Tests of the shares of queues in a sender's capacity.
-#include "sender/room_share_cmd.h"
+#include "sender/queue_share_cmd.h"
 
 #include <gtest/gtest.h>
 
@@ -9,7 +9,7 @@
 namespace {
 
 /// A sender whose tasks can do 900 units of work a second, with a backlog.
-class RoomShareTest : public ::testing::Test {
+class QueueShareTest : public ::testing::Test {
 protected:
   void SetUp() override {
     configure({{"urgent", 0}, {"middle", 1}, {"last", 2}});
@@ -29,8 +29,8 @@
 
   /// Offers \p Job; returns its work if it is admitted, else 0.
   double offer(const OfferedJob &Job) {
-    bool Admitted = offerJob(Shares, Job, Now) != ShareDecision::BeyondShare;
-    recordShareOutcome(Shares, Job, Admitted, Now);
+    bool Admitted = offerJob(Shares, Job, Now);
+    recordShareOutcome(Shares, Job, Admitted);
     return Admitted ? Job.Work : 0;
   }
 
@@ -52,7 +52,7 @@
     return Admitted;
   }
 
-  RoomShares Shares;
+  QueueShares Shares;
   SteadyTime Now{std::chrono::hours(1)};
   InstanceEffects Out;
   uint64_t Version = 0;
@@ -62,7 +62,7 @@
 
 // Guards against a queue that gets less than its floor, and against capacity
 // that goes to a queue before a more urgent one is satisfied.
-TEST_F(RoomShareTest, CapacityIsSharedByPriorityAboveTheFloors) {
+TEST_F(QueueShareTest, CapacityIsSharedByPriorityAboveTheFloors) {
   auto Admitted = play(
       {{"urgent", 0, {}, 4}, {"middle", 1, {}, 10}, {"last", 2, {}, 8}}, 200);
   EXPECT_NEAR(Admitted[0], 400, 10);
@@ -72,7 +72,7 @@
 
 // Guards against a data centre that offers much taking the share of another
 // one, and against large jobs being rejected more than twice as often.
-TEST_F(RoomShareTest, GroupsOfAQueueGetTheSamePartOfTheirOffer) {
+TEST_F(QueueShareTest, GroupsOfAQueueGetTheSamePartOfTheirOffer) {
   auto Admitted = play({{"last", 2, {"a"}, 6},
                         {"last", 2, {"a"}, 6.1},
                         {"last", 2, {"b"}, 2},
@@ -85,7 +85,7 @@
 
 // Guards against limits where routes don't differ in priority, where there is
 // no backlog or too little work, and after an overload has ended.
-TEST_F(RoomShareTest, NothingIsLimitedWithoutOverload) {
+TEST_F(QueueShareTest, NothingIsLimitedWithoutOverload) {
   std::vector<OfferedJob> Much{{"urgent", 0, {}, 20}, {"last", 2, {}, 20}};
   std::vector<double> All{2000, 2000};
   configure({{"urgent", 1}, {"last", 1}});
@@ -112,7 +112,7 @@
 
 // Guards against a waste of started work: the last tasks of a started job must
 // not wait behind later jobs of a more urgent queue.
-TEST_F(RoomShareTest, JobsThatAreLateSoonMoveUp) {
+TEST_F(QueueShareTest, JobsThatAreLateSoonMoveUp) {
   EXPECT_EQ(rankPriority(Shares, 2, false, false), 0);
   Shares.Overloaded = true;
   EXPECT_EQ(rankPriority(Shares, 2, false, false), 2);
--- a/tests/store_decoder_test.cpp
+++ b/tests/store_decoder_test.cpp
@@ -5,6 +5,7 @@
 #include "core/json_func.h"
 #include "platform/platform_codec.h"
 #include "rpc/cell_codec.h"
+#include "rpc/job_codec.h"
 
 #include <gtest/gtest.h>
 
