daemon: register metrics with and without a label in one function

The unlabelled variants repeat the code of the labelled ones. They now call them with an empty label. No metric changes its name, help or value.

--- a/src/daemon/metric_registry.cpp
+++ b/src/daemon/metric_registry.cpp
@@ -12,18 +12,19 @@
 const prometheus::Histogram::BucketBoundaries JobSecondsBuckets{
     0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5};
 
+/// Labels of a metric: none if \p Name is empty.
+std::map<std::string, std::string> labels(const std::string &Name,
+                                          const std::string &Value) {
+  if (Name.empty())
+    return {};
+  return {{Name, Value}};
+}
+
 } // namespace
 
 void MetricRegistry::setCounter(const std::string &Name,
                                 const std::string &Help, uint64_t Total) {
-  prometheus::Counter *&Metric = Counters[Name];
-  if (!Metric)
-    Metric = &prometheus::BuildCounter()
-                  .Name("snipeshunt_" + Name)
-                  .Help(Help)
-                  .Register(Registry)
-                  .Add({});
-  Metric->Increment(static_cast<double>(Total) - Metric->Value());
+  setCounter(Name, Help, "", "", Total);
 }
 
 void MetricRegistry::setCounter(const std::string &Name,
@@ -36,20 +37,13 @@
                   .Name("snipeshunt_" + Name)
                   .Help(Help)
                   .Register(Registry)
-                  .Add({{Label, LabelValue}});
+                  .Add(labels(Label, LabelValue));
   Metric->Increment(static_cast<double>(Total) - Metric->Value());
 }
 
 void MetricRegistry::setGauge(const std::string &Name, const std::string &Help,
                               double Value) {
-  prometheus::Gauge *&Metric = Gauges[Name];
-  if (!Metric)
-    Metric = &prometheus::BuildGauge()
-                  .Name("snipeshunt_" + Name)
-                  .Help(Help)
-                  .Register(Registry)
-                  .Add({});
-  Metric->Set(Value);
+  setGauge(Name, Help, "", "", Value);
 }
 
 void MetricRegistry::setGauge(const std::string &Name, const std::string &Help,
@@ -61,7 +55,7 @@
                   .Name("snipeshunt_" + Name)
                   .Help(Help)
                   .Register(Registry)
-                  .Add({{Label, LabelValue}});
+                  .Add(labels(Label, LabelValue));
   Metric->Set(Value);
 }
 
@@ -74,7 +68,7 @@
                   .Name("snipeshunt_" + Name)
                   .Help(Help)
                   .Register(Registry)
-                  .Add({{Label, LabelValue}}, JobSecondsBuckets);
+                  .Add(labels(Label, LabelValue), JobSecondsBuckets);
   Metric->Observe(Seconds);
 }
 
--- a/src/daemon/metric_registry.h
+++ b/src/daemon/metric_registry.h
@@ -38,10 +38,9 @@
 
 private:
   prometheus::Registry Registry; ///< Owns the metrics.
-  /// By name, or by name and label value as below.
+  // By name and label value, as `NAME/VALUE`; without a label as `NAME/`.
   std::map<std::string, prometheus::Counter *> Counters;
-  std::map<std::string, prometheus::Gauge *> Gauges; ///< As `Counters`.
-  /// By name and label value, as `NAME/VALUE`.
+  std::map<std::string, prometheus::Gauge *> Gauges;
   std::map<std::string, prometheus::Histogram *> Histograms;
 };
 
