runtime: log what limits have ended outside of the adapter

The adapter counted and logged the connections that limits end, though the tables of connections belong to the daemon. LimitLog does it there.

A request on a connection that could not be registered was answered with a bare 503. A repeated submission may have run, so it now gets the answer of RejectionReply like other requests that are rejected unread.

--- a/src/directory/directory_table.h
+++ b/src/directory/directory_table.h
@@ -43,10 +43,10 @@
 /// shows only seconds later: by TCP probes, or by its time-out. A call that
 /// times out (after 800 ms) shows it within 1,920 ms with the tick. A slow
 /// store then takes 240 ms to answer the new watch, so that a version is in
-/// force 2.2 s after the silence. The platform allows `stable_window_ms`, at
-/// least 3,000, after the silence and `config_apply_ms`, at least 2,000, after
-/// the change. A renewal costs a tenth of a watch that is sent as often, and
-/// senders that read the upstreams each second need none.
+/// force 2.2 s after the silence. The platform allows at least 3 s after the
+/// silence and at least 2 s after the change. A renewal costs a tenth of a
+/// watch that is sent as often, and senders that read the upstreams each second
+/// need none.
 constexpr Duration MaxStoreSilence = std::chrono::milliseconds(1100);
 /// Delay after a failed call, doubled with each further one up to the limit.
 constexpr Duration StoreRetryDelay = std::chrono::milliseconds(150);
--- a/src/http/connection_table.cpp
+++ b/src/http/connection_table.cpp
@@ -102,7 +102,7 @@
   --OpenHeaders;
 }
 
-void ConnectionTable::closeLargest(HttpConnection &Last) {
+void ConnectionTable::closeAboveShare(HttpConnection &Last) {
   size_t Share = share();
   // The oldest come first: a request that is served arrives within
   // milliseconds.
--- a/src/http/connection_table.h
+++ b/src/http/connection_table.h
@@ -26,7 +26,7 @@
   size_t MaxConnections = 30000;
   /// Bytes that all connections together may hold. Beyond this, connections
   /// that hold more than an equal share of it are closed, and requests that do
-  /// are answered with 503. Those below their share are served, so that up to
+  /// are rejected. Those below their share are served, so that up to
   /// twice this value can be held.
   size_t MaxBytes = SIZE_MAX;
 };
@@ -36,7 +36,7 @@
   uint64_t HeaderTimeouts = 0; ///< Closed because a header took too long.
   uint64_t OutOfRoom = 0;      ///< Closed for newer connections.
   uint64_t OutOfMemory = 0;    ///< Closed because they held too many bytes.
-  uint64_t Rejected = 0;       ///< Requests answered with 503 for their size.
+  uint64_t Rejected = 0;       ///< Requests rejected for their size.
 };
 
 /// Finds the end of a header in the bytes as they arrive.
@@ -102,7 +102,7 @@
   /// higher value for \p C.
   void enforceBytes(HttpConnection &C) {
     if (TotalHeld + DroppedHeld > Limits.MaxBytes)
-      closeLargest(C);
+      closeAboveShare(C);
   }
   /// Closes \p C, which holds more than any request needs.
   void closeForMemory(HttpConnection &C);
@@ -126,7 +126,7 @@
   /// Takes effect with the next connection or the next bytes.
   void setLimits(const ConnectionLimits &New) { Limits = New; }
   const ConnectionCounts &counts() const { return Counts; }
-  /// Records that a request was answered with 503 after `mustReject`.
+  /// Records that a request was rejected after `mustReject`.
   void countRejected() { ++Counts.Rejected; }
   /// Emitted periodically, for servers that wait until there is room.
   sigc::signal<void()> Checked;
@@ -138,7 +138,7 @@
   /// their request may be on its way.
   size_t minWaiting() const;
   void moveTo(HttpConnection::List &To, HttpConnection &C);
-  void closeLargest(HttpConnection &Last);
+  void closeAboveShare(HttpConnection &Last);
   /// Closes connections whose header takes too long.
   void checkHeaders();
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -83,6 +83,17 @@
   bufferevent_enable(Buffers, EV_READ);
 }
 
+/// Answers a request. It is freed once the reply has been written.
+void sendReply(evhttp_request *Request, const HttpReply &Reply) {
+  evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
+  evhttp_add_header(Headers, "Content-Type", Reply.ContentType.c_str());
+  for (const auto &[Name, Value] : Reply.Headers)
+    evhttp_add_header(Headers, Name.c_str(), Value.c_str());
+  evbuffer_add(evhttp_request_get_output_buffer(Request), Reply.Body.data(),
+               Reply.Body.size());
+  evhttp_send_reply(Request, Reply.Status, nullptr, nullptr);
+}
+
 const char *methodName(evhttp_cmd_type Type) {
   switch (Type) {
   case EVHTTP_REQ_GET:
@@ -379,23 +390,17 @@
   HttpReply Reply{503, "{}"};
   if (RejectionReply)
     Reply = RejectionReply(readHead(Request));
-  evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
-  evhttp_add_header(Headers, "Connection", "close");
-  evhttp_add_header(Headers, "Content-Type", Reply.ContentType.c_str());
-  for (const auto &[Name, Value] : Reply.Headers)
-    evhttp_add_header(Headers, Name.c_str(), Value.c_str());
-  evbuffer_add(evhttp_request_get_output_buffer(Request), Reply.Body.data(),
-               Reply.Body.size());
-  evhttp_send_reply(Request, Reply.Status, nullptr, nullptr);
+  evhttp_add_header(evhttp_request_get_output_headers(Request), "Connection",
+                    "close");
+  sendReply(Request, Reply);
 }
 
 void HttpServer::handle(evhttp_request *Request) {
   evhttp_connection *Connection = evhttp_request_get_connection(Request);
   auto Found = Connections.find(Connection);
-  if (Found == Connections.end()) {
-    evhttp_send_error(Request, 503, "out of memory");
-    return;
-  }
+  // It could not be registered.
+  if (Found == Connections.end())
+    return reject(Request);
   HttpConnection &C = *Found->second;
   // The request is freed with its connection.
   if (C.Dropped)
@@ -404,9 +409,8 @@
   Table.endHeader(C);
   Table.setHeld(C, inputSize(C));
   limitReadAhead(C, true);
-  if (Open.size() >= Limits.MaxOpenRequests) {
+  if (Open.size() >= Limits.MaxOpenRequests)
     return reject(Request);
-  }
   size_t Body = BodyCopies *
                 evbuffer_get_length(evhttp_request_get_input_buffer(Request));
   if (Table.mustReject(Body)) {
@@ -515,14 +519,8 @@
   Table.setWaiting(C);
   timeval Timeout = toTimeval(Limits.Timeout);
   evhttp_connection_set_timeout_tv(C.Connection, &Timeout);
-  evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
-  evhttp_add_header(Headers, "Content-Type", Reply.ContentType.c_str());
-  for (const auto &[Name, Value] : Reply.Headers)
-    evhttp_add_header(Headers, Name.c_str(), Value.c_str());
-  evbuffer *Output = evhttp_request_get_output_buffer(Request);
-  evbuffer_add(Output, Reply.Body.data(), Reply.Body.size());
   evhttp_request_set_on_complete_cb(Request, handleWritten, &C);
-  evhttp_send_reply(Request, Reply.Status, nullptr, nullptr);
+  sendReply(Request, Reply);
   // What was read ahead belongs to the next request.
   size_t Ahead = inputSize(C);
   C.Scan = {};
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -29,7 +29,7 @@
   std::chrono::milliseconds Timeout{60000};
   /// Longest time from the first byte of a request to the end of its header.
   std::chrono::milliseconds HeaderTimeout{60000};
-  /// Unanswered requests beyond which new ones are answered with 503.
+  /// Unanswered requests beyond which new ones are rejected.
   size_t MaxOpenRequests = 20000;
   /// Open file descriptors of the process beyond which no connection is
   /// accepted. New connections then wait in the system's backlog.
--- a/src/runtime/cell_daemon.h
+++ b/src/runtime/cell_daemon.h
@@ -8,6 +8,7 @@
 #include "http/http_server.h"
 #include "instance/instance_reducer.h"
 #include "rpc/rpc_server.h"
+#include "runtime/limit_log.h"
 
 #include <deque>
 #include <map>
@@ -75,6 +76,7 @@
   SignalTable<InstanceEffect> Effects;
   ConnectionTable ClientConnections;
   ConnectionTable PeerConnections;
+  LimitLog Limits;
   HttpServer Server; ///< For requests of peers.
   HttpClient PingClient;
   HttpClient JobClient; ///< For jobs and snapshots.
--- a/src/runtime/cell_metrics.cpp
+++ b/src/runtime/cell_metrics.cpp
@@ -204,8 +204,7 @@
                     "Connections closed because they held too many bytes.",
                     C.OutOfMemory);
   Values.setCounter(Prefix + "rejected_memory_limit_total",
-                    "Requests answered with 503 because of their size.",
-                    C.Rejected);
+                    "Requests rejected because of their size.", C.Rejected);
 }
 
 } // namespace snipeshunt
--- a/src/runtime/descriptor_func.cpp
+++ b/src/runtime/descriptor_func.cpp
@@ -18,6 +18,9 @@
 // process opens, to peers, upstreams and the store.
 constexpr size_t ClientDivisor = 2;
 constexpr size_t PeerDivisor = 4;
+// Share beyond which no caller is accepted, in sixteenths. The rest is for what
+// is opened between two counts.
+constexpr size_t CallerShare = 15;
 
 ConnectionLimits limitsOf(size_t Setting, size_t Share, size_t Bytes) {
   ConnectionLimits Out;
@@ -36,6 +39,10 @@
   return Count - std::min(FileDescriptors, Count / 4);
 }
 
+size_t callerDescriptors() {
+  return connectionDescriptors() * CallerShare / 16;
+}
+
 ConnectionLimits clientConnectionLimits(const FleetLimits &Settings) {
   return limitsOf(Settings.MaxConnections,
                   connectionDescriptors() / ClientDivisor,
--- a/src/runtime/descriptor_func.h
+++ b/src/runtime/descriptor_func.h
@@ -10,6 +10,9 @@
 /// Descriptors that all connections of this process together may have.
 size_t connectionDescriptors();
 
+/// Open descriptors of this process beyond which no caller is accepted.
+size_t callerDescriptors();
+
 /// Limits of the connections from callers, the load balancer and metrics
 /// collectors.
 ConnectionLimits clientConnectionLimits(const FleetLimits &Settings);
--- a/src/sender/caller_cancel_cmd.h
+++ b/src/sender/caller_cancel_cmd.h
@@ -8,11 +8,11 @@
 namespace snipeshunt {
 
 /// Time for which a cancelled job is not started, however often it is
-/// submitted. It covers the callers' pause before they submit a job again
-/// (`retry_ms`, 1,300 ms) and `cancel_ms` (up to 5,000 ms), after which a
-/// cancelled job must not start; a job that waits at its entry for a second;
-/// and cuts that delay its forward by seconds. Cancellations by entries are
-/// kept as long.
+/// submitted. It covers the callers' pause of 1.3 s before they submit a job
+/// again; the platform's limit of at most 5 s after a cancellation, from which
+/// on the job must not start; a job that waits at its entry for a second; and
+/// cuts that delay its forward by seconds. Cancellations by entries are kept as
+/// long.
 constexpr Duration CancelledJobRetention = std::chrono::seconds(10);
 
 /// Records that a caller has cancelled a job, so that submissions and forwards
--- a/src/sender/lease_table.h
+++ b/src/sender/lease_table.h
@@ -16,7 +16,7 @@
 /// the clock of this process.
 constexpr double MaxClockDrift = 0.02;
 /// A caller submits a job again, at any instance, this long after its request
-/// has timed out or was answered as lost; `retry_ms` of the platform.
+/// has timed out or was answered as lost. The value is the platform's.
 constexpr Duration CallerRetryTime = std::chrono::milliseconds(1300);
 /// Transit of a ping (3 ms between data centres) and timers that are late.
 constexpr Duration ContactReserve = std::chrono::milliseconds(40);
@@ -28,6 +28,7 @@
 /// Added to `FleetBounds::StopTimeout`, in which an upstream ends runs whose
 /// lease has ended, before this process takes them for ended.
 constexpr Duration LeaseExpiryReserve = std::chrono::milliseconds(10);
+
 /// Returns the longest time on the clock of this process in which an upstream's
 /// clock advances by \p Time.
 constexpr Duration onOwnClock(Duration Time) {
