--- a/src/fleet/child_process.cpp
+++ b/src/fleet/child_process.cpp
@@ -80,4 +80,13 @@
   return std::nullopt;
 }
 
+std::vector<std::string> withDescriptorLimit(std::vector<std::string> Command,
+                                             size_t Limit) {
+  if (Limit > 0)
+    Command.insert(Command.begin(), {"/bin/sh", "-c",
+                                     "ulimit -n " + std::to_string(Limit) +
+                                         R"( && exec "$0" "$@")"});
+  return Command;
+}
+
 } // namespace snipeshunt
--- a/src/fleet/child_process.h
+++ b/src/fleet/child_process.h
@@ -43,6 +43,11 @@
   pid_t Id = -1; ///< -1 once the exit status has been collected.
 };
 
+/// Returns a command that runs \p Command with at most \p Limit open
+/// descriptors; 0: with those of this process.
+std::vector<std::string> withDescriptorLimit(std::vector<std::string> Command,
+                                             size_t Limit);
+
 } // namespace snipeshunt
 
 #endif // SNIPESHUNT_FLEET_CHILD_PROCESS_H
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -271,8 +271,10 @@
     return Arguments;
   }
   case FleetRole::Instance:
-    return {Options.BinaryDir + "/snipeshuntd", "--settings",
-            WorkDir + "/instance-" + std::to_string(I) + ".json"};
+    return withDescriptorLimit(
+        {Options.BinaryDir + "/snipeshuntd", "--settings",
+         WorkDir + "/instance-" + std::to_string(I) + ".json"},
+        Options.DescriptorLimit);
   case FleetRole::Relay:
     return {Options.BinaryDir + "/standin-relay",
             "--listen",
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -32,6 +32,8 @@
   /// Further arguments of each stand-in upstream.
   std::vector<std::string> UpstreamArguments;
   bool KeepWorkDir = false; ///< Keep histories and logs after destruction.
+  /// Open descriptors that each instance may have; 0: as this process.
+  size_t DescriptorLimit = 0;
 };
 
 /// Kinds of processes in a fleet.
--- a/src/standins/cell_fleet.cpp
+++ b/src/standins/cell_fleet.cpp
@@ -170,13 +170,10 @@
   if (!File)
     return Error{ErrorKind::Unavailable, "can't write " + settings(I),
                  "don't delete the directory of a running fleet"};
-  std::vector<std::string> Command = {Options.BinaryDir + "/snipeshuntd",
-                                      "--cells", "--settings", settings(I)};
-  if (Options.DescriptorLimit > 0)
-    Command.insert(Command.begin(),
-                   {"/bin/sh", "-c",
-                    "ulimit -n " + std::to_string(Options.DescriptorLimit) +
-                        R"( && exec "$0" "$@")"});
+  std::vector<std::string> Command =
+      withDescriptorLimit({Options.BinaryDir + "/snipeshuntd", "--cells",
+                           "--settings", settings(I)},
+                          Options.DescriptorLimit);
   Result<ChildProcess> Started =
       ChildProcess::start(Command, log("i" + std::to_string(I)));
   if (failed(Started))
