--- a/src/rpc/cell_field.h
+++ b/src/rpc/cell_field.h
@@ -13,7 +13,6 @@
 namespace snipeshunt {
 
 constexpr size_t MaxListLength = 20000;
-constexpr size_t MaxSpecBytes = 1 << 20;
 
 /// Reads a duration in milliseconds from 0 to `MaxDurationMs`.
 void readDuration(ObjectReader &Reader, const char *Name, Duration &Out);
--- a/src/sender/sender_type.h
+++ b/src/sender/sender_type.h
@@ -13,6 +13,8 @@
 /// Largest number of tasks of a job. The users' jobs have up to 200; the bound
 /// keeps one job from exhausting the memory of its sender.
 constexpr uint32_t MaxTasks = 10000;
+/// Largest spec of a job, in bytes.
+constexpr size_t MaxSpecBytes = 1 << 20;
 /// Largest need of a task and largest capacity of an upstream, in the units of
 /// `Resources`. Sums over all tasks of all jobs then don't overflow.
 constexpr int64_t MaxResourceAmount = INT32_MAX;
