sender: limit the memory of the jobs that are open

A request of a hundred bytes may ask for 10,000 tasks, each of which has a state of some 130 bytes while it waits and of 500 while it runs.

Admission adds up what the open jobs take. A job that doesn't fit into `max_job_bytes` is rejected at once, before its tasks get a state, and its entry asks another sender. Jobs above a 64th of the limit may use only half of it, so that a few large ones don't keep out the usual ones: at the smallest default, 16 MiB, that is a job of 400 tasks, and the users' jobs have up to 200.

The defaults of `max_job_bytes` and `max_buffered_bytes` grow with `memory_mb`, which the platform's settings state. `sender_job_memory_bytes` and `sender_refused_memory_limit_total` show the use and the rejections.

CellJobMemoryTest.LargeJobsLeaveMemoryToOthers shows the limit on a fake clock.

--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -489,6 +489,7 @@
   State.Cells.Started = Now;
   State.LastEvent = Now;
   State.Sender.Bounds = State.Settings.Bounds;
+  State.Sender.MaxJobMemory = State.Settings.Limits.MaxJobBytes;
   State.Directory.DrainNotice = State.Settings.Bounds.DrainNotice;
   setEvacuationBound(State.Directory.Evacuation, State.Settings.Bounds.Evacuate,
                      Now);
--- a/src/runtime/cell_metrics.cpp
+++ b/src/runtime/cell_metrics.cpp
@@ -132,6 +132,13 @@
                     S.JobsAccepted);
   Values.setCounter("sender_refused_total", "Jobs rejected by this sender.",
                     S.JobsRejected);
+  Values.setCounter("sender_refused_memory_limit_total",
+                    "Of these, rejected because the memory for jobs was in "
+                    "use.",
+                    S.JobsOutOfMemory);
+  Values.setGauge("sender_job_memory_bytes",
+                  "Memory of the jobs that this sender has admitted.",
+                  static_cast<double>(State.Sender.JobMemory));
   Values.setCounter("sender_lost_total",
                     "Jobs abandoned by this sender after a start.", S.JobsLost);
   Values.setCounter("runs_started_total", "Runs ordered.", S.RunsStarted);
--- a/src/sender/admission_cmd.cpp
+++ b/src/sender/admission_cmd.cpp
@@ -7,6 +7,7 @@
 #include "sender/crash_cmd.h"
 #include "sender/estimate_func.h"
 #include "sender/job_cmd.h"
+#include "sender/job_memory_func.h"
 #include "sender/queue_func.h"
 #include "sender/queue_share_cmd.h"
 #include "sender/result_cmd.h"
@@ -161,6 +162,7 @@
     addDecaying(State.Offered, waitingWork(J), Now, OfferedDecaySeconds);
   ++State.Counts.JobsAccepted;
   State.JobsByWaiter[J.Waiter] = J.Order.Id;
+  State.JobMemory += J.Memory;
   JobId Id = J.Order.Id;
   State.Jobs.emplace(std::move(Id), std::move(J));
   State.PlacementDue = true;
@@ -178,7 +180,14 @@
   const RetainedResult *Earlier = retainedResult(State, Order.Id, Now);
   if (Earlier && Earlier->Outcome != JobOutcome::Lost)
     return answerRetained(State, Order, Waiter, *Earlier, Now, Out);
+  size_t Memory = jobMemory(Order);
+  if (!hasJobMemory(State, Memory)) {
+    ++State.Counts.JobsOutOfMemory;
+    return rejectJob(State, Order, Waiter, "the memory for jobs is in use",
+                     /*Moved=*/true, Now, Out);
+  }
   SenderJob J = makeJob(State, Order, Waiter, Now);
+  J.Memory = Memory;
   if (applyCrashHistory(State.Crashes, J))
     return endUnstarted(State, Order, Waiter, Now, Out);
   if (const char *Reason = unavailableReason(State, Order)) {
--- a/src/sender/job_cmd.cpp
+++ b/src/sender/job_cmd.cpp
@@ -97,6 +97,7 @@
     return;
   SenderJob J = std::move(It->second);
   State.Jobs.erase(It);
+  State.JobMemory -= J.Memory;
   State.JobsByWaiter.erase(J.Waiter);
   stopRuns(State, Id, Now, Out);
   State.PlacementDue = true;
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -195,6 +195,7 @@
   SteadyTime LatestUsefulEnd{}; ///< The caller has no use for a later answer.
   SteadyTime Deadline{};        ///< The caller's time limit.
   Duration ExpectedRunTime{0};  ///< Of a task, on an upstream of average speed.
+  size_t Memory = 0;            ///< `jobMemory` at its admission.
 };
 
 /// Result of a finished job, retained for duplicate submissions and result
@@ -230,7 +231,8 @@
   uint64_t JobsDone = 0;
   uint64_t JobsFailed = 0;
   uint64_t JobsRejected = 0;
-  uint64_t JobsLost = 0; ///< Abandoned after admission.
+  uint64_t JobsOutOfMemory = 0; ///< Rejected for `MaxJobMemory`.
+  uint64_t JobsLost = 0;        ///< Abandoned after admission.
   uint64_t RunsStarted = 0;
   uint64_t RunsDone = 0;
   uint64_t RunsFailed = 0;
@@ -304,6 +306,9 @@
   /// uses.
   std::map<UpstreamId, SenderUpstream> Upstreams;
   std::unordered_map<JobId, SenderJob> Jobs;
+  size_t JobMemory = 0; ///< Sum of `SenderJob::Memory`, in bytes.
+  /// Limit of `JobMemory`, from the settings.
+  size_t MaxJobMemory = FleetLimits().MaxJobBytes;
   std::map<JobWaiter, JobId> JobsByWaiter;
   /// Number of runs by job that have not ended though the job has. A new
   /// submission of the job is not started before they have.
--- a/src/settings/fleet_settings.cpp
+++ b/src/settings/fleet_settings.cpp
@@ -3,6 +3,8 @@
 
 #include "settings/settings_field.h"
 
+#include <algorithm>
+
 namespace snipeshunt {
 
 namespace {
@@ -13,6 +15,10 @@
 // The smallest value leaves room for a request of the largest size.
 constexpr int64_t MinBufferedBytes = 1 << 20;
 constexpr int64_t MaxBufferedBytes = int64_t(1) << 36;
+constexpr int64_t MinJobBytes = 1 << 20;
+// Memory of the smallest machine, for which the defaults are made.
+constexpr double MinMemoryMb = 120;
+constexpr double MaxMemoryMb = 1 << 20;
 constexpr int64_t MinConnections = 16;
 constexpr int64_t MaxConnections = 1000000;
 
@@ -56,12 +62,17 @@
   if (!Object)
     return;
   ObjectReader Reader(*Object, "limits");
+  double MemoryMb = MinMemoryMb;
+  Reader.optionalNumber("memory_mb", MemoryMb, 1, MaxMemoryMb);
+  Out = limitsForMemory(static_cast<size_t>(MemoryMb * (1 << 20)));
   readSize(Reader, "max_connections", Out.MaxConnections, MinConnections,
            MaxConnections);
   readSize(Reader, "max_peer_connections", Out.MaxPeerConnections,
            MinConnections, MaxConnections);
   readSize(Reader, "max_buffered_bytes", Out.MaxBufferedBytes, MinBufferedBytes,
            MaxBufferedBytes);
+  readSize(Reader, "max_job_bytes", Out.MaxJobBytes, MinJobBytes,
+           MaxBufferedBytes);
   if (std::optional<Error> Problem = Reader.finish())
     Top.fail(*Problem);
 }
@@ -79,6 +90,18 @@
 
 } // namespace
 
+FleetLimits limitsForMemory(size_t Memory) {
+  FleetLimits Out;
+  double Factor =
+      std::max(1.0, static_cast<double>(Memory) / (MinMemoryMb * (1 << 20)));
+  auto Scale = [Factor](size_t &Bytes) {
+    Bytes = static_cast<size_t>(static_cast<double>(Bytes) * Factor);
+  };
+  Scale(Out.MaxBufferedBytes);
+  Scale(Out.MaxJobBytes);
+  return Out;
+}
+
 Result<FleetSettings> parseFleetSettings(std::string_view Text,
                                          std::string_view FileName) {
   Result<Json::Value> Parsed = parseSettingsText(Text, FileName);
--- a/src/settings/fleet_settings_type.h
+++ b/src/settings/fleet_settings_type.h
@@ -39,8 +39,15 @@
   /// KB for each connection, an instance stays within the 120 MB of the
   /// smallest machine.
   size_t MaxBufferedBytes = 24 << 20;
+  /// Memory for the jobs that the sender of this instance has admitted, with
+  /// the states of their tasks.
+  size_t MaxJobBytes = 16 << 20;
 };
 
+/// Returns the limits of an instance with \p Memory bytes. The smallest machine
+/// has the defaults of `FleetLimits`, larger ones more in proportion.
+FleetLimits limitsForMemory(size_t Memory);
+
 /// Contents of the settings file of an instance of a fleet of cells. When the
 /// file is reloaded, only `Store`, `Seeds`, `Bounds` and the weight in `Self`
 /// are applied; other changes need a restart.
--- a/tests/cell_job_memory_test.cpp
+++ b/tests/cell_job_memory_test.cpp
@@ -1,6 +1,7 @@
 /// \file Loads of very many small tasks, on a fake clock: the limits on the
 /// memory of a sender's jobs, on the runs of an upstream and on unanswered
 /// starts.
+#include "sender/job_memory_func.h"
 #include "sender/sender_table.h"
 #include "support/cell_world.h"
 
@@ -50,6 +51,27 @@
 
 } // namespace
 
+// Guards against jobs whose states exhaust the memory though their requests are
+// small, and against a few of them that keep all other jobs out.
+TEST_F(CellJobMemoryTest, LargeJobsLeaveMemoryToOthers) {
+  std::vector<size_t> Large;
+  for (int I = 0; I < 10; ++I)
+    Large.push_back(submitSmallTasks("large-" + std::to_string(I), MaxTasks));
+  World.run(milliseconds(20));
+  EXPECT_LE(sender().JobMemory, sender().MaxJobMemory / 2);
+  EXPECT_GT(sender().Counts.JobsOutOfMemory, 0u);
+  EXPECT_EQ(answer(Large[0]), AnswerStatus::Running);
+  EXPECT_EQ(answer(Large[9]), AnswerStatus::NotRun);
+  EXPECT_GE(World.caller(Large[9]).Answer->RetryAfter, seconds(1));
+  size_t Usual = submitSmallTasks("usual", 200);
+  World.run(milliseconds(20));
+  EXPECT_EQ(answer(Usual), AnswerStatus::Running);
+  World.disconnectCaller(Large[0]);
+  World.disconnectCaller(Usual);
+  World.run(seconds(5));
+  EXPECT_EQ(sender().JobMemory, 0u);
+}
+
 // Guards against orders that pile up for upstreams which don't answer them.
 TEST_F(CellJobMemoryTest, UnansweredStartsAreLimited) {
   for (const char *Name : {"up-1", "up-2"})
