sender: bound the time that many small runs take

A profile showed 95 % of the time in a scan of all runs of an upstream for an exclusive one. It ran for each slot of the forecast, of which there is one for each run, and for each task: the cube of the runs.

An upstream now records its exclusive run. The forecast checks each upstream once in a pass. The runs of a job on an upstream are found by their key. An upstream gets at most 256 runs, as each renewal lists all of them.

CellJobMemoryTest.RunsOfAnUpstreamAreLimited also shows that tasks beyond the limit run later.

--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -513,7 +513,10 @@
   ContactLookup LastContact = [&](const SenderJob &J) {
     return lastContact(State.Cells, J, E.Now);
   };
-  if (mayStartTasks(State, E.Now))
+  bool Followed = std::holds_alternative<InstanceTick>(E.Body) ||
+                  !hasManyRuns(State.Sender);
+  bool MayStart = mayStartTasks(State, E.Now);
+  if (MayStart && Followed)
     startWaitingTasks(
         State.Sender,
         [&](const SenderJob &J) {
@@ -521,12 +524,13 @@
                  (J.Waiter.Local || isAwaitedByEntry(State.Cells, J, E.Now));
         },
         LastContact, E.Now, Pending);
-  renewUpstreams(
-      State.Sender,
-      [&](const UpstreamId &Id) {
-        return isUsedByPredecessor(State.Cells, Id, E.Now);
-      },
-      LastContact, E.Now, Pending);
+  if (Followed)
+    renewUpstreams(
+        State.Sender,
+        [&](const UpstreamId &Id) {
+          return isUsedByPredecessor(State.Cells, Id, E.Now);
+        },
+        LastContact, E.Now, Pending);
   sendPings(State.Cells, E.Now, Pending);
   while (deliverLocally(State, E.Now, Pending, Out)) {
   }
--- a/src/sender/capacity_func.cpp
+++ b/src/sender/capacity_func.cpp
@@ -74,6 +74,14 @@
   return measure(State, Now, nullptr);
 }
 
+bool hasManyRuns(const SenderState &State) {
+  size_t Runs = 0;
+  for (const auto &[Id, U] : State.Upstreams)
+    Runs += U.Runs.size();
+  return Runs >
+         std::max(ManyRuns, ManyRunsPerUpstream * State.Upstreams.size());
+}
+
 Duration delayBehind(const CapacityUsage &Usage, int64_t Cpu, double Work) {
   if (Usage.Unknown)
     return Duration::zero();
--- a/src/sender/capacity_func.h
+++ b/src/sender/capacity_func.h
@@ -16,6 +16,10 @@
 
 CapacityUsage measureCapacity(const SenderState &State, SteadyTime Now);
 
+/// Returns true if upstreams are placed on and renewed with the ticks, see
+/// `ManyRuns`.
+bool hasManyRuns(const SenderState &State);
+
 /// Expected wait of a task behind waiting tasks that need \p Cpu thousandths of
 /// a core and \p Work thousandths of core-seconds in total.
 Duration delayBehind(const CapacityUsage &Usage, int64_t Cpu, double Work);
--- a/src/sender/forecast.cpp
+++ b/src/sender/forecast.cpp
@@ -25,9 +25,11 @@
   return std::max(Run.ExpectedRunTime - Taken, scaled(Taken, OverdueRestShare));
 }
 
-SlotForecast::SlotForecast(const SenderState &State, SteadyTime Now) {
+SlotForecast::SlotForecast(
+    const SenderState &State, SteadyTime Now,
+    const std::function<bool(const SenderUpstream &)> &IsUsable) {
   for (const auto &[Id, U] : State.Upstreams) {
-    if (!acceptsStarts(U, Now) || U.Probing)
+    if (U.Runs.empty() || U.Probing || !IsUsable(U))
       continue;
     double RunFactor = std::exp(logRunTimeFactor(State.Learned, U));
     for (const auto &[Key, Run] : U.Runs) {
--- a/src/sender/forecast.h
+++ b/src/sender/forecast.h
@@ -21,12 +21,15 @@
 /// upstreams go to the slow ones.
 class SlotForecast {
 public:
-  SlotForecast(const SenderState &State, SteadyTime Now);
+  /// \p IsUsable returns true if tasks may be started on an upstream in this
+  /// pass.
+  SlotForecast(const SenderState &State, SteadyTime Now,
+               const std::function<bool(const SenderUpstream &)> &IsUsable);
 
   /// Returns true if a task of \p J is expected to end clearly earlier by
   /// waiting for a slot than by starting now with a run time of \p RunTimeHere,
   /// and reserves that slot. \p IsAllowed returns true if the task may run on
-  /// an upstream.
+  /// a usable upstream.
   bool reserveEarlierSlot(
       const SenderJob &J, Duration RunTimeHere,
       const std::function<bool(const SenderUpstream &)> &IsAllowed);
--- a/src/sender/placement_cmd.cpp
+++ b/src/sender/placement_cmd.cpp
@@ -57,11 +57,11 @@
   if (!Order.Step.Requirement.empty() && !hasLabel(U, Order.Step.Requirement))
     return false;
   if (Order.Step.MaxPerUpstream > 0) {
-    auto Same = std::count_if(U.Runs.begin(), U.Runs.end(), [&](const auto &E) {
-      return E.first.Job == Order.Id;
-    });
-    if (static_cast<uint32_t>(Same) >= Order.Step.MaxPerUpstream)
-      return false;
+    uint32_t Same = 0;
+    for (auto It = U.Runs.lower_bound(RunKey{Order.Id, 0, 0, 0});
+         It != U.Runs.end() && It->first.Job == Order.Id; ++It)
+      if (++Same >= Order.Step.MaxPerUpstream)
+        return false;
   }
   return !T.AvoidedUpstreams.count(U.Record.Id);
 }
@@ -142,7 +142,7 @@
 bool isHeld(SenderState &State, const StartableUpstream &S) {
   bool Held = S.UnansweredStarts >= MaxUnansweredStarts;
   State.StartsHeld |= Held;
-  return Held;
+  return Held || S.Upstream->Runs.size() >= MaxRunsPerUpstream;
 }
 
 /// Returns true if runs of a job with this last contact get a lease that is
@@ -191,7 +191,8 @@
   ++State.Counts.RunsStarted;
   RunKey Key{J.Order.Id, 0, Index, T.Run};
   orderStart(U, J, Key, Expected, Lease, State.Bounds, Now, Out);
-  U.Runs.at(Key).Exclusive = T.Crashes > 0;
+  if (T.Crashes > 0)
+    U.ExclusiveRun = Key;
 }
 
 /// Returns the time until an upstream is expected to have no runs.
@@ -312,13 +313,14 @@
     }
     Duration Expected = scaled(Typical, Chosen->RunFactor);
     if (!Pass.Forecast)
-      Pass.Forecast.emplace(State, Now);
-    if (Pass.Forecast->reserveEarlierSlot(
-            J, Expected, [&](const SenderUpstream &Other) {
-              return isUsable(State, Other, Now) &&
-                     !Pass.Reserved.count(Other.Record.Id) &&
-                     fitsTask(Other, J.Order, T);
-            }))
+      Pass.Forecast.emplace(State, Now, [&](const SenderUpstream &Other) {
+        return isUsable(State, Other, Now) &&
+               !Pass.Reserved.count(Other.Record.Id);
+      });
+    if (Pass.Forecast->reserveEarlierSlot(J, Expected,
+                                          [&](const SenderUpstream &Other) {
+                                            return fitsTask(Other, J.Order, T);
+                                          }))
       continue;
     size_t SpecBytes = J.Order.Spec.size();
     if (Pass.UnansweredBytes > 0 &&
--- a/src/sender/sender_base.h
+++ b/src/sender/sender_base.h
@@ -43,9 +43,6 @@
   /// The upstream's process changed before the start was answered. The next one
   /// may still carry it out, and only its acceptance of the stop prevents that.
   bool ProcessChanged = false;
-  /// No other run is started on the upstream meanwhile, so that a crash can be
-  /// attributed to this one.
-  bool Exclusive = false;
   bool CrashCounted = false; ///< A crash of the upstream was attributed.
 };
 
@@ -67,6 +64,9 @@
   UpstreamPhase Phase = UpstreamPhase::AwaitingPredecessor;
   Resources Free; ///< Its capacity less the needs of `Runs`.
   std::map<RunKey, SenderRun> Runs;
+  /// While it is in `Runs`, no other run is started on the upstream, so that a
+  /// crash can be attributed to it.
+  std::optional<RunKey> ExclusiveRun;
   /// Runs of an earlier sender that have to be stopped, and when the last stop
   /// was sent for each.
   std::map<RunKey, SteadyTime> OrphanedRuns;
@@ -124,8 +124,7 @@
 
 /// Returns true if \p U has a run beside which nothing is started.
 inline bool hasExclusiveRun(const SenderUpstream &U) {
-  return std::any_of(U.Runs.begin(), U.Runs.end(),
-                     [](const auto &E) { return E.second.Exclusive; });
+  return U.ExclusiveRun && U.Runs.count(*U.ExclusiveRun) != 0;
 }
 
 /// Returns true if tasks may be started on \p U, regardless of free capacity.
--- a/src/sender/sender_table.h
+++ b/src/sender/sender_table.h
@@ -25,12 +25,21 @@
 /// Longest delay before an end is acknowledged. A renewal for further runs
 /// usually acknowledges it earlier, which saves a call.
 constexpr Duration AcknowledgeDelay = std::chrono::milliseconds(400);
+/// Most runs on an upstream. Each answer to a renewal lists all of them, and
+/// each event looks at them; on upstreams of 64 cores, tasks of a quarter core
+/// reach this.
+constexpr size_t MaxRunsPerUpstream = 256;
 /// Starts on an upstream that may be unanswered at a time; further tasks wait.
 /// Upstreams answer within milliseconds, and accept as many connections.
 constexpr size_t MaxUnansweredStarts = 64;
 /// Size of the specs in all starts that may be unanswered at a time, in bytes.
 /// Each start holds a copy until it has been written.
 constexpr size_t MaxUnansweredBytes = 4 << 20;
+/// Runs on an upstream, on average over all, above which placement and renewals
+/// follow the ticks instead of each event, and the least number of runs for it.
+/// Their cost grows with the runs, and so does the rate of events.
+constexpr size_t ManyRunsPerUpstream = 16;
+constexpr size_t ManyRuns = 256;
 /// Pause before the next call to an upstream that did not answer, doubled with
 /// each failed call up to the limit.
 constexpr Duration RetryDelay = std::chrono::milliseconds(300);
--- a/tests/cell_job_memory_test.cpp
+++ b/tests/cell_job_memory_test.cpp
@@ -72,6 +72,19 @@
   EXPECT_EQ(sender().JobMemory, 0u);
 }
 
+// Guards against upstreams with so many runs that their lists, which each
+// renewal reads, take all processor time. The tasks that wait must all run.
+TEST_F(CellJobMemoryTest, RunsOfAnUpstreamAreLimited) {
+  size_t Job = submitSmallTasks("job", 2000);
+  size_t Most = 0;
+  for (int I = 0; I < 500; ++I) {
+    World.run(milliseconds(10));
+    Most = std::max(Most, mostRuns([](const SenderRun &) { return true; }));
+  }
+  EXPECT_EQ(Most, MaxRunsPerUpstream);
+  EXPECT_EQ(answer(Job), AnswerStatus::Done);
+}
+
 // Guards against orders that pile up for upstreams which don't answer them.
 TEST_F(CellJobMemoryTest, UnansweredStartsAreLimited) {
   for (const char *Name : {"up-1", "up-2"})
--- a/tests/process/job_limits_process_test.cpp
+++ b/tests/process/job_limits_process_test.cpp
@@ -100,5 +100,19 @@
   expectInstanceServes();
 }
 
+// Guards against jobs of a hundred bytes with thousands of tasks, which all
+// start at once since they need no processor.
+TEST_F(JobLimitsProcessTest, JobsOfManyTasks) {
+  submitAll(40, "work_ms=500", 10000, 0);
+  expectInstanceServes();
+}
+
+// Guards against a placement whose time grows with the cube of the runs, which
+// jobs inside the limits reach if their tasks are small.
+TEST_F(JobLimitsProcessTest, JobsOfSmallTasks) {
+  submitAll(100, "work_ms=500 " + std::string(3900, 'x'), 200, 10);
+  expectInstanceServes();
+}
+
 } // namespace
 } // namespace snipeshunt
