runtime: limit the log lines that other processes cause

A client that sends malformed jobs filled the log: 296,017 lines in 14 s, and each line costs processor time that callers need. The lines on malformed messages of clients, peers, upstreams and the store were not among those that are limited.

The next line of the kind states how many were left out, and log_dropped_total counts them.

--- a/src/runtime/cell_daemon.cpp
+++ b/src/runtime/cell_daemon.cpp
@@ -89,6 +89,7 @@
     : Loop(Loop), TimeSource(TimeSource),
       State(startInstance(std::move(Settings), drawIncarnation(),
                           TimeSource.steadyNow())),
+      LogLimits(TimeSource),
       ClientConnections(Loop, clientConnectionLimits(State.Settings.Limits)),
       PeerConnections(Loop, peerConnectionLimits(State.Settings.Limits)),
       Limits(Loop, ClientConnections, PeerConnections),
@@ -196,9 +197,11 @@
   Rpc.bind("cell.open_jobs", [this](const Json::Value &Message) {
     Result<OpenJobQuery> Decoded = decodeOpenJobQuery(Message);
     if (failed(Decoded)) {
-      SNIPESHUNT_LOG(WARNING, "sender")
-          << "malformed open-job query from a peer rejected: "
-          << errorOf(Decoded).Message << "; " << errorOf(Decoded).Remedy;
+      if (auto Omitted = LogLimits.admit("open_job_query"))
+        SNIPESHUNT_LOG(WARNING, "sender")
+            << "malformed open-job query from a peer rejected: "
+            << errorOf(Decoded).Message << "; " << errorOf(Decoded).Remedy
+            << *Omitted;
       return encodeRpcError(errorOf(Decoded));
     }
     OpenJobsReply = Json::Value(Json::objectValue);
@@ -248,10 +251,11 @@
   Result<JobOrder> Order =
       decodeParsed(parseJson(Request.Body), decodeJobOrder);
   if (failed(Order)) {
-    SNIPESHUNT_LOG(WARNING, "sender")
-        << "malformed job from peer=" << Request.RemoteIp
-        << " rejected: " << errorOf(Order).Message << "; "
-        << errorOf(Order).Remedy;
+    if (auto Omitted = LogLimits.admit("peer_job"))
+      SNIPESHUNT_LOG(WARNING, "sender")
+          << "malformed job from peer=" << Request.RemoteIp
+          << " rejected: " << errorOf(Order).Message << "; "
+          << errorOf(Order).Remedy << *Omitted;
     Server.reply(Request.Id, {400, "{}"});
     return;
   }
@@ -276,12 +280,14 @@
         } else {
           Result<PeerPong> Pong = decodeParsed(
               decodeRpcResponse(std::get<HttpReply>(Outcome).Body), decodePong);
-          if (failed(Pong))
-            SNIPESHUNT_LOG(WARNING, "cells")
-                << "malformed answer to a ping from peer=" << Endpoint.Value
-                << ": " << errorOf(Pong).Message;
-          else
+          if (failed(Pong)) {
+            if (auto Omitted = LogLimits.admit("pong"))
+              SNIPESHUNT_LOG(WARNING, "cells")
+                  << "malformed answer to a ping from peer=" << Endpoint.Value
+                  << ": " << errorOf(Pong).Message << *Omitted;
+          } else {
             Event.Reply = std::move(valueOf(Pong));
+          }
         }
         dispatch(std::move(Event));
       });
@@ -302,11 +308,14 @@
       return;
     Result<SnapshotFetched> Snapshot =
         decodeParsed(decodeRpcResponse(Answer->Body), decodeSnapshot);
-    if (failed(Snapshot))
-      SNIPESHUNT_LOG(WARNING, "directory")
-          << "malformed snapshot from a peer: " << errorOf(Snapshot).Message;
-    else
+    if (failed(Snapshot)) {
+      if (auto Omitted = LogLimits.admit("snapshot"))
+        SNIPESHUNT_LOG(WARNING, "directory")
+            << "malformed snapshot from a peer: " << errorOf(Snapshot).Message
+            << *Omitted;
+    } else {
       dispatch(std::move(valueOf(Snapshot)));
+    }
   });
 }
 
@@ -330,12 +339,14 @@
         } else {
           Result<JobResult> Decoded = decodeParsed(
               parseJson(std::get<HttpReply>(Outcome).Body), decodeJobResult);
-          if (failed(Decoded))
-            SNIPESHUNT_LOG(WARNING, "entry")
-                << "malformed answer to a job from sender=" << Endpoint.Value
-                << ": " << errorOf(Decoded).Message;
-          else
+          if (failed(Decoded)) {
+            if (auto Omitted = LogLimits.admit("job_answer"))
+              SNIPESHUNT_LOG(WARNING, "entry")
+                  << "malformed answer to a job from sender=" << Endpoint.Value
+                  << ": " << errorOf(Decoded).Message << *Omitted;
+          } else {
             Event.Result = std::move(valueOf(Decoded));
+          }
         }
         dispatch(std::move(Event));
       });
@@ -359,12 +370,14 @@
     if (failed(Message))
       return;
     Result<ResultReply> Reply = decodeResultReply(valueOf(Message));
-    if (failed(Reply))
-      SNIPESHUNT_LOG(WARNING, "entry")
-          << "malformed answer to a result query from sender=" << Sender.Value
-          << ": " << errorOf(Reply).Message;
-    else
+    if (failed(Reply)) {
+      if (auto Omitted = LogLimits.admit("result_reply"))
+        SNIPESHUNT_LOG(WARNING, "entry")
+            << "malformed answer to a result query from sender=" << Sender.Value
+            << ": " << errorOf(Reply).Message << *Omitted;
+    } else {
       dispatch(ResultQueryAnswered{Sender, std::move(valueOf(Reply))});
+    }
   });
 }
 
@@ -375,30 +388,31 @@
   Call.Path = "/rpc";
   Call.Body = encodeRpcRequest("cell.open_jobs", encodeOpenJobQuery(E.Query));
   Call.Timeout = PingTimeout;
-  QueryClient.send(std::move(Call), [this, Receiver = E.Receiver,
-                                     Number =
-                                         E.Number](const HttpOutcome &Outcome) {
-    OpenJobQueryAnswered Event;
-    Event.Receiver = Receiver;
-    Event.Number = Number;
-    if (const auto *Failure = std::get_if<HttpFailure>(&Outcome)) {
-      Event.ConnectionRefused = Failure->ConnectionRefused;
-      return dispatch(std::move(Event));
-    }
-    Result<OpenJobReply> Reply =
-        decodeParsed(decodeRpcResponse(std::get<HttpReply>(Outcome).Body),
-                     decodeOpenJobReply);
-    if (failed(Reply)) {
-      SNIPESHUNT_LOG(WARNING, "entry")
-          << "no usable answer to an open-job query from peer="
-          << Receiver.Value
-          << ", it may be of an earlier version: " << errorOf(Reply).Message;
-      Event.NotUnderstood = true;
-    } else {
-      Event.Reply = std::move(valueOf(Reply));
-    }
-    dispatch(std::move(Event));
-  });
+  QueryClient.send(
+      std::move(Call), [this, Receiver = E.Receiver,
+                        Number = E.Number](const HttpOutcome &Outcome) {
+        OpenJobQueryAnswered Event;
+        Event.Receiver = Receiver;
+        Event.Number = Number;
+        if (const auto *Failure = std::get_if<HttpFailure>(&Outcome)) {
+          Event.ConnectionRefused = Failure->ConnectionRefused;
+          return dispatch(std::move(Event));
+        }
+        Result<OpenJobReply> Reply =
+            decodeParsed(decodeRpcResponse(std::get<HttpReply>(Outcome).Body),
+                         decodeOpenJobReply);
+        if (failed(Reply)) {
+          if (auto Omitted = LogLimits.admit("open_job_reply"))
+            SNIPESHUNT_LOG(WARNING, "entry")
+                << "no usable answer to an open-job query from peer="
+                << Receiver.Value << ", it may be of an earlier version: "
+                << errorOf(Reply).Message << *Omitted;
+          Event.NotUnderstood = true;
+        } else {
+          Event.Reply = std::move(valueOf(Reply));
+        }
+        dispatch(std::move(Event));
+      });
 }
 
 void CellDaemon::abandon(const AbandonForward &E) {
--- a/src/runtime/cell_daemon.h
+++ b/src/runtime/cell_daemon.h
@@ -3,6 +3,7 @@
 #ifndef SNIPESHUNT_RUNTIME_CELL_DAEMON_H
 #define SNIPESHUNT_RUNTIME_CELL_DAEMON_H
 
+#include "core/log_limiter.h"
 #include "daemon/signal_table.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -39,6 +40,8 @@
   ConnectionTable &clientConnections() { return ClientConnections; }
   /// Connections of other instances.
   ConnectionTable &peerConnections() { return PeerConnections; }
+  /// Limits the log lines that clients, peers, upstreams and the store cause.
+  LogLimiter &logLimiter() { return LogLimits; }
   /// One signal for each type of effect, emitted by `dispatch`.
   SignalTable<InstanceEffect> &effects() { return Effects; }
   /// Returns true if the load balancer should send callers to this instance.
@@ -73,6 +76,7 @@
   EventLoop &Loop;
   const Clock &TimeSource;
   FleetInstance State;
+  LogLimiter LogLimits;
   SignalTable<InstanceEffect> Effects;
   ConnectionTable ClientConnections;
   ConnectionTable PeerConnections;
--- a/src/runtime/cell_metrics.cpp
+++ b/src/runtime/cell_metrics.cpp
@@ -161,7 +161,7 @@
   Values.setCounter("pings_total", "Pings sent to peers.",
                     State.Cells.Counts.PingsSent);
   Values.setCounter("log_dropped_total", "Log lines dropped.",
-                    droppedLogLines());
+                    droppedLogLines() + Owner.logLimiter().omitted());
   setShares(State.Sender.Shares);
   SenderLoad Load = senderLoad(State.Sender, Owner.clock().steadyNow());
   Values.setGauge("queue_delay_seconds",
--- a/tests/process/job_limits_process_test.cpp
+++ b/tests/process/job_limits_process_test.cpp
@@ -7,6 +7,7 @@
 #include "standins/cell_fleet.h"
 
 #include <optional>
+#include <sstream>
 
 namespace snipeshunt {
 namespace {
@@ -114,5 +115,23 @@
   expectInstanceServes();
 }
 
+// Guards against a log line for each malformed job.
+TEST_F(JobLimitsProcessTest, LogLinesOfMalformedJobs) {
+  constexpr size_t Clients = 8;
+  constexpr size_t JobsPerClient = 5000;
+  constexpr size_t MaxLines = Clients * JobsPerClient / 20;
+  std::string Job = "POST /jobs/" + idOf(1) +
+                    " HTTP/1.1\r\nHost: jobs.example\r\nContent-Length: "
+                    "2\r\n\r\n{}";
+  Crowd(Cells->front(0), Clients).send(Job, Job.size() * JobsPerClient);
+  expectInstanceServes();
+  std::istringstream Log(Cells->logText("i0"));
+  size_t Lines = 0;
+  for (std::string Line; std::getline(Log, Line);)
+    ++Lines;
+  RecordProperty("log_lines", static_cast<int>(Lines));
+  EXPECT_LE(Lines, MaxLines);
+}
+
 } // namespace
 } // namespace snipeshunt
