http: give every server limits on its connections

An instance of the ticket mode had no limit on what its clients occupy, since a server without a table of its own user had none: 600 connections with unfinished bodies took 551 MB, headers of short lines 224 MB, and idle connections all descriptors, after which callers got no answer.

The defaults of ConnectionLimits are now 24 MiB and half of the descriptors for connections, and a server accepts no connection while the process has nearly all of its descriptors open. The ticket mode raises the first to four times `max_body_bytes`, so that a request of the largest size is served. The functions on the descriptor limit move to src/http with that.

TicketLimitsProcessTest.LargeBodiesOnManyConnections (551 MB), ManyShortHeaderLines (224 MB) and IdleConnections (400 of 400 descriptors) failed before and pass now. UnreadResponses passed before as well.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -8,6 +8,7 @@
 #include "daemon/upstream_gateway.h"
 #include "tickets/ticket_func.h"
 
+#include <algorithm>
 #include <csignal>
 
 namespace snipeshunt {
@@ -22,6 +23,9 @@
 // Maximum time until exit, even if requests are still unanswered.
 constexpr Duration ExitLimit = std::chrono::seconds(3);
 constexpr Duration ExitPoll = std::chrono::milliseconds(20);
+// Bodies of the largest size that connections may hold. A request that is being
+// served counts with twice its body.
+constexpr size_t LargestBodies = 4;
 
 IncarnationId drawIncarnation() {
   std::random_device Device;
@@ -35,6 +39,15 @@
   return Limits;
 }
 
+/// Returns limits with which a request of the largest size is still served.
+ConnectionLimits connectionLimits(const DaemonSettings &Settings) {
+  ConnectionLimits Limits;
+  Limits.MaxBytes = std::max(
+      Limits.MaxBytes,
+      LargestBodies * static_cast<size_t>(Settings.Limits.MaxBodyBytes));
+  return Limits;
+}
+
 } // namespace
 
 Daemon::Daemon(EventLoop &Loop, const Clock &TimeSource,
@@ -43,7 +56,8 @@
       State(initialState(std::move(Settings), drawIncarnation())),
       Random(State.Incarnation.Value),
       Timeline(static_cast<size_t>(State.Settings.Limits.TimelineEvents)),
-      Server(Loop, serverLimits(State.Settings)),
+      Connections(Loop, connectionLimits(State.Settings)),
+      Server(Loop, serverLimits(State.Settings), Connections),
       TickTimer(Loop, [this] { dispatch(Tick{}); }),
       ExitTimer(Loop, [this] { pollExit(); }),
       OnTerminate(Loop, SIGTERM, [this] { dispatch(DrainRequested{}); }),
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -67,6 +67,7 @@
   std::mt19937_64 Random; ///< Seeds of the events.
   TimelineRing Timeline;
   SignalTable<Effect> Effects;
+  ConnectionTable Connections;
   HttpServer Server;
   std::deque<EventBody> Pending; ///< Events that are not handled yet.
   bool Dispatching = false;      ///< `dispatch` is handling an event.
--- a/src/http/connection_table.h
+++ b/src/http/connection_table.h
@@ -2,6 +2,7 @@
 #ifndef SNIPESHUNT_HTTP_CONNECTION_TABLE_H
 #define SNIPESHUNT_HTTP_CONNECTION_TABLE_H
 
+#include "http/descriptor_func.h"
 #include "http/event_loop.h"
 #include "http/http_type.h"
 
@@ -19,16 +20,17 @@
 
 class HttpServer;
 
-/// Limits over all connections of a table.
+/// Limits over all connections of a table. The defaults are those of a process
+/// on a machine of 120 MB that has one server.
 struct ConnectionLimits {
   /// Connections beyond which the one that has been without a request for the
   /// longest time is closed for each new one.
-  size_t MaxConnections = 30000;
+  size_t MaxConnections = connectionDescriptors() / 2;
   /// Bytes that all connections together may hold. Beyond this, connections
   /// that hold more than an equal share of it are closed, and requests that do
   /// are rejected. Those below their share are served, so that up to
   /// twice this value can be held.
-  size_t MaxBytes = SIZE_MAX;
+  size_t MaxBytes = 24 << 20;
 };
 
 /// What limits have ended.
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -33,7 +33,7 @@
   size_t MaxOpenRequests = 20000;
   /// Open file descriptors of the process beyond which no connection is
   /// accepted. New connections then wait in the system's backlog.
-  size_t MaxDescriptors = 30000;
+  size_t MaxDescriptors = callerDescriptors();
   /// Period in which the open descriptors are counted; 0 turns this off. A
   /// burst of connections between two counts may exceed `MaxDescriptors`, which
   /// is therefore below the system's limit.
--- a/src/runtime/cell_daemon.cpp
+++ b/src/runtime/cell_daemon.cpp
@@ -9,7 +9,7 @@
 #include "rpc/cell_codec.h"
 #include "rpc/job_codec.h"
 #include "rpc/rpc_codec.h"
-#include "runtime/descriptor_func.h"
+#include "runtime/client_limit_func.h"
 
 #include <csignal>
 #include <random>
--- a/src/runtime/descriptor_func.h
+++ b/src/runtime/client_limit_func.h
@@ -1,18 +1,12 @@
-/// \file Shares of the process's descriptor limit.
-#ifndef SNIPESHUNT_RUNTIME_DESCRIPTOR_FUNC_H
-#define SNIPESHUNT_RUNTIME_DESCRIPTOR_FUNC_H
+/// \file Limits of an instance's incoming connections.
+#ifndef SNIPESHUNT_RUNTIME_CLIENT_LIMIT_FUNC_H
+#define SNIPESHUNT_RUNTIME_CLIENT_LIMIT_FUNC_H
 
 #include "http/connection_table.h"
 #include "settings/fleet_settings_type.h"
 
 namespace snipeshunt {
 
-/// Descriptors that all connections of this process together may have.
-size_t connectionDescriptors();
-
-/// Open descriptors of this process beyond which no caller is accepted.
-size_t callerDescriptors();
-
 /// Limits of the connections from callers, the load balancer and metrics
 /// collectors.
 ConnectionLimits clientConnectionLimits(const FleetLimits &Settings);
@@ -22,4 +16,4 @@
 
 } // namespace snipeshunt
 
-#endif // SNIPESHUNT_RUNTIME_DESCRIPTOR_FUNC_H
+#endif // SNIPESHUNT_RUNTIME_CLIENT_LIMIT_FUNC_H
--- /dev/null
+++ b/tests/process/ticket_limits_process_test.cpp
@@ -0,0 +1,118 @@
+/// \file Clients that send what no well-behaved client sends, against one
+/// instance of the ticket mode. Checked are only facts that don't depend on the
+/// machine's speed.
+#include "core/json_func.h"
+#include "crowd.h"
+#include "fleet/fleet.h"
+
+namespace snipeshunt {
+namespace {
+
+// Long, so that a loaded machine does not fail a test.
+constexpr Duration ServeLimit = std::chrono::seconds(60);
+
+/// Returns the tickets of \p Count jobs, or fewer if the instance gives none.
+std::vector<std::string> takeTickets(const Address &Endpoint, size_t Count) {
+  std::vector<std::string> Tickets;
+  while (Tickets.size() < Count) {
+    Result<std::string> Text = postText(Endpoint, "/v1/tickets?count=100", "");
+    if (failed(Text))
+      break;
+    Result<Json::Value> Parsed = parseJson(valueOf(Text));
+    if (failed(Parsed))
+      break;
+    for (const Json::Value &Ticket : valueOf(Parsed)["tickets"])
+      Tickets.push_back(Ticket.asString());
+  }
+  if (Tickets.size() > Count)
+    Tickets.resize(Count);
+  return Tickets;
+}
+
+/// Returns true if a job of one task is completed.
+bool serves(const Address &Endpoint) {
+  std::vector<std::string> Tickets = takeTickets(Endpoint, 1);
+  if (Tickets.empty())
+    return false;
+  HttpCall Call;
+  Call.Target = Endpoint;
+  Call.Method = "PUT";
+  Call.Path = "/v1/jobs/" + Tickets[0];
+  Call.Body = R"({"team":"t","tasks":[{"kind":"k","payload":"work_ms=5"}]})";
+  Call.Timeout = ServeLimit;
+  HttpOutcome Outcome = callOnce(std::move(Call));
+  const auto *Reply = std::get_if<HttpReply>(&Outcome);
+  return Reply && Reply->Status == 200;
+}
+
+/// One instance, two upstreams and the clients of a test.
+class TicketLimitsProcessTest : public ::testing::Test {
+protected:
+  void start(size_t Descriptors = 0) {
+    raiseDescriptorLimit();
+    FleetOptions Options;
+    Options.BinaryDir = BINARY_DIR;
+    Options.InstancesPerCentre = 1;
+    Options.DescriptorLimit = Descriptors;
+    Instance = std::make_unique<Fleet>(Options);
+    Result<Ok> Started = Instance->start();
+    ASSERT_FALSE(failed(Started)) << errorOf(Started).Message;
+    ASSERT_TRUE(serves(endpoint()));
+  }
+
+  Address endpoint() const { return Instance->instance(0); }
+  ChildProcess &process() { return Instance->process(FleetRole::Instance); }
+
+  void expectInstanceServes() {
+    EXPECT_TRUE(
+        Fleet::waitUntil([&] { return serves(endpoint()); }, ServeLimit));
+    expectWithinMemory(process());
+  }
+
+  std::unique_ptr<Fleet> Instance;
+};
+
+std::string putHeader(const std::string &Ticket, size_t BodySize) {
+  return "PUT /v1/jobs/" + Ticket +
+         "?wait=false HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+         std::to_string(BodySize) + "\r\n\r\n";
+}
+
+// Guards against bodies within the size limit that together exceed the memory.
+TEST_F(TicketLimitsProcessTest, LargeBodiesOnManyConnections) {
+  start();
+  Crowd Clients(endpoint(), ManyClients);
+  std::string Header = putHeader("none", 1 << 20);
+  Clients.send(Header, Header.size());
+  Clients.send("x", 900'000);
+  expectInstanceServes();
+}
+
+// Guards against headers within the size limit whose many short lines take
+// twenty times their size in memory.
+TEST_F(TicketLimitsProcessTest, ManyShortHeaderLines) {
+  start();
+  Crowd Clients(endpoint(), ManyClients);
+  Clients.send("GET / HTTP/1.1\r\n", 16);
+  Clients.send("a:b\r\n", 16000);
+  expectInstanceServes();
+}
+
+// Guards against idle connections that take all descriptors.
+TEST_F(TicketLimitsProcessTest, IdleConnections) {
+  start(DescriptorLimit);
+  Crowd Clients(endpoint(), ManyClients);
+  expectDescriptorsFree(process());
+  expectInstanceServes();
+}
+
+// Guards against unlimited read-ahead while a response can't be written.
+TEST_F(TicketLimitsProcessTest, UnreadResponses) {
+  start();
+  Crowd Clients(endpoint(), PipeliningClients);
+  Clients.send(get("/nowhere"), PipelinedBytes);
+  expectInstanceServes();
+}
+
+} // namespace
+} // namespace snipeshunt
