admission: limit the payloads of running jobs

The ticket mode keeps the payloads of a job until it ends, also if its caller doesn't wait. Only the number of waiting tasks was limited, 20,000 by default, each of which may have a payload of 256 KB.

`max_payload_bytes`, 32 MiB by default, limits the payloads of the running jobs at their home. A job that doesn't fit is answered as not run, as with a full queue; one is always accepted.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -77,6 +77,23 @@
   return std::nullopt;
 }
 
+/// Rejects a job whose payloads don't fit beside those of the running jobs. A
+/// job fits in any case if there are none.
+std::optional<Error> testPayloads(const InstanceState &State,
+                                  const ParsedSubmission &Request) {
+  size_t Size = 0;
+  for (const TaskSpecPtr &Spec : Request.Tasks)
+    Size += Spec->Payload.size();
+  size_t Used = State.Jobs.PayloadBytes;
+  auto Limit = static_cast<size_t>(State.Settings.Limits.MaxPayloadBytes);
+  if (Used == 0 || Used + Size <= Limit)
+    return std::nullopt;
+  return Error{ErrorKind::QueueFull,
+               "payloads of running jobs take " + std::to_string(Used) +
+                   " of " + std::to_string(Limit) + " bytes",
+               "submit later with a new ticket"};
+}
+
 std::optional<Error> testQuota(const InstanceState &State,
                                const ParsedSubmission &Request) {
   auto Used = State.Jobs.TeamTasks.find(Request.Owner);
@@ -190,6 +207,8 @@
                  "submit later with a new ticket"};
   if (std::optional<Error> E = testFits(State, Request))
     return E;
+  if (std::optional<Error> E = testPayloads(State, Request))
+    return E;
   if (std::optional<Error> E = testQuota(State, Request))
     return E;
   if (std::optional<Error> E = testPatience(State, Request))
--- a/src/jobs/job_base.h
+++ b/src/jobs/job_base.h
@@ -29,6 +29,7 @@
   Team Owner;                 ///< Team whose quota the tasks count towards.
   std::vector<JobTask> Tasks; ///< In the order of the submission.
   size_t Unfinished = 0;      ///< Tasks without a result.
+  size_t PayloadBytes = 0;    ///< Size of the payloads of its tasks.
   size_t OutputBytes = 0;     ///< Size of the outputs of finished tasks.
   SteadyTime Submitted;       ///< When the job was accepted.
   Duration Span{0};           ///< Expected response time on an empty system.
@@ -81,6 +82,8 @@
   /// Job for whose answer each open request waits.
   std::unordered_map<RequestId, TicketSequence> JobsByWaiter;
   size_t Running = 0; ///< Jobs without an answer.
+  /// Size of the payloads of running jobs.
+  size_t PayloadBytes = 0;
   /// Tasks of running jobs, by team.
   std::unordered_map<Team, size_t> TeamTasks;
   SteadyTime NextImportedSweep{}; ///< Next eviction of imported answers.
--- a/src/jobs/job_cmd.cpp
+++ b/src/jobs/job_cmd.cpp
@@ -53,6 +53,13 @@
   reply(Event.Request, Record.Answer, Out);
 }
 
+size_t payloadBytes(const std::vector<JobTask> &Tasks) {
+  size_t Sum = 0;
+  for (const JobTask &Task : Tasks)
+    Sum += Task.Spec->Payload.size();
+  return Sum;
+}
+
 void addWaiter(InstanceState &State, Job &J, RequestId Request) {
   J.Waiters.push_back(Request);
   State.Jobs.JobsByWaiter[Request] = J.Sequence;
@@ -92,6 +99,8 @@
   State.Jobs.Deadlines.insert({J->Deadline, T.Sequence});
   State.Jobs.LastActivity = Now;
   ++State.Jobs.Running;
+  J->PayloadBytes = payloadBytes(J->Tasks);
+  State.Jobs.PayloadBytes += J->PayloadBytes;
   ++State.Counts.JobsSubmitted;
   recordJobEvent(State, TimelineKind::JobSubmitted, T.Sequence,
                  "tasks=" + std::to_string(J->Tasks.size()), Out);
@@ -123,6 +132,7 @@
   revokeTasks(State, ToRevoke, Now, Out);
   State.Jobs.Deadlines.erase({J->Deadline, J->Sequence});
   --State.Jobs.Running;
+  State.Jobs.PayloadBytes -= J->PayloadBytes;
   State.Jobs.LastActivity = Now;
   auto OwnerTasks = State.Jobs.TeamTasks.find(J->Owner);
   OwnerTasks->second -= J->Tasks.size();
--- a/src/settings/settings_table.h
+++ b/src/settings/settings_table.h
@@ -28,6 +28,8 @@
     {"ticket_lifetime_ms", &DaemonLimits::TicketLifetime, 1000, 24 * HourMs},
     {"max_tasks_per_job", &DaemonLimits::MaxTasksPerJob, 1, 200},
     {"max_body_bytes", &DaemonLimits::MaxBodyBytes, 1024, 64 * Mebibyte},
+    {"max_payload_bytes", &DaemonLimits::MaxPayloadBytes, 1024,
+     4096 * Mebibyte},
     {"max_answer_bytes", &DaemonLimits::MaxAnswerBytes, 1024, 256 * Mebibyte},
     {"kept_answer_bytes", &DaemonLimits::RetainedAnswerBytes, 0,
      4096 * Mebibyte},
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -42,6 +42,8 @@
   int64_t MaxTasksPerJob = 200;
   /// Largest size of a request body.
   int64_t MaxBodyBytes = 1048576;
+  /// Largest total size of the payloads of running jobs.
+  int64_t MaxPayloadBytes = 33554432;
   /// Largest size of the answer to one job.
   int64_t MaxAnswerBytes = 8388608;
   /// Largest total size of retained answers.
--- a/tests/process/ticket_limits_process_test.cpp
+++ b/tests/process/ticket_limits_process_test.cpp
@@ -10,6 +10,9 @@
 
 // Long, so that a loaded machine does not fail a test.
 constexpr Duration ServeLimit = std::chrono::seconds(60);
+// Jobs that nobody awaits, of 250 KB. Together they are more than the memory of
+// the smallest machine.
+constexpr size_t UnawaitedJobs = 600;
 
 /// Returns the tickets of \p Count jobs, or fewer if the instance gives none.
 std::vector<std::string> takeTickets(const Address &Endpoint, size_t Count) {
@@ -114,5 +117,22 @@
   expectInstanceServes();
 }
 
+// Guards against the payloads of jobs whose connections are free again, so that
+// no limit on connections counts them.
+TEST_F(TicketLimitsProcessTest, LargeJobsThatNobodyAwaits) {
+  start();
+  std::string Body =
+      R"({"team":"t","patience_ms":60000,"tasks":[{"kind":"k","payload":"work_ms=200 )" +
+      std::string(250'000, 'x') + R"("}]})";
+  std::vector<std::string> Jobs;
+  for (const std::string &Ticket : takeTickets(endpoint(), UnawaitedJobs))
+    Jobs.push_back(putHeader(Ticket, Body.size()) + Body);
+  ASSERT_EQ(Jobs.size(), UnawaitedJobs);
+  // One connection each, of which few are open at a time.
+  for (size_t I = 0; I < UnawaitedJobs; I += 100)
+    Crowd(endpoint(), 100).sendEach({Jobs.begin() + I, Jobs.begin() + I + 100});
+  expectInstanceServes();
+}
+
 } // namespace
 } // namespace snipeshunt
