http: end a call whose reply has no end

An upstream or a store that sends a status line, headers, trailers or the line before a chunk without end was read into memory until the call timed out, as fast as the connection allows: evhttp limits headers only if it is told to, and the line before a chunk never. Six such upstreams took 152 MB.

The headers of a reply are limited to 16 KiB, and what evhttp has not taken of a reply to its largest size. The call then ends at once as one that may have been carried out.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -63,6 +63,8 @@
     evhttp_connection_set_retries(Http, 0);
     evhttp_connection_set_max_body_size(
         Http, static_cast<ev_ssize_t>(Owner.Options.MaxReplyBody));
+    evhttp_connection_set_max_headers_size(
+        Http, static_cast<ev_ssize_t>(Owner.Options.MaxReplyHeaders));
     if (!Owner.Options.LocalIp.empty())
       evhttp_connection_set_local_address(Http, Owner.Options.LocalIp.c_str());
     bufferevent *Buffers = evhttp_connection_get_bufferevent(Http);
@@ -79,6 +81,7 @@
     Done = std::move(WhenDone);
     Number = CallNumber;
     TimedOut = false;
+    TooLarge = false;
     ReadAfterDelay = false;
     Started = bootTimeNow();
     Timeout = Call.Timeout;
@@ -201,6 +204,23 @@
     Self->Arrived += Info->n_added;
     if (Info->n_added >= LibeventRead && !Self->ReadingMore)
       Self->readMore(Input);
+    if (evbuffer_get_length(Input) > Self->maxUnparsed())
+      Self->endForSize();
+  }
+
+  /// Returns the bytes of a reply that evhttp may not have taken yet: a part of
+  /// a chunked body is taken only once it is complete.
+  size_t maxUnparsed() const {
+    return Owner.Options.MaxReplyHeaders + Owner.Options.MaxReplyBody +
+           MaxReadPerTurn;
+  }
+
+  /// Ends the call from the event loop, as its reply has no end. evhttp limits
+  /// neither the line before a chunk nor what follows a reply.
+  void endForSize() {
+    TooLarge = true;
+    bufferevent_disable(evhttp_connection_get_bufferevent(Http), EV_READ);
+    Deadline.startOnce(Duration::zero());
   }
 
   /// Reads what has arrived in addition to what libevent has read.
@@ -322,6 +342,8 @@
   /// Ends the call, or extends it if the process could not have read the reply
   /// for a part of the time, or is reading it.
   void expire() {
+    if (TooLarge)
+      return end("too large a reply from ");
     Duration Behind = Owner.Loop.timeBehind() - BehindAtStart;
     Duration Used = bootTimeNow() - Started;
     Duration Left = Timeout + Behind - Used;
@@ -374,6 +396,7 @@
   bool RequestBytesQueued = false;
   std::optional<SteadyTime> Written; ///< When the last byte was written.
   bool TimedOut = false;
+  bool TooLarge = false;       ///< The reply exceeds `maxUnparsed`.
   bool ReadAfterDelay = false; ///< `LateReadTime` was added to the time-out.
   /// The call that follows once its check is passed; unset if there is no check
   /// or the call itself was sent.
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -26,6 +26,7 @@
   size_t MaxConnectionsPerTarget = 64; ///< Further calls are queued.
   size_t MaxWaitingPerTarget = 4096;   ///< Further calls fail without a send.
   size_t MaxReplyBody = 8 << 20;       ///< Largest reply body, in bytes.
+  size_t MaxReplyHeaders = 16 << 10;   ///< Largest reply headers, in bytes.
   /// Idle time after which the system sends TCP keep-alive probes on a
   /// connection; 0 turns them off. The connection fails if the probes stay
   /// unanswered for 2 s.
