soak: clients that send what none should

The limits on clients were shown against one undisturbed instance. Clients that attack several instances beside signals, restarts and cuts were not.

--hostile N starts threads that attack random ports of random instances in 18 ways by the seed: pipelined and unread requests, headers and bodies without end, random bytes, idle connections, and jobs with long ids, large specs and very many tasks. Guarantee j bounds the memory and the descriptors of all processes on each run, also without such clients. Guarantee b adds up the processors that tasks need, as the tasks of these clients need less than those of callers; the bound is the capacity of the stand-ins, which two callers' tasks fill as before.

--- a/src/fleet/child_process.cpp
+++ b/src/fleet/child_process.cpp
@@ -6,6 +6,9 @@
 #include <sys/wait.h>
 
 #include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <thread>
 #include <utility>
 
@@ -80,6 +83,23 @@
   return std::nullopt;
 }
 
+size_t ChildProcess::peakResidentKb() const {
+  std::ifstream File("/proc/" + std::to_string(Id) + "/status");
+  for (std::string Word; File >> Word;)
+    if (size_t Kb = 0; Word == "VmHWM:" && File >> Kb)
+      return Kb;
+  return 0;
+}
+
+size_t ChildProcess::openDescriptors() const {
+  std::error_code Problem;
+  std::filesystem::directory_iterator Entries(
+      "/proc/" + std::to_string(Id) + "/fd", Problem);
+  return Problem ? 0
+                 : static_cast<size_t>(std::distance(
+                       begin(Entries), std::filesystem::directory_iterator()));
+}
+
 std::vector<std::string> withDescriptorLimit(std::vector<std::string> Command,
                                              size_t Limit) {
   if (Limit > 0)
--- a/src/fleet/child_process.h
+++ b/src/fleet/child_process.h
@@ -37,6 +37,11 @@
   /// if the status has already been collected. A zero \p Timeout polls.
   std::optional<int> wait(Duration Timeout);
 
+  /// Highest resident memory since its start, in KB; 0 if it has ended.
+  size_t peakResidentKb() const;
+  /// Descriptors that it has open; 0 if it has ended.
+  size_t openDescriptors() const;
+
 private:
   explicit ChildProcess(pid_t Id) : Id(Id) {}
 
--- a/src/soak/cell_soak_checks.cpp
+++ b/src/soak/cell_soak_checks.cpp
@@ -2,6 +2,8 @@
 /// upstreams recorded.
 #include "soak/cell_soak_checks.h"
 
+#include "soak/hostile_clients.h"
+
 #include <algorithm>
 #include <set>
 
@@ -9,8 +11,15 @@
 
 namespace {
 
-// Each task needs 27 of the 64 cores of a stand-in upstream.
-constexpr int MaxConcurrentTasks = 2;
+// Capacity of a stand-in upstream and need of a caller's task, in thousandths
+// of a core.
+constexpr int64_t UpstreamCpuMillis = 64000;
+constexpr int64_t TaskCpuMillis = 27000;
+
+int64_t cpuMillisOf(const std::string &Task) {
+  return Task.rfind(HostileIdPrefix, 0) == 0 ? HostileTaskCpuMillis
+                                             : TaskCpuMillis;
+}
 
 std::string jobOf(const std::string &Task) {
   return Task.substr(0, Task.find('.'));
@@ -28,14 +37,15 @@
 
 GuaranteeReport checkCapacity(const SoakRecord &Record) {
   GuaranteeReport Report{"b: an upstream is not given more tasks than fit"};
-  std::map<std::string, int> Open;
+  std::map<std::string, int64_t> Used;
   for (const RunEvent &E : Record.History) {
     Report.Checked += E.IsStart ? 1 : 0;
-    Open[E.Runner] += E.IsStart ? 1 : -1;
-    if (E.IsStart && Open[E.Runner] > MaxConcurrentTasks)
-      addViolation(Report, E.Runner + " runs " +
-                               std::to_string(Open[E.Runner]) +
-                               " tasks after the start of " + E.Task);
+    Used[E.Runner] += (E.IsStart ? 1 : -1) * cpuMillisOf(E.Task);
+    if (E.IsStart && Used[E.Runner] > UpstreamCpuMillis)
+      addViolation(Report, E.Runner + " has " + std::to_string(Used[E.Runner]) +
+                               " thousandths of a core in use after the start "
+                               "of " +
+                               E.Task);
   }
   return Report;
 }
--- a/src/soak/cell_soak_injector.cpp
+++ b/src/soak/cell_soak_injector.cpp
@@ -14,6 +14,8 @@
 // Time limit for a process to start or to shut down. Far above the grace period
 // of 6 s, which a slow machine may exceed.
 constexpr Duration ProcessTimeout = std::chrono::seconds(60);
+// Longest time between two calls of `OnSample`.
+constexpr Duration SamplePeriod = std::chrono::milliseconds(200);
 // Interval between checks whether a process that got SIGTERM has exited.
 constexpr Duration ShutdownPollInterval = std::chrono::milliseconds(20);
 // A caller notices a failed connection a little after the end of the outage
@@ -68,8 +70,12 @@
       healDueFaults(std::chrono::steady_clock::now());
       if (std::chrono::steady_clock::now() >= When)
         return;
+      if (OnSample)
+        OnSample();
+      SteadyTime Next =
+          std::min(When, std::chrono::steady_clock::now() + SamplePeriod);
       std::this_thread::sleep_until(
-          Pending.empty() ? When : std::min(When, Pending.begin()->first));
+          Pending.empty() ? Next : std::min(Next, Pending.begin()->first));
     }
   };
   for (const FaultStep &Step : Steps) {
--- a/src/soak/cell_soak_injector.h
+++ b/src/soak/cell_soak_injector.h
@@ -6,6 +6,7 @@
 #include "soak/link_proxy.h"
 #include "standins/cell_fleet.h"
 
+#include <functional>
 #include <map>
 
 namespace snipeshunt {
@@ -29,6 +30,8 @@
 
   /// Injects \p Steps in real time; returns after all of them are healed.
   void run(const std::vector<FaultStep> &Steps);
+  /// Called several times a second by `run`, in its thread.
+  std::function<void()> OnSample;
 
   /// Returns the faults of processes that were injected, in order.
   const std::vector<Outage> &outages() const { return Outages; }
--- a/src/soak/cell_soak_main.cpp
+++ b/src/soak/cell_soak_main.cpp
@@ -3,6 +3,8 @@
 #include "fleet/soak_options.h"
 #include "soak/cell_soak_checks.h"
 #include "soak/cell_soak_schedule.h"
+#include "soak/hostile_clients.h"
+#include "soak/resource_monitor.h"
 
 #include <algorithm>
 #include <iostream>
@@ -16,14 +18,15 @@
 
 constexpr char Usage[] =
     "Usage: snipeshunt-cell-soak [--seconds N] [--seed N] [--rate X]\n"
-    "         [--callers N] [--instances N] [--runners N] [--centres N]\n"
-    "         [--bin-dir DIR] [--keep] [--print-schedule]\n"
+    "         [--callers N] [--hostile N] [--instances N] [--runners N]\n"
+    "         [--centres N] [--bin-dir DIR] [--keep] [--print-schedule]\n"
     "Runs instances of a fleet of cells under faults and checks their\n"
     "guarantees to callers and upstreams.\n\n"
     "  --seconds N       length of the schedule of faults (default 30)\n"
     "  --seed N          seed of the schedule and the callers (default 1)\n"
     "  --rate X          faults a second (default 2)\n"
     "  --callers N       callers (default 8)\n"
+    "  --hostile N       clients that send what none should (default 0)\n"
     "  --instances N     instances (default 6)\n"
     "  --runners N       stand-in upstreams (default 9)\n"
     "  --centres N       data centres (default 3)\n"
@@ -67,7 +70,13 @@
   return Report;
 }
 
-int runSoak(const SoakOptions &Options, const CellFleetOptions &Sizes) {
+// Open descriptors of an instance, and how many of them must stay free for
+// connections that it opens.
+constexpr size_t DescriptorLimit = 800;
+constexpr size_t FreeDescriptors = 50;
+
+int runSoak(const SoakOptions &Options, const CellFleetOptions &Sizes,
+            size_t Hostile) {
   CellFleet F(Sizes);
   CellSoakInjector Injector(F);
   Result<Ok> Started = Injector.startFleet();
@@ -80,12 +89,17 @@
             << F.log("platform") << std::endl;
   CellSoakCallers Callers(F, static_cast<size_t>(Options.Callers),
                           Options.Seed);
+  HostileClients Attackers(F, Hostile, Options.Seed);
+  ResourceMonitor Monitor(F, DescriptorLimit - FreeDescriptors);
+  Injector.OnSample = [&Monitor] { Monitor.sample(); };
   Injector.run(cellSoakSchedule({F.instances(), Sizes.Runners}, Options.Seed,
                                 Options.Rate,
                                 std::chrono::seconds(Options.Seconds)));
+  Attackers.stop();
   Callers.stop();
   GuaranteeReport Recovery = checkRecovery(F);
   GuaranteeReport Alive = checkAlive(F);
+  Monitor.sample();
   Fleet::waitUntil([&] { return noOpenRuns(F); }, RecoveryLimit);
   std::vector<GuaranteeReport> Reports =
       checkGuarantees({F.history(), Callers.attempts(), Injector.outages()});
@@ -96,10 +110,14 @@
     addViolation(Shutdowns, Bad);
   Reports.push_back(std::move(Shutdowns));
   Reports.push_back(std::move(Alive));
+  Reports.push_back(Monitor.report());
   std::map<int, size_t> Statuses;
   for (const SoakAttempt &A : Callers.attempts())
     ++Statuses[A.Disconnected ? -1 : A.Status];
-  std::cout << Injector.report() << "answers:";
+  std::cout << Injector.report() << Monitor.summary();
+  if (Hostile > 0)
+    std::cout << Attackers.report();
+  std::cout << "answers:";
   for (const auto &[Status, Count] : Statuses)
     std::cout << " "
               << (Status == -1  ? std::string("hung_up")
@@ -123,11 +141,14 @@
   Fleet.Instances = 6;
   Fleet.Runners = 9;
   Fleet.Centres = 3;
+  Fleet.DescriptorLimit = DescriptorLimit;
+  size_t Hostile = 0;
   auto Set = [](size_t &Size) {
     return [&Size](int64_t Value) { Size = static_cast<size_t>(Value); };
   };
   if (!parseSoakOptions(Argc, Argv,
-                        {{"instances", 100, Set(Fleet.Instances)},
+                        {{"hostile", 100, Set(Hostile)},
+                         {"instances", 100, Set(Fleet.Instances)},
                          {"runners", 200, Set(Fleet.Runners)},
                          {"centres", 16, Set(Fleet.Centres)}},
                         Options)) {
@@ -137,7 +158,7 @@
   Fleet.BinaryDir = Options.BinaryDir;
   Fleet.KeepWorkDir = Options.KeepWorkDir;
   if (!Options.PrintSchedule)
-    return runSoak(Options, Fleet);
+    return runSoak(Options, Fleet, Hostile);
   std::cout << formatSchedule(
       cellSoakSchedule({Fleet.Instances, Fleet.Runners}, Options.Seed,
                        Options.Rate, std::chrono::seconds(Options.Seconds)));
--- a/tests/process/crowd.h
+++ b/tests/process/crowd.h
@@ -16,9 +16,6 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <filesystem>
-#include <fstream>
-#include <iterator>
 #include <string>
 #include <vector>
 
@@ -46,31 +43,14 @@
   setrlimit(RLIMIT_NOFILE, &Own);
 }
 
-/// Highest resident memory of \p Process since its start, in KB.
-inline size_t peakResidentKb(const ChildProcess &Process) {
-  std::ifstream File("/proc/" + std::to_string(Process.id()) + "/status");
-  for (std::string Word; File >> Word;)
-    if (size_t Kb = 0; Word == "VmHWM:" && File >> Kb)
-      return Kb;
-  return SIZE_MAX;
-}
-
-/// Descriptors that \p Process has open.
-inline size_t openDescriptors(const ChildProcess &Process) {
-  std::error_code Ignored;
-  std::filesystem::directory_iterator Entries(
-      "/proc/" + std::to_string(Process.id()) + "/fd", Ignored);
-  return static_cast<size_t>(
-      std::distance(begin(Entries), std::filesystem::directory_iterator()));
-}
-
 /// Expects that \p Process runs and has never had more memory than the smallest
 /// machine.
 inline void expectWithinMemory(ChildProcess &Process) {
   EXPECT_FALSE(Process.wait(Duration::zero())) << "has ended";
-  size_t Resident = peakResidentKb(Process);
+  size_t Resident = Process.peakResidentKb();
   ::testing::Test::RecordProperty("peak_resident_kb",
                                   static_cast<int>(Resident));
+  EXPECT_GT(Resident, 0u);
   EXPECT_LE(Resident, MaxResidentKb);
 }
 
@@ -79,7 +59,7 @@
 inline void expectDescriptorsFree(const ChildProcess &Process) {
   size_t Most = 0;
   for (int I = 0; I < 20; ++I) {
-    Most = std::max(Most, openDescriptors(Process));
+    Most = std::max(Most, Process.openDescriptors());
     usleep(50'000);
   }
   ::testing::Test::RecordProperty("open_descriptors", static_cast<int>(Most));
