cells: make equal tokens of two senders less likely

Two instances of a data centre, which did not know each other yet, claimed all cells in the same millisecond. Their tokens had the same hash of 10 bits, so that upstreams obeyed both senders until each read the other's claim and released its own.

The hash has 17 bits now. Equal tokens remain possible for one in 131,072 pairs.

CellClaims.TokensOfInstancesThatStartTogetherDiffer: 63 different tokens of 64 instances before, 64 now.

--- a/src/cells/claim_cmd.cpp
+++ b/src/cells/claim_cmd.cpp
@@ -14,9 +14,14 @@
 
 namespace {
 
-// Low bits of a token that hold a hash of the claimant's endpoint, so that
-// claims of two instances in the same millisecond differ.
-constexpr int TokenHashBits = 10;
+// Low bits of a token that hold a hash of the claimant's endpoint. Instances
+// that start together claim at the same time, and upstreams obey both of two
+// senders with the same token.
+constexpr int TokenHashBits = 17;
+// Unit of the time in the other bits, and its begin, the year 2020. Tokens stay
+// below 2^53 until 2037, as larger numbers in JSON are not exact everywhere.
+constexpr std::chrono::milliseconds TokenTimeUnit{8};
+constexpr std::chrono::milliseconds TokenEpoch{1577836800000};
 // Instances that are alike hand cells over only beyond this multiple of
 // `UpstreamsPerSender`, so that a few upstreams more or less move none.
 constexpr double MaxEqualShareFactor = 1.4;
@@ -24,16 +29,17 @@
 /// Returns a token above all that were seen for \p Cell.
 FencingToken newToken(const CellState &State, const CellId &Cell,
                       WallTime Wall) {
-  auto Ms = static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          Wall.time_since_epoch())
-          .count());
+  auto SinceEpoch = std::chrono::duration_cast<std::chrono::milliseconds>(
+                        Wall.time_since_epoch()) -
+                    TokenEpoch;
+  auto Time =
+      static_cast<uint64_t>(std::max<int64_t>(0, SinceEpoch / TokenTimeUnit));
   auto Highest = State.HighestToken.find(Cell);
   if (Highest != State.HighestToken.end())
-    Ms = std::max(Ms, (Highest->second.Value >> TokenHashBits) + 1);
+    Time = std::max(Time, (Highest->second.Value >> TokenHashBits) + 1);
   const std::string &Name = State.Self.Endpoint.Value;
   uint64_t Hash = XXH64(Name.data(), Name.size(), 0);
-  return {(Ms << TokenHashBits) | (Hash & ((1U << TokenHashBits) - 1))};
+  return {(Time << TokenHashBits) | (Hash & ((1U << TokenHashBits) - 1))};
 }
 
 void log(InstanceEffects &Out, std::string Message) {
--- a/tests/cell_membership_test.cpp
+++ b/tests/cell_membership_test.cpp
@@ -1,6 +1,7 @@
 /// \file Discovery of peers, and the spread of upstreams over senders, on a
 /// fake clock.
 #include "cells/cell_cmd.h"
+#include "cells/claim_cmd.h"
 #include "support/cell_world.h"
 
 #include <gtest/gtest.h>
@@ -116,3 +117,27 @@
   World.run(seconds(3));
   EXPECT_EQ(World.senders(), std::vector<Address>{Seed});
 }
+
+// Guards against two senders of an upstream that obeys both: instances of a
+// fleet that starts don't know each other when they claim, at the same time.
+TEST(CellClaims, TokensOfInstancesThatStartTogetherDiffer) {
+  constexpr int Instances = 64;
+  FakeClock Clock;
+  // The year 2035.
+  Clock.advance(std::chrono::hours(24 * 365 * 15));
+  std::set<FencingToken> Tokens;
+  for (int I = 0; I < Instances; ++I) {
+    CellState State;
+    State.Self = {{"10.0.0." + std::to_string(I) + ":7000"}, {"dc1"}, 0.5};
+    State.HasUpstreamList = true;
+    State.Started = Clock.steadyNow() - seconds(10);
+    InstanceEffects Out;
+    updateClaims(State, Clock.steadyNow(), Clock.wallNow(), Out);
+    ASSERT_FALSE(State.Claims.empty());
+    FencingToken Token = State.Claims.begin()->second.Token;
+    // Other numbers are not exact in all readers of JSON.
+    EXPECT_LT(Token.Value, uint64_t{1} << 53);
+    Tokens.insert(Token);
+  }
+  EXPECT_EQ(Tokens.size(), Instances);
+}
