--- a/tests/process/cell_process_test.cpp
+++ b/tests/process/cell_process_test.cpp
@@ -338,8 +338,10 @@
       {"{{bounds.stop_timeout_ms|json}}", "50"},
       {"{{bounds.drain_ms|json}}", "2000"},
       {"{{bounds.grace_s|json}}", "6"},
-      {"{{bounds.evacuate_ms|json}}", "5000"}};
+      {"{{bounds.evacuate_ms|json}}", "5000"},
+      {"{{limits.memory_mb|json}}", "195"}};
   renderSection(Rendered, "bounds.evacuate_ms", HasOptionalFields);
+  renderSection(Rendered, "limits.memory_mb", HasOptionalFields);
   for (const auto &[Name, Value] : Fields)
     for (size_t At; (At = Rendered.find(Name)) != std::string::npos;)
       Rendered.replace(At, strlen(Name), Value);
@@ -364,6 +366,7 @@
     std::string Text = renderTemplate(HasOptionalFields);
     EXPECT_EQ(Text.find("{{"), std::string::npos) << Text;
     EXPECT_EQ(Text.find("evacuate_ms") != std::string::npos, HasOptionalFields);
+    EXPECT_EQ(Text.find("memory_mb") != std::string::npos, HasOptionalFields);
     std::ofstream(F.settings(0)) << Text;
     EXPECT_EQ(checkSettings(F), std::optional<int>(0)) << F.logText("check");
   }
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -221,15 +221,31 @@
   };
   Result<FleetSettings> Read =
       Parse(R"({"max_connections":16,"max_peer_connections":17,)"
-            R"("max_buffered_bytes":1048576})");
+            R"("max_buffered_bytes":1048576,"max_job_bytes":2097152,)"
+            R"("memory_mb":512})");
   ASSERT_FALSE(failed(Read)) << errorOf(Read).Message;
   EXPECT_EQ(valueOf(Read).Limits.MaxConnections, 16U);
   EXPECT_EQ(valueOf(Read).Limits.MaxPeerConnections, 17U);
   EXPECT_EQ(valueOf(Read).Limits.MaxBufferedBytes, 1048576U);
+  EXPECT_EQ(valueOf(Read).Limits.MaxJobBytes, 2097152U);
   for (const char *Wrong :
        {R"({"max_connections":15})", R"({"max_peer_connections":1000001})",
-        R"({"max_buffered_bytes":1048575})", R"({"unknown":1})", "[]"})
+        R"({"max_buffered_bytes":1048575})", R"({"max_job_bytes":1048575})",
+        R"({"memory_mb":0})", R"({"unknown":1})", "[]"})
     EXPECT_TRUE(failed(Parse(Wrong))) << Wrong;
+  // The platform may state a fraction, which must not keep the process from
+  // starting, and less memory than the smallest machine has.
+  FleetLimits Defaults;
+  for (auto [Memory, Factor] :
+       {std::pair{"240", 2.0}, {"180.0", 1.5}, {"60", 1.0}}) {
+    Read = Parse(R"({"memory_mb":)" + std::string(Memory) + "}");
+    ASSERT_FALSE(failed(Read)) << errorOf(Read).Message;
+    const FleetLimits &Limits = valueOf(Read).Limits;
+    EXPECT_DOUBLE_EQ(static_cast<double>(Limits.MaxBufferedBytes),
+                     static_cast<double>(Defaults.MaxBufferedBytes) * Factor);
+    EXPECT_DOUBLE_EQ(static_cast<double>(Limits.MaxJobBytes),
+                     static_cast<double>(Defaults.MaxJobBytes) * Factor);
+  }
 }
 
 } // namespace
