jobs: limit the records of used tickets

A job that is rejected at once leaves a record until its ticket expires, for ten minutes, so that a late copy gets the same answer.

Beyond max_used_tickets the oldest records are evicted, and all tickets issued up to then expire, also unused ones: without its record, a late copy would run the job. Tickets are answered as expired, with outcome unknown, as after their lifetime.

Before, the field did not exist and all records were kept.

--- a/src/jobs/job_base.h
+++ b/src/jobs/job_base.h
@@ -50,6 +50,8 @@
 /// Record of a used ticket, which its home keeps until the ticket has expired.
 struct TicketRecord {
   uint64_t BodyHash = 0; ///< Of the submission, or `AnyBodyHash`.
+  /// When the ticket was issued, on the steady clock.
+  std::chrono::milliseconds IssuedAt{0};
   /// When the record is evicted; not before the ticket expires. Set with
   /// `Answer`.
   SteadyTime ExpiresAt;
@@ -72,6 +74,9 @@
   std::unordered_map<TicketSequence, TicketRecord> Records;
   /// Running jobs by deadline.
   std::set<std::pair<SteadyTime, TicketSequence>> Deadlines;
+  /// Tickets issued up to this time have expired, because records were evicted
+  /// before their time. On the steady clock.
+  std::chrono::milliseconds ExpiredUpTo{-1};
   /// Ended jobs by the time at which their records are evicted.
   std::set<std::pair<SteadyTime, TicketSequence>> Expirations;
   /// Ended jobs whose answer is retained, oldest first. During a shutdown it
--- a/src/jobs/job_cmd.cpp
+++ b/src/jobs/job_cmd.cpp
@@ -43,6 +43,7 @@
                       const JobRequested &Event, const Error &E, SteadyTime Now,
                       EffectList &Out) {
   TicketRecord &Record = State.Jobs.Records[T.Sequence];
+  Record.IssuedAt = T.IssuedAt;
   Record.BodyHash =
       Event.Verb == JobVerb::Submit ? Event.BodyHash : AnyBodyHash;
   retainAnswer(State, T.Sequence, Record,
@@ -113,6 +114,7 @@
 
   TicketRecord &Record = State.Jobs.Records[T.Sequence];
   Record.BodyHash = Event.BodyHash;
+  Record.IssuedAt = T.IssuedAt;
   Record.Running = std::move(J);
 }
 
@@ -229,8 +231,9 @@
                    SteadyTime Now) {
   // Both times are truncated to milliseconds. A ticket of exactly the lifetime
   // has expired, so that no record is evicted while its ticket is still valid.
-  return steadyMilliseconds(Now) - T.IssuedAt >=
-         State.Settings.Limits.TicketLifetime;
+  return T.IssuedAt <= State.Jobs.ExpiredUpTo ||
+         steadyMilliseconds(Now) - T.IssuedAt >=
+             State.Settings.Limits.TicketLifetime;
 }
 
 } // namespace
@@ -260,7 +263,7 @@
     reply(Event.Request,
           errorAnswer(Outcome::Unknown, Event.TicketText,
                       {ErrorKind::TicketExpired,
-                       "the ticket has expired; its lifetime is " +
+                       "the ticket has expired; its lifetime is at most " +
                            std::to_string(
                                State.Settings.Limits.TicketLifetime.count()) +
                            " ms",
--- a/src/jobs/retention_cmd.cpp
+++ b/src/jobs/retention_cmd.cpp
@@ -77,11 +77,19 @@
 }
 
 void evictExpiredAnswers(InstanceState &State, SteadyTime Now) {
-  while (!State.Jobs.Expirations.empty() &&
-         State.Jobs.Expirations.begin()->first < Now) {
-    TicketSequence Sequence = State.Jobs.Expirations.begin()->second;
+  auto Limit = static_cast<size_t>(State.Settings.Limits.MaxUsedTickets);
+  while (!State.Jobs.Expirations.empty()) {
+    auto [Expires, Sequence] = *State.Jobs.Expirations.begin();
+    bool OverLimit = State.Jobs.Expirations.size() > Limit;
+    if (Expires >= Now && !OverLimit)
+      break;
     State.Jobs.Expirations.erase(State.Jobs.Expirations.begin());
     auto It = State.Jobs.Records.find(Sequence);
+    // Without its record, a late copy of the submission would run the job
+    // again.
+    if (Expires >= Now)
+      State.Jobs.ExpiredUpTo =
+          std::max(State.Jobs.ExpiredUpTo, It->second.IssuedAt);
     State.Jobs.RetainedBytes -= It->second.CountedBytes;
     State.Jobs.Records.erase(It);
   }
--- a/src/settings/settings_table.h
+++ b/src/settings/settings_table.h
@@ -26,6 +26,7 @@
 inline constexpr LimitRow LimitTable[] = {
     {"queue_limit_tasks", &DaemonLimits::QueueLimitTasks, 1, 10000000},
     {"ticket_lifetime_ms", &DaemonLimits::TicketLifetime, 1000, 24 * HourMs},
+    {"max_used_tickets", &DaemonLimits::MaxUsedTickets, 100, 100000000},
     {"max_tasks_per_job", &DaemonLimits::MaxTasksPerJob, 1, 200},
     {"max_body_bytes", &DaemonLimits::MaxBodyBytes, 1024, 64 * Mebibyte},
     {"max_payload_bytes", &DaemonLimits::MaxPayloadBytes, 1024,
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -38,6 +38,9 @@
   int64_t QueueLimitTasks = 20000;
   /// Time until a ticket expires. Ended jobs are remembered for as long.
   Milliseconds TicketLifetime{600000};
+  /// Largest number of used tickets whose records are kept. Beyond it, the
+  /// oldest tickets expire before their lifetime has passed.
+  int64_t MaxUsedTickets = 393216;
   /// Largest number of tasks in one job.
   int64_t MaxTasksPerJob = 200;
   /// Largest size of a request body.
