tests: make the load peak of the connection test come

ConnectionsOfALoadPeakAreClosed waits for 60 connections between two instances. With six upstreams, 42 of the 60 jobs are rejected at once as too late whenever the sender has read its upstreams before the jobs arrive, and the peak never comes. The test has 30 upstreams now, with room for all jobs; its bounds and its number of jobs stay.

--- a/tests/process/cell_process_test.cpp
+++ b/tests/process/cell_process_test.cpp
@@ -56,7 +56,9 @@
   constexpr size_t PeakJobs = 60;
   // The pings and the calls to the store keep a connection or two each.
   constexpr size_t LastingConnections = 10;
-  CellFleet F(cellOptions(2, 1, 6));
+  // The upstreams have room for two tasks each. With fewer of them, most jobs
+  // are rejected at once, and the peak of connections never comes.
+  CellFleet F(cellOptions(2, 1, PeakJobs / 2));
   ASSERT_FALSE(failed(F.start()));
   ASSERT_TRUE(F.waitUntilReady()) << F.allLogs();
   size_t Before = openDescriptors(F, 1);
