--- a/src/instance/instance_reducer.cpp
+++ b/src/instance/instance_reducer.cpp
@@ -513,10 +513,12 @@
   ContactLookup LastContact = [&](const SenderJob &J) {
     return lastContact(State.Cells, J, E.Now);
   };
-  bool Followed = std::holds_alternative<InstanceTick>(E.Body) ||
-                  !hasManyRuns(State.Sender);
+  // With many runs, the cost of each of these steps and the number of events
+  // grow together.
+  bool UpdateUpstreams = std::holds_alternative<InstanceTick>(E.Body) ||
+                         !hasManyRuns(State.Sender);
   bool MayStart = mayStartTasks(State, E.Now);
-  if (MayStart && Followed)
+  if (MayStart && UpdateUpstreams)
     startWaitingTasks(
         State.Sender,
         [&](const SenderJob &J) {
@@ -524,7 +526,7 @@
                  (J.Waiter.Local || isAwaitedByEntry(State.Cells, J, E.Now));
         },
         LastContact, E.Now, Pending);
-  if (Followed)
+  if (UpdateUpstreams)
     renewUpstreams(
         State.Sender,
         [&](const UpstreamId &Id) {
--- a/src/sender/capacity_func.h
+++ b/src/sender/capacity_func.h
@@ -16,8 +16,8 @@
 
 CapacityUsage measureCapacity(const SenderState &State, SteadyTime Now);
 
-/// Returns true if upstreams are placed on and renewed with the ticks, see
-/// `ManyRuns`.
+/// Returns true if tasks are placed and upstreams renewed only at the ticks;
+/// see `ManyRuns`.
 bool hasManyRuns(const SenderState &State);
 
 /// Expected wait of a task behind waiting tasks that need \p Cpu thousandths of
--- a/src/soak/hostile_clients.cpp
+++ b/src/soak/hostile_clients.cpp
@@ -5,7 +5,6 @@
 #include "http/http_address.h"
 
 #include <arpa/inet.h>
-#include <fcntl.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -246,15 +245,15 @@
     }
     poll(Events.data(), Events.size(), /*timeout=*/50);
     size_t Sent = 0;
-    bool AnyUseful = false;
+    bool AnyRead = false;
     for (size_t I = 0; I < Open.size(); ++I) {
       if (Events[I].revents & POLLIN)
-        AnyUseful |= discard(Open[I].Socket);
+        AnyRead |= discard(Open[I].Socket);
       if (Events[I].revents & POLLOUT)
         Sent += sendSome(Open[I]);
     }
     // Connections that were closed would have `poll` return at once for ever.
-    if (!AnyUseful && Sent == 0)
+    if (!AnyRead && Sent == 0)
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
     return Sent;
   }
--- a/src/soak/hostile_clients.h
+++ b/src/soak/hostile_clients.h
@@ -5,9 +5,10 @@
 #include "standins/cell_fleet.h"
 
 #include <atomic>
-#include <map>
-#include <mutex>
+#include <memory>
+#include <string_view>
 #include <thread>
+#include <vector>
 
 namespace snipeshunt {
 
