daemon: bound what readers of the timeline take

One request for a full timeline took a process of the ticket mode from 60 to 206 MB and kept it from anything else for seconds, 5.2 s beside other load: the answer was built as one JSON value, from a copy of all events. Any client can send such requests on many connections.

The text is written event by event. Requests for the timeline are answered in turn, each after a pause of four times what the last one took, so that readers get a fifth of the processor time.

--- a/src/daemon/caller_gateway.cpp
+++ b/src/daemon/caller_gateway.cpp
@@ -7,6 +7,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace snipeshunt {
@@ -16,6 +17,9 @@
 constexpr std::string_view JobPrefix = "/v1/jobs/";
 constexpr const char *ForwardedHeader = "Snipeshunt-Forwarded";
 constexpr uint32_t MaxTicketsPerRequest = 100;
+// A full timeline takes most of a second to encode. The pause after it is this
+// many times as long, so that readers don't keep callers from being served.
+constexpr int TimelinePauseFactor = 4;
 // Exceeds the default of max_patience_ms (600 s), so that the home's answer
 // arrives first. An unresponsive home is detected by the failure detector.
 constexpr Duration ForwardTimeout = std::chrono::seconds(660);
@@ -64,11 +68,16 @@
 
 CallerGateway::CallerGateway(Daemon &Owner)
     : Owner(Owner),
-      HomeClient(Owner.loop(), clientOptions(Owner.state().Settings, 4096)) {
+      HomeClient(Owner.loop(), clientOptions(Owner.state().Settings, 4096)),
+      TimelineTimer(Owner.loop(), [this] { answerTimeline(); }) {
   Owner.server().RequestReceived.connect(
       [this](const HttpRequest &Request) { handle(Request); });
-  Owner.server().RequestClosed.connect(
-      [this](RequestId Id) { this->Owner.dispatch(CallerDisconnected{Id}); });
+  Owner.server().RequestClosed.connect([this](RequestId Id) {
+    auto Reader = std::find(TimelineReaders.begin(), TimelineReaders.end(), Id);
+    if (Reader != TimelineReaders.end())
+      TimelineReaders.erase(Reader);
+    this->Owner.dispatch(CallerDisconnected{Id});
+  });
   Owner.effects().on<ReplyTickets>().connect(
       [this](const ReplyTickets &Reply) { replyTickets(Reply); });
   Owner.effects().on<ReplyToCaller>().connect([this](const ReplyToCaller &R) {
@@ -161,14 +170,28 @@
     send(Request.Id,
          {200, writeJson(configurationView(State, Owner.clock().steadyNow()))});
   } else if (Request.Path == "/v1/timeline") {
-    send(Request.Id, {200, writeJson(encodeTimeline(Owner.timelineSource(),
-                                                    Owner.timeline()))});
+    TimelineReaders.push_back(Request.Id);
+    TimelineTimer.startOnceIfStopped(
+        std::max(Duration::zero(), NextTimeline - Owner.clock().steadyNow()));
   } else {
     return false;
   }
   return true;
 }
 
+void CallerGateway::answerTimeline() {
+  if (TimelineReaders.empty())
+    return;
+  RequestId Reader = TimelineReaders.front();
+  TimelineReaders.pop_front();
+  SteadyTime Begin = Owner.clock().steadyNow();
+  send(Reader, {200, encodeTimeline(Owner.timelineSource(), Owner.timeline())});
+  SteadyTime End = Owner.clock().steadyNow();
+  NextTimeline = End + TimelinePauseFactor * (End - Begin);
+  if (!TimelineReaders.empty())
+    TimelineTimer.startOnce(NextTimeline - End);
+}
+
 void CallerGateway::replyError(RequestId Id, int Status, const Error &E) {
   Json::Value Body(Json::objectValue);
   Body["error"]["kind"] = std::string(errorKindName(E.Kind));
--- a/src/daemon/caller_gateway.h
+++ b/src/daemon/caller_gateway.h
@@ -5,6 +5,8 @@
 #include "daemon/daemon.h"
 #include "daemon/metrics.h"
 
+#include <deque>
+
 namespace snipeshunt {
 
 /// Converts the requests of callers and operators to events for the reducer and
@@ -24,11 +26,16 @@
   void replyError(RequestId Id, int Status, const Error &E);
   void send(RequestId Id, HttpReply Reply);
   void replyTickets(const ReplyTickets &Reply);
+  /// Answers the timeline request that has waited for the longest time.
+  void answerTimeline();
   void forward(const ForwardRequest &Request);
 
   Daemon &Owner;
   Metrics InstanceMetrics; ///< Updated on each request for /metrics.
   HttpClient HomeClient;   ///< Connections for forwarded requests.
+  std::deque<RequestId> TimelineReaders; ///< Timeline requests that wait.
+  SteadyTime NextTimeline{}; ///< When the next of them may be answered.
+  Timer TimelineTimer;
 };
 
 } // namespace snipeshunt
--- a/src/timeline/timeline_func.cpp
+++ b/src/timeline/timeline_func.cpp
@@ -99,13 +99,17 @@
   return Out;
 }
 
-Json::Value encodeTimeline(const TimelineSource &Source,
+std::string encodeTimeline(const TimelineSource &Source,
                            const TimelineRing &Ring) {
-  Json::Value Out(Json::objectValue);
-  Json::Value &Events = Out["events"] = Json::Value(Json::arrayValue);
-  for (const TimelineEvent &Event : Ring.events())
-    Events.append(encodeTimelineEvent(Source, Event));
-  Out["dropped"] = Json::UInt64(Ring.dropped());
+  // As one value, a full ring would take ten times the text's memory.
+  std::string Out =
+      R"({"dropped":)" + std::to_string(Ring.dropped()) + R"(,"events":[)";
+  for (size_t I = 0; I < Ring.size(); ++I) {
+    if (I > 0)
+      Out += ',';
+    Out += writeJson(encodeTimelineEvent(Source, Ring.event(I)));
+  }
+  Out += "]}";
   return Out;
 }
 
--- a/src/timeline/timeline_func.h
+++ b/src/timeline/timeline_func.h
@@ -26,8 +26,9 @@
 /// Decodes an object of `encodeTimelineEvent`.
 Result<SourcedEvent> decodeTimelineEvent(const Json::Value &Value);
 
-/// Encodes the answer of `GET /v1/timeline`, with events from oldest to newest.
-Json::Value encodeTimeline(const TimelineSource &Source,
+/// Returns the answer of `GET /v1/timeline` as JSON text, with events from
+/// oldest to newest.
+std::string encodeTimeline(const TimelineSource &Source,
                            const TimelineRing &Ring);
 /// Decodes that answer. Events that can't be decoded, for instance those of a
 /// newer version, are counted and skipped.
--- a/src/timeline/timeline_ring.cpp
+++ b/src/timeline/timeline_ring.cpp
@@ -22,7 +22,7 @@
   std::vector<TimelineEvent> Out;
   Out.reserve(Events.size());
   for (size_t I = 0; I < Events.size(); ++I)
-    Out.push_back(Events[(Oldest + I) % Events.size()]);
+    Out.push_back(event(I));
   return Out;
 }
 
--- a/src/timeline/timeline_ring.h
+++ b/src/timeline/timeline_ring.h
@@ -19,6 +19,10 @@
   void record(TimelineEvent Event);
   /// Events held, from oldest to newest.
   std::vector<TimelineEvent> events() const;
+  /// Event \p I of these.
+  const TimelineEvent &event(size_t I) const {
+    return Events[(Oldest + I) % Events.size()];
+  }
   /// Number of events held.
   size_t size() const { return Events.size(); }
   /// Number of events overwritten since construction.
--- a/tests/process/ticket_limits_process_test.cpp
+++ b/tests/process/ticket_limits_process_test.cpp
@@ -4,6 +4,7 @@
 #include "core/json_func.h"
 #include "crowd.h"
 #include "fleet/fleet.h"
+#include "http/http_client.h"
 
 namespace snipeshunt {
 namespace {
@@ -134,5 +135,37 @@
   expectInstanceServes();
 }
 
+// Guards against a timeline that takes several times its text in memory, and
+// against readers that together leave no processor time to callers.
+TEST_F(TicketLimitsProcessTest, ReadersOfAFullTimeline) {
+  start();
+  // As many as the default of timeline_events.
+  constexpr size_t Events = 65536;
+  EventLoop Loop;
+  HttpClientOptions Options;
+  Options.MaxWaitingPerTarget = Events;
+  HttpClient Client(Loop, Options);
+  size_t Ended = 0;
+  for (size_t Taken = 0; Taken < Events; Taken += 1024) {
+    size_t Count = Taken + 1024;
+    for (const std::string &Ticket : takeTickets(endpoint(), 1024)) {
+      HttpCall Call;
+      Call.Target = endpoint();
+      Call.Method = "PUT";
+      Call.Path = "/v1/jobs/" + Ticket;
+      // It fits no upstream, so that it is rejected and leaves one event.
+      Call.Body = R"({"team":"t","tasks":[{"kind":"k","accelerators":64}]})";
+      Call.Timeout = ServeLimit;
+      Client.send(std::move(Call), [&](const HttpOutcome &) { ++Ended; });
+    }
+    while (Ended < Count)
+      Loop.runFor(std::chrono::milliseconds(20));
+  }
+  Crowd Clients(endpoint(), PipeliningClients);
+  std::string Request = get("/v1/timeline");
+  Clients.send(Request, Request.size() * 100);
+  expectInstanceServes();
+}
+
 } // namespace
 } // namespace snipeshunt
--- a/tests/support/endless_server.h
+++ b/tests/support/endless_server.h
@@ -31,7 +31,7 @@
     At.sin_family = AF_INET;
     inet_pton(AF_INET, Ip.c_str(), &At.sin_addr);
     socklen_t Size = sizeof(At);
-    bind(Listener, reinterpret_cast<sockaddr *>(&At), Size);
+    (void)bind(Listener, reinterpret_cast<sockaddr *>(&At), Size);
     listen(Listener, SOMAXCONN);
     getsockname(Listener, reinterpret_cast<sockaddr *>(&At), &Size);
     Bound.Value = Ip + ":" + std::to_string(ntohs(At.sin_port));
--- a/tests/timeline_test.cpp
+++ b/tests/timeline_test.cpp
@@ -68,7 +68,7 @@
   TimelineRing Ring(1);
   Ring.record(makeEvent(1, TimelineKind::TaskQueued, "0"));
   Ring.record(makeEvent(2, TimelineKind::TaskFailed, "1", "exit 3"));
-  Result<Json::Value> Parsed = parseJson(writeJson(encodeTimeline(Home, Ring)));
+  Result<Json::Value> Parsed = parseJson(encodeTimeline(Home, Ring));
   ASSERT_FALSE(failed(Parsed));
   Result<TimelineAnswer> Answer = decodeTimeline(valueOf(Parsed));
   ASSERT_FALSE(failed(Answer)) << errorOf(Answer).Message;
@@ -88,7 +88,9 @@
   TimelineRing Ring(2);
   Ring.record(makeEvent(1, TimelineKind::TaskQueued, "0"));
   Ring.record(makeEvent(2, TimelineKind::TaskStarted, "0"));
-  Json::Value Encoded = encodeTimeline(Home, Ring);
+  Result<Json::Value> Parsed = parseJson(encodeTimeline(Home, Ring));
+  ASSERT_FALSE(failed(Parsed));
+  Json::Value Encoded = std::move(valueOf(Parsed));
   Encoded["events"][0]["kind"] = "task_exploded";
   Result<TimelineAnswer> Answer = decodeTimeline(Encoded);
   ASSERT_FALSE(failed(Answer));
