--- a/src/soak/hostile_clients.cpp
+++ b/src/soak/hostile_clients.cpp
@@ -222,7 +222,8 @@
     At.sin_family = AF_INET;
     At.sin_port = htons(To.Port);
     inet_pton(AF_INET, To.Host.c_str(), &At.sin_addr);
-    connect(Socket, reinterpret_cast<sockaddr *>(&At), sizeof(At));
+    // A refused connection shows when the client sends.
+    (void)connect(Socket, reinterpret_cast<sockaddr *>(&At), sizeof(At));
     return Socket;
   }
 
--- a/tests/cell_job_memory_test.cpp
+++ b/tests/cell_job_memory_test.cpp
@@ -55,6 +55,7 @@
 // small, and against a few of them that keep all other jobs out.
 TEST_F(CellJobMemoryTest, LargeJobsLeaveMemoryToOthers) {
   std::vector<size_t> Large;
+  Large.reserve(10);
   for (int I = 0; I < 10; ++I)
     Large.push_back(submitSmallTasks("large-" + std::to_string(I), MaxTasks));
   World.run(milliseconds(20));
